--- /dev/null
+++ b/eelgrassrack/decisions/sharedbudget.py
@@ -0,0 +1,36 @@
+"""Limits that all entries share without asking each other.
+
+Load pattern: endpoints fail, so every entry repeats requests at once; or an
+endpoint comes back cold and looks idle to every entry at once.  If each entry
+took the whole limit for itself, the sum would be the limit times the number
+of entries, and endpoints would fall over.
+
+Each entry holds to its own share.  What is proportional to requests it earns
+by the requests that it took itself, so those shares add up by themselves.
+The constant part is divided by the number of entries that may be live.
+"""
+
+import math
+
+# The part of a limit that is used: entries' windows don't begin at the same
+# moment, and an entry that has just ended may have used its share already.
+USED_SHARE = 0.7
+
+
+def allow_retry(
+    *, requests: int, repeats: int, ratio: float, slack: float, entries: int
+) -> bool:
+    """Tell whether one more repeat keeps to the entry's share of the budget."""
+    allowed = ratio * requests + slack / max(entries, 1)
+    return repeats + 1 <= allowed * USED_SHARE
+
+
+def share_cold_rate(
+    *, rate: float, overage: float, slack: float, entries: int
+) -> int:
+    """Return how many requests an entry may send a cold endpoint each second.
+
+    At least one, or an endpoint that is cold for long would never be tried.
+    """
+    whole = (rate * overage + slack) * USED_SHARE
+    return max(math.floor(whole / max(entries, 1)), 1)
--- /dev/null
+++ b/eelgrassrack/gateway/daemon.py
@@ -0,0 +1,196 @@
+"""One gateway as a process: its parts, its start and its graceful stop."""
+
+import asyncio
+import signal
+
+import logbook
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.httpserver import HTTPServer
+
+from ..supervisor import Supervisor
+from .beliefs import Peer, RolloutOrder
+from .doors import Door
+from .fleet import Fleet
+from .follower import Contact, Follower
+from .ingress import Ingress
+from .messages import Refusal
+from .metrics import GatewayMetrics
+from .placing import Placing
+from .plan import Plan, Router
+from .pool import Pool
+from .serving import Serving
+from .settings import GatewaySettings
+
+log = logbook.Logger("gateway")
+
+# Chores such as closing idle connections.
+CHORE_SECONDS = 0.5
+
+# The balancer takes an instance out after two misses a second apart; new
+# connections come until then, and a little later over its own links.
+ROTATION_SECONDS = 2.6
+
+# What is left of the grace for the last bytes to leave.
+LAST_SECONDS = 0.7
+
+# The balancer's health check of an entry and operators' reads are short.
+BACKLOG = 1_024
+
+
+class Gateway:
+    """All parts of one gateway."""
+
+    __slots__ = (
+        "_contact",
+        "_doors",
+        "_fleet",
+        "_followers",
+        "_ingress",
+        "_is_closing",
+        "_kinds",
+        "_metrics",
+        "_placing",
+        "_pool",
+        "_router",
+        "_server",
+        "_settings",
+        "_store",
+        "_supervisor",
+        "_translation",
+    )
+
+    def __init__(
+        self, *, settings: GatewaySettings, store: object, kinds: type, translation: object
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._store = store
+        self._kinds = kinds
+        self._is_closing = False
+        self._metrics = GatewayMetrics()
+        self._contact = Contact()
+        self._router = Router()
+        self._pool = Pool()
+        self._fleet = Fleet(
+            contact=self._contact,
+            clock=loop.time,
+            forget=lambda lifetime: self._pool.forget(lifetime=lifetime),
+        )
+        self._placing = Placing(fleet=self._fleet, settings=settings)
+        self._translation = translation
+        self._supervisor = Supervisor(name="gateway")
+        self._followers = self._make_followers()
+        serving = Serving(
+            router=self._router,
+            placing=self._placing,
+            pool=self._pool,
+            translation=translation,
+            metrics=self._metrics,
+            settings=settings,
+        )
+        self._ingress = Ingress(
+            service=serving,
+            decode=translation.decode_arrival,
+            is_closing=lambda: self._is_closing,
+        )
+        self._server = HTTPServer(
+            self._ingress,
+            idle_connection_timeout=60.0,
+            max_header_size=65_536,
+            max_body_size=8_388_608,
+        )
+        self._doors = (
+            Door(address=settings.readiness, answer=self._answer_readiness),
+            Door(
+                address=f"{settings.address}:{settings.metrics_port}",
+                answer=lambda _: (200, self._metrics.render()),
+            ),
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop, then stop gracefully."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stopping.set)
+        loop.add_signal_handler(signal.SIGINT, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._start()
+        await stopping.wait()
+        await self._stop()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        is_known = self._router.plan is not None and self._fleet.is_known
+        return is_known and not self._is_closing
+
+    def _start(self) -> None:
+        for follower in self._followers:
+            self._supervisor.start(name=follower.kind, job=follower.run)
+        self._supervisor.start(name="chores", job=self._do_chores)
+        host, port = self._settings.listen.rsplit(":", 1)
+        self._server.listen(int(port), host, backlog=BACKLOG)
+        for door in self._doors:
+            door.open()
+        log.notice(
+            "gateway: {} started in {}", self._settings.name, self._settings.domain
+        )
+
+    async def _stop(self) -> None:
+        """Leave the rotation, end what is under way, and close."""
+        log.notice("gateway: stopping, {} open", self._ingress.open_requests)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._is_closing = True
+        last = began + self._settings.grace_seconds - LAST_SECONDS
+        await asyncio.sleep(ROTATION_SECONDS)
+        self._server.stop()
+        self._ingress.close_idle()
+        while self._ingress.open_requests and loop.time() < last:
+            await asyncio.sleep(0.05)
+            self._ingress.close_idle()
+        self._ingress.close_idle()
+        log.notice("gateway: stopped, {} cut", self._ingress.open_requests)
+        await self._supervisor.stop()
+        self._store.close()
+
+    def _reload(self) -> None:
+        log.notice("gateway: settings changed")
+
+    def _answer_readiness(self, _: str) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.is_ready else (503, b"not ready\n")
+
+    async def _do_chores(self) -> None:
+        while True:
+            await asyncio.sleep(CHORE_SECONDS)
+            self._pool.prune(now=asyncio.get_running_loop().time())
+            self._fleet.sweep()
+
+    def _make_followers(self) -> tuple[Follower, ...]:
+        kinds = self._kinds
+        return (
+            self._follow(kinds.CONFIGURATION, self._take_plans, self._take_plans),
+            self._follow(
+                kinds.ENDPOINTS, self._fleet.take_list, self._fleet.take_changes
+            ),
+        )
+
+    def _follow(self, kind: str, take_list: object, take_changes: object) -> Follower:
+        return Follower(
+            store=self._store,
+            kind=kind,
+            contact=self._contact,
+            take_list=take_list,
+            take_changes=take_changes,
+        )
+
+    def _take_plans(self, objects: dict[str, object | None]) -> None:
+        for plan in objects.values():
+            match plan:
+                case Plan() if self._router.take(plan):
+                    self._metrics.version.set(plan.version)
+                    log.info("gateway: configuration {} in force", plan.version)
+                case Plan() | None:
+                    continue
+                case _:
+                    log.warning("gateway: a configuration can't be read: {}", plan)
--- /dev/null
+++ b/eelgrassrack/gateway/fleet.py
@@ -0,0 +1,205 @@
+"""The endpoints that may be used now, and what runs on them."""
+
+from collections.abc import Callable, Iterable
+
+import logbook
+import msgspec
+
+from .endpoints import Endpoint
+from .follower import Contact
+from .messages import Load
+
+log = logbook.Logger("fleet")
+
+# An entry that lapsed while the store was away is back within two seconds of
+# its return, less the time that the way to here takes.
+LAPSE_SECONDS = 1.8
+
+
+class Flight:
+    """What this gateway knows of one lifetime of an endpoint.
+
+    `own` counts its requests under way here, `peers` those of other gateways
+    by their last news, `tokens` the tokens of the own ones.
+    """
+
+    __slots__ = (
+        "cold_until",
+        "endpoint",
+        "load",
+        "load_at",
+        "missing_since",
+        "own",
+        "own_tokens",
+        "peers",
+        "peers_tokens",
+        "seen_at",
+        "shunned_until",
+    )
+
+    def __init__(self, *, endpoint: Endpoint, now: float) -> None:
+        self.endpoint = endpoint
+        self.seen_at = now
+        self.cold_until = now + endpoint.cold
+        self.own = 0
+        self.own_tokens = 0
+        self.peers = 0
+        self.peers_tokens = 0
+        self.load: Load | None = None
+        self.load_at = float("-inf")
+        self.missing_since: float | None = None
+        self.shunned_until = float("-inf")
+
+    @property
+    def running(self) -> int:
+        """Return how many requests all gateways have there."""
+        return self.own + self.peers
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens those requests may come to."""
+        return self.own_tokens + self.peers_tokens
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the endpoint bears only a few requests a second."""
+        return now < self.cold_until
+
+
+class Leaving(msgspec.Struct, frozen=True):
+    """An endpoint's lifetime that takes no new work."""
+
+    lifetime: tuple[str, int]
+
+
+class Fleet:
+    """All endpoints, with those that are leaving, gone or taken out."""
+
+    __slots__ = (
+        "_clock",
+        "_contact",
+        "_flights",
+        "_forget",
+        "evacuated",
+        "is_known",
+    )
+
+    def __init__(
+        self,
+        *,
+        contact: Contact,
+        clock: Callable[[], float],
+        forget: Callable[[tuple[str, int]], None],
+    ) -> None:
+        self._contact = contact
+        self._clock = clock
+        self._forget = forget
+        self._flights: dict[str, Flight] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.is_known = False
+
+    def __iter__(self) -> Iterable[Flight]:
+        """Return all lifetimes that are known."""
+        return iter(tuple(self._flights.values()))
+
+    def find(self, name: str) -> Flight | None:
+        """Return what is known of an endpoint."""
+        return self._flights.get(name)
+
+    def take_list(self, objects: dict[str, object]) -> None:
+        """Take over the whole list."""
+        self.is_known = True
+        missing = {name: None for name in self._flights.keys() - objects.keys()}
+        self.take_changes({**objects, **missing})
+
+    def take_changes(self, objects: dict[str, object | None]) -> None:
+        """Take over entries that changed or were removed."""
+        for name, found in objects.items():
+            match found:
+                case Endpoint():
+                    self._take(found)
+                case None:
+                    self._miss(name)
+                case _:
+                    # Bytes of another writer name no endpoint to use.
+                    log.warning("fleet: entry {} can't be read: {}", name, found)
+                    self._miss(name)
+
+    def take_evacuations(self, domains: Iterable[str]) -> None:
+        """Take over which failure domains are taken out."""
+        domains = frozenset(domains)
+        if domains != self.evacuated:
+            log.notice("fleet: domains taken out: {}", ", ".join(sorted(domains)))
+        self.evacuated = domains
+
+    def sweep(self) -> None:
+        """Drop entries that were missing after an outage and stayed away."""
+        now = self._clock()
+        for flight in tuple(self._flights.values()):
+            if flight.missing_since is not None and not self._may_be_back(now):
+                self._drop(flight, "still missing after the store's return")
+
+    def select(self, *, service: str, version: str | None = None) -> list[Flight]:
+        """Return the lifetimes that may get a request now."""
+        return [
+            flight
+            for flight in self._flights.values()
+            if flight.endpoint.service == service
+            and not flight.endpoint.is_draining
+            and flight.endpoint.domain not in self.evacuated
+            and (version is None or flight.endpoint.version == version)
+        ]
+
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Tell whether a lifetime may still get a request."""
+        flight = self._flights.get(endpoint.name)
+        if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
+            return False
+        current = flight.endpoint
+        return not current.is_draining and current.domain not in self.evacuated
+
+    def _take(self, endpoint: Endpoint) -> None:
+        now = self._clock()
+        flight = self._flights.get(endpoint.name)
+        if flight is not None and flight.endpoint.born > endpoint.born:
+            return
+        if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
+            if flight is not None:
+                self._drop(flight, "started again")
+            self._flights[endpoint.name] = Flight(endpoint=endpoint, now=now)
+            log.info(
+                "fleet: {} of {} {} is up in {}, cold for {:.1f} s",
+                endpoint.name,
+                endpoint.service,
+                endpoint.version,
+                endpoint.domain,
+                endpoint.cold,
+            )
+            return
+        if endpoint.is_draining and not flight.endpoint.is_draining:
+            log.info("fleet: {} is draining", endpoint.name)
+        flight.endpoint = endpoint
+        flight.missing_since = None
+        flight.cold_until = now + endpoint.cold
+
+    def _miss(self, name: str) -> None:
+        """Drop an entry that was removed, unless it may have only lapsed."""
+        flight = self._flights.get(name)
+        if flight is None:
+            return
+        now = self._clock()
+        if self._may_be_back(now):
+            if flight.missing_since is None:
+                log.notice("fleet: {} is missing after an outage", name)
+                flight.missing_since = now
+            return
+        self._drop(flight, "removed")
+
+    def _may_be_back(self, now: float) -> bool:
+        if self._contact.lost_at is not None:
+            return True
+        return now < self._contact.returned_at + LAPSE_SECONDS
+
+    def _drop(self, flight: Flight, reason: str) -> None:
+        log.info("fleet: {} is gone: {}", flight.endpoint.name, reason)
+        del self._flights[flight.endpoint.name]
+        self._forget(flight.endpoint.lifetime)
--- /dev/null
+++ b/eelgrassrack/gateway/follower.py
@@ -0,0 +1,163 @@
+"""Follow the objects of one kind in the platform's store."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import logbook
+
+from .beliefs import Away, Changed, HistoryGone, Listed
+
+log = logbook.Logger("store")
+
+# A list takes milliseconds; a slow store takes 50 times as long.
+LIST_SECONDS = 2.0
+
+# A watch waits this long.  Each call is paid for, a waiting watch as one; a
+# watch whose connection has fallen silent is noticed at its end at the latest.
+WATCH_SECONDS = 12.0
+WATCH_SLACK_SECONDS = 1.0
+
+# Pauses after failures, with jitter, so that entries that lost the store
+# together don't come back together.
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 1.0
+
+
+class Store(Protocol):
+    """The calls that a follower makes."""
+
+    async def list(
+        self, *, kind: str, timeout: float, is_stale_fine: bool = False
+    ) -> Listed | Away:
+        """Return all objects of a kind."""
+
+    async def watch(
+        self, *, kind: str, revision: int, wait: float, timeout: float
+    ) -> Changed | HistoryGone | Away:
+        """Return what changed after a revision."""
+
+
+class Contact:
+    """Whether the store answers, over all kinds.
+
+    `returned_at` is the loop's time at which it last answered again after
+    it had not; `lost_at` is None while it answers.
+    """
+
+    __slots__ = ("lost_at", "returned_at")
+
+    def __init__(self) -> None:
+        self.lost_at: float | None = None
+        self.returned_at = float("-inf")
+
+    def note(self, *, is_answered: bool, now: float, reason: str = "") -> None:
+        """Take over the outcome of a call."""
+        if is_answered:
+            if self.lost_at is not None:
+                lost = now - self.lost_at
+                log.notice("store: regained, away for {:.2f} s", lost)
+                self.returned_at = now
+            self.lost_at = None
+            return
+        if self.lost_at is None:
+            self.lost_at = now
+            log.warning("store: lost: {}", reason)
+
+
+class Follower:
+    """Keep a view of one kind up to date.
+
+    `take_list` gets all objects, `take_changes` those that changed, with None
+    for a removed one.
+    """
+
+    __slots__ = (
+        "_contact",
+        
+        "_store",
+        "_take_changes",
+        "_take_list",
+        "_watching",
+        "kind",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        kind: str,
+        contact: Contact,
+        take_list: Callable[[dict[str, object]], None],
+        take_changes: Callable[[dict[str, object | None]], None],
+    ) -> None:
+        self._store = store
+        self.kind = kind
+        self._contact = contact
+        self._take_list = take_list
+        self._take_changes = take_changes
+        self._watching: asyncio.Task | None = None
+        self.revision: int | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            answered = await self._advance()
+            if answered:
+                pause = FIRST_PAUSE
+                continue
+            await asyncio.sleep(pause * (0.5 + random.random()))
+            pause = min(pause * 2, LONGEST_PAUSE)
+
+    def hurry(self) -> None:
+        """End a waiting watch: others have seen changes that it hasn't told."""
+        if self._watching is not None:
+            self._watching.cancel()
+
+    async def _advance(self) -> bool:
+        """List or watch once; return whether the store answered."""
+        result = await (self._list() if self.revision is None else self._watch())
+        now = asyncio.get_running_loop().time()
+        match result:
+            case Listed():
+                self.revision = result.revision
+                self._take_list(result.objects)
+            case Changed():
+                self.revision = result.revision
+                if result.objects:
+                    self._take_changes(result.objects)
+            case HistoryGone():
+                log.notice("store: history of {} gone, listing again", self.kind)
+                self.revision = None
+            case Away(reason=reason):
+                self._contact.note(
+                    is_answered=False, now=now, reason=f"{self.kind}: {reason}"
+                )
+                return False
+        self._contact.note(is_answered=True, now=now)
+        return True
+
+    async def _list(self) -> Listed | Away:
+        return await self._store.list(kind=self.kind, timeout=LIST_SECONDS)
+
+    async def _watch(self) -> Changed | HistoryGone | Away:
+        self._watching = asyncio.ensure_future(
+            self._store.watch(
+                kind=self.kind,
+                revision=self.revision,
+                wait=WATCH_SECONDS,
+                timeout=WATCH_SECONDS + WATCH_SLACK_SECONDS,
+            )
+        )
+        try:
+            return await self._watching
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                self._watching.cancel()
+                raise
+            return Away(reason="others have seen changes since")
+        finally:
+            self._watching = None
--- /dev/null
+++ b/eelgrassrack/platform/headers.py
@@ -0,0 +1,204 @@
+"""The platform's headers, decoded into the gateway's messages and back."""
+
+from collections.abc import Iterable
+
+from ..gateway.messages import Arrival, Head, Load, Part
+
+ATTEMPT = "X-Attempt-Id"
+DEADLINE = "X-Deadline-Ms"
+PARTS = "X-Prompt-Prefix"
+LAST_EVENT = "Last-Event-Id"
+STAMP = "X-Server-Stamp"
+ORGANISATION = "X-Tenant"
+EXPECT_ENDPOINT = "X-Expect-Instance"
+LOAD = "X-Instance-Load"
+NOT_RUN = "X-Not-Executed"
+MODEL = "X-Model"
+TOKENS = "X-Token-Usage"
+PRIORITY = "X-Request-Priority"
+AUTHORIZATION = "Authorization"
+SESSION = "Session"
+SCHEME = "bearer "
+
+# Headers of one connection, which end at each hop (RFC 9110, 7.6.1).
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+# Headers that are the router's to set: a caller's own are dropped, since with
+# them it could use another's memory or reserve an endpoint for itself.
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "x-tenant",
+        "x-expect-instance",
+        "x-expect-version",
+        "x-request-priority",
+        "x-deadline-ms",
+        "x-pin-ms",
+        "x-hold",
+        "x-kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "last-event-id",
+        "host",
+        "content-length",
+        "expect",
+    }
+)
+DROPPED = HOP_HEADERS | OWN_HEADERS
+
+MISDIRECTED = 421
+MILLISECONDS = 1000.0
+
+
+def decode_arrival(
+    *,
+    method: str,
+    target: str,
+    pairs: Iterable[tuple[str, str]],
+    now: float,
+) -> Arrival:
+    """Return a caller's request from its start line and header fields."""
+    kept = []
+    named: dict[str, str] = {}
+    for name, value in pairs:
+        lowered = name.lower()
+        named[lowered] = value
+        if lowered not in DROPPED:
+            kept.append((name, value))
+    listed = _list_tokens(named.get("connection", ""))
+    tokens_in, tokens_out = _decode_tokens(named.get("x-token-usage", ""))
+    return Arrival(
+        id=named.get("x-attempt-id", ""),
+        method=method,
+        target=target,
+        host=named.get("host", "").rsplit(":", 1)[0].lower(),
+        path=target.split("?", 1)[0],
+        headers=tuple(pair for pair in kept if pair[0].lower() not in listed),
+        arrived=now,
+        key=_decode_key(named.get("authorization", "")),
+        patience=_decode_milliseconds(named.get("x-deadline-ms", "")),
+        model=named.get("x-model", ""),
+        tokens_in=tokens_in,
+        tokens_out=tokens_out,
+        parts=_decode_parts(named.get("x-prompt-prefix", "")),
+        session=named.get("session", ""),
+        resume_after=named.get("last-event-id", ""),
+    )
+
+
+def encode_request(
+    *,
+    arrival: Arrival,
+    endpoint: str,
+    organisation: str,
+    left: float,
+    resume_after: str,
+    model: str,
+    priority: int | None,
+) -> list[tuple[str, str]]:
+    """Return the header fields for an endpoint; `left` is in seconds."""
+    pairs = [("Host", arrival.host)]
+    pairs += [
+        (name, model if name.lower() == "x-model" else value)
+        for name, value in arrival.headers
+    ]
+    pairs.append((DEADLINE, str(max(int(left * MILLISECONDS), 1))))
+    pairs.append((EXPECT_ENDPOINT, endpoint))
+    if organisation:
+        pairs.append((ORGANISATION, organisation))
+    if resume_after:
+        pairs.append((LAST_EVENT, resume_after))
+    if priority is not None:
+        pairs.append((PRIORITY, str(priority)))
+    if arrival.body or arrival.method in {"POST", "PUT", "PATCH"}:
+        pairs.append(("Content-Length", str(len(arrival.body))))
+    return pairs
+
+
+def decode_head(
+    *, status: int, reason: str, pairs: Iterable[tuple[str, str]]
+) -> Head:
+    """Return the head of an endpoint's answer."""
+    kept = []
+    named: dict[str, str] = {}
+    for name, value in pairs:
+        lowered = name.lower()
+        named[lowered] = value
+        if lowered not in HOP_HEADERS:
+            kept.append((name, value))
+    listed = _list_tokens(named.get("connection", ""))
+    content_type = named.get("content-type", "")
+    return Head(
+        status=status,
+        reason=reason,
+        headers=tuple(pair for pair in kept if pair[0].lower() not in listed),
+        not_run="x-not-executed" in named or status == MISDIRECTED,
+        is_whole="x-server-stamp" in named and "content-encoding" not in named,
+        attempt=named.get("x-attempt-id", ""),
+        is_event_stream=content_type.startswith("text/event-stream"),
+        load=_decode_load(named.get("x-instance-load", "")),
+        keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
+        will_close="close" in listed,
+        misdirected=status == MISDIRECTED,
+    )
+
+
+def _list_tokens(value: str) -> frozenset[str]:
+    return frozenset(token.strip().lower() for token in value.split(",") if token)
+
+
+def _decode_key(value: str) -> str | None:
+    if not value.lower().startswith(SCHEME):
+        return None
+    return value[len(SCHEME) :].strip() or None
+
+
+def _decode_milliseconds(value: str) -> float | None:
+    try:
+        seconds = int(value) / MILLISECONDS
+    except ValueError:
+        return None
+    return seconds if seconds >= 0 else None
+
+
+def _decode_tokens(value: str) -> tuple[int, int]:
+    fields = value.split(",")
+    if len(fields) != 2 or not all(one.strip().isdecimal() for one in fields):
+        return 0, 0
+    return int(fields[0]), int(fields[1])
+
+
+def _decode_parts(value: str) -> tuple[Part, ...]:
+    """Return the parts of a prompt; a list that can't be read is none."""
+    pairs = [item.strip().split(":") for item in value.split(",") if item.strip()]
+    if not all(len(pair) == 2 and pair[1].isdecimal() for pair in pairs):
+        return ()
+    return tuple(Part(name, int(tokens)) for name, tokens in pairs)
+
+
+def _decode_load(value: str) -> Load | None:
+    fields = value.split(",")
+    if len(fields) != 3 or not all(one.strip().isdecimal() for one in fields):
+        return None
+    return Load(*(int(one) for one in fields))
+
+
+def _decode_keep_alive(value: str) -> float | None:
+    """Return the seconds that `Keep-Alive: timeout=5` names."""
+    for item in value.split(","):
+        name, _, number = item.strip().partition("=")
+        if name.lower() == "timeout" and number.strip().isdecimal():
+            return float(number)
+    return float(value) if value.strip().isdecimal() else None
--- /dev/null
+++ b/eelgrassrack/platform/manifest.py
@@ -0,0 +1,153 @@
+"""The platform's manifest, decoded into a plan."""
+
+import msgspec
+
+from ..gateway.messages import Kind
+from ..gateway.plan import Limits, Organisation, Plan, Route, Service, Target
+from .errors import FormatError
+
+KINDS = {
+    "idempotent": Kind.IDEMPOTENT,
+    "non_idempotent": Kind.NON_IDEMPOTENT,
+    "streaming": Kind.STREAM,
+}
+MILLISECONDS = 1000.0
+
+
+class WireTarget(msgspec.Struct, frozen=True):
+    """A service of a split route."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, frozen=True, rename="camel"):
+    """A route; `public` means that no key is asked for."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: tuple[WireTarget, ...] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+    sizes: tuple[str, ...] | None = None
+
+
+class WireModel(msgspec.Struct, frozen=True):
+    """A model of an engine; `cost` is for 1,000 generated tokens."""
+
+    name: str
+    cost: float = 0.0
+
+
+class WireEngine(msgspec.Struct, frozen=True, rename="camel"):
+    """What the engines of a service are like."""
+
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    models: tuple[WireModel, ...] = ()
+
+
+class WireService(msgspec.Struct, frozen=True, rename="camel"):
+    """A service."""
+
+    name: str
+    health_path: str = "/healthz"
+    max_connections: int = 100
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: WireEngine | None = None
+
+
+class WireLimits(msgspec.Struct, frozen=True, rename="camel"):
+    """What a caller may send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class WireOrganisation(msgspec.Struct, frozen=True, rename="camel"):
+    """An organisation and its keys."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class WireManifest(msgspec.Struct, frozen=True):
+    """The whole manifest; without `tenants` no key is asked for."""
+
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    limits: WireLimits = WireLimits()
+    tenants: tuple[WireOrganisation, ...] | None = None
+
+
+def decode_manifest(data: msgspec.Raw | bytes) -> Plan:
+    """Return the plan; raise `FormatError` if it can't be read."""
+    try:
+        wire = msgspec.json.decode(data, type=WireManifest)
+        routes = tuple(_decode_route(route) for route in wire.routes)
+    except (msgspec.DecodeError, KeyError) as error:
+        raise FormatError(f"a manifest that can't be read: {error}") from error
+    organisations = wire.tenants or ()
+    return Plan(
+        version=wire.version,
+        routes=routes,
+        services={one.name: _decode_service(one) for one in wire.services},
+        keys={
+            key: Organisation(name=one.name, priority=one.priority)
+            for one in organisations
+            for key in one.api_keys
+        },
+        limits=Limits(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_seconds=wire.limits.header_timeout_ms / MILLISECONDS,
+            idle_seconds=wire.limits.idle_timeout_ms / MILLISECONDS,
+        ),
+        checks_keys=wire.tenants is not None,
+    )
+
+
+def _decode_route(wire: WireRoute) -> Route:
+    split = wire.traffic_split or (WireTarget(wire.service or "", 1.0),)
+    return Route(
+        name=wire.name,
+        host=wire.hostname.lower(),
+        prefix=wire.path_prefix,
+        kind=KINDS[wire.route_type],
+        timeout=wire.timeout_ms / MILLISECONDS,
+        objective=wire.target_latency_ms / MILLISECONDS,
+        targets=tuple(Target(service=one.service, weight=one.weight) for one in split),
+        attempts=wire.max_attempts,
+        priority=wire.priority,
+        is_open=wire.public,
+        is_resumable=wire.resumable,
+        gap=wire.gap_target_ms / MILLISECONDS,
+        models=wire.sizes or (),
+    )
+
+
+def _decode_service(wire: WireService) -> Service:
+    engine = wire.engine or WireEngine()
+    return Service(
+        name=wire.name,
+        health_path=wire.health_path,
+        connections=wire.max_connections,
+        cold_seconds=wire.cold_s,
+        cold_rate=wire.cold_per_s,
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity_tokens,
+        costs=tuple((model.name, model.cost) for model in engine.models),
+    )
--- /dev/null
+++ b/eelgrassrack/platform/store.py
@@ -0,0 +1,190 @@
+"""The calls to the platform's store."""
+
+import urllib.parse
+from collections.abc import Callable
+
+import msgspec
+
+from ..gateway.beliefs import Away, Changed, HistoryGone, Listed, RolloutStatus
+from ..store.http import Answer, HttpCaller, NoAnswer
+from .errors import FormatError
+from .manifest import decode_manifest
+from .objects import (
+    WireObject,
+    WirePage,
+    WireWatch,
+    decode_endpoint,
+    decode_order,
+    decode_peer,
+    encode_status,
+)
+
+Decode = Callable[[WireObject], object]
+
+GONE = 410
+CONFLICT = 409
+MILLISECONDS = 1000.0
+
+# Connections to the store: a waiting watch a kind, and a call beside them.
+MOST_CONNECTIONS = 8
+
+JSON = {"Content-Type": "application/json"}
+
+
+class Kinds:
+    """The kinds of objects that the gateway reads, as the store spells them."""
+
+    CONFIGURATION = "config"
+    ENDPOINTS = "servers"
+    ROLLOUTS = "rollouts"
+    EVACUATIONS = "evacuations"
+    PEERS = "eelgrassrack-entries"
+
+
+# The one object of the configuration's kind that holds the manifest.
+MANIFEST_NAME = "main"
+
+
+def decode_configuration(wire: WireObject) -> object:
+    """Return the plan of the object that holds it."""
+    return decode_manifest(wire.spec)
+
+
+def decode_presence(wire: WireObject) -> object:
+    """Return the name of an object that says all by being there."""
+    return wire.metadata.name
+
+
+DECODERS: dict[str, Decode] = {
+    Kinds.CONFIGURATION: decode_configuration,
+    Kinds.ENDPOINTS: decode_endpoint,
+    Kinds.ROLLOUTS: decode_order,
+    Kinds.EVACUATIONS: decode_presence,
+    Kinds.PEERS: decode_peer,
+}
+
+
+class Malformed(msgspec.Struct, frozen=True):
+    """An object that can't be read; it stands for nothing."""
+
+    reason: str
+
+
+class PlatformStore:
+    """Read and write objects; a call never raises for a failure."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, *, url: str) -> None:
+        self._http = HttpCaller(url=url, max_clients=MOST_CONNECTIONS)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._http.close()
+
+    async def list(
+        self, *, kind: str, timeout: float, is_stale_fine: bool = False
+    ) -> Listed | Away:
+        """Return all objects of a kind, within `timeout` seconds a page."""
+        objects: dict[str, object] = {}
+        after = ""
+        while True:
+            query = {"after": after} if after else {}
+            if is_stale_fine:
+                query["staleOk"] = "1"
+            outcome = await self._http.fetch(
+                path=_make_path(kind, query=query), timeout=timeout
+            )
+            page = _read(outcome, WirePage)
+            if not isinstance(page, WirePage):
+                return page if isinstance(page, Away) else Away(reason="410 to a list")
+            for item in page.items:
+                objects[item.metadata.name] = _decode(kind, item)
+            if not page.has_more or not page.items:
+                return Listed(revision=page.store_revision, objects=objects)
+            after = page.items[-1].metadata.name
+
+    async def watch(
+        self, *, kind: str, revision: int, wait: float, timeout: float
+    ) -> Changed | HistoryGone | Away:
+        """Return what changed after a revision, waiting `wait` seconds for it."""
+        query = {"watch": str(revision), "waitMs": str(int(wait * MILLISECONDS))}
+        outcome = await self._http.fetch(
+            path=_make_path(kind, query=query), timeout=timeout
+        )
+        changes = _read(outcome, WireWatch)
+        if not isinstance(changes, WireWatch):
+            return changes
+        return Changed(
+            revision=changes.store_revision,
+            objects={
+                event.object.metadata.name: (
+                    None if event.tombstone else _decode(kind, event.object)
+                )
+                for event in changes.events
+            },
+        )
+
+    async def write_peer(self, *, name: str, address: str, timeout: float) -> bool:
+        """Say where this entry takes news; return whether that is known to lie there.
+
+        The object is made anew or replaced, so a repeated call does no harm.
+        """
+        body = {"metadata": {"name": name}, "spec": {"address": address}}
+        path = _make_path(Kinds.PEERS)
+        made = await self._send("POST", path, body, timeout)
+        if isinstance(made, Answer) and made.status == CONFLICT:
+            path = _make_path(Kinds.PEERS, name=name)
+            made = await self._send("PUT", path, body, timeout)
+        return isinstance(made, Answer) and made.status < 300
+
+    async def write_status(
+        self, *, service: str, revision: int, status: RolloutStatus, timeout: float
+    ) -> bool:
+        """Write a roll-out's status if its object is still at `revision`."""
+        body = {
+            "metadata": {"name": service, "revision": revision},
+            "status": encode_status(status),
+        }
+        path = _make_path(Kinds.ROLLOUTS, name=f"{service}/status")
+        outcome = await self._send("PUT", path, body, timeout)
+        return isinstance(outcome, Answer) and outcome.status < 300
+
+    async def _send(
+        self, method: str, path: str, body: object, timeout: float
+    ) -> Answer | NoAnswer:
+        return await self._http.fetch(
+            path=path,
+            method=method,
+            headers=JSON,
+            body=msgspec.json.encode(body),
+            timeout=timeout,
+            repeatable=False,
+        )
+
+
+def _make_path(kind: str, *, name: str = "", query: dict[str, str] | None = None) -> str:
+    path = f"/objects/{kind}/{name}" if name else f"/objects/{kind}"
+    return f"{path}?{urllib.parse.urlencode(query)}" if query else path
+
+
+def _read(outcome: Answer | NoAnswer, kind: type) -> object:
+    match outcome:
+        case NoAnswer(reason=reason):
+            return Away(reason=reason)
+        case Answer(status=200, body=body):
+            try:
+                return msgspec.json.decode(body, type=kind)
+            except msgspec.DecodeError as error:
+                return Away(reason=f"an answer that can't be read: {error}")
+        case Answer(status=status) if status == GONE:
+            return HistoryGone()
+        case Answer(status=status):
+            return Away(reason=f"status {status}")
+
+
+def _decode(kind: str, wire: WireObject) -> object:
+    try:
+        return DECODERS[kind](wire)
+    except FormatError as error:
+        return Malformed(str(error))
--- a/eelgrassrack/settings.py
+++ b/eelgrassrack/settings.py
@@ -219,9 +219,30 @@
         raise UserError(f"{path}: not UTF-8 at byte {error.start}") from error
 
 
+def read_sections_of(
+    path: pathlib.Path, main: SectionKind
+) -> tuple[dict[str, object], LogSettings]:
+    """Return a settings file's main values and how to log.
+
+    Raise a `UserError` with every fault.
+    """
+    values = _read_values(path, main)
+    return values[main.kind], LogSettings(**values.get(LOG.kind, {}))
+
+
 def _read_settings(
     path: pathlib.Path, main: SectionKind
 ) -> EntrySettings | AgentSettings:
+    values = _read_values(path, main)
+    return main.struct(
+        **values[main.kind],
+        log=LogSettings(**values.get(LOG.kind, {})),
+        metrics=MetricSettings(**values.get(METRICS.kind, {})),
+    )
+
+
+def _read_values(path: pathlib.Path, main: SectionKind) -> dict[str, dict]:
+    """Return the values of each section; raise a `UserError` with every fault."""
     file = str(path)
     scan = scan_text(read_text(path), file=file)
     readings, faults = read_sections(scan.sections, (main, LOG, METRICS), file=file)
@@ -233,8 +254,4 @@
         faults.append(Fault(file=file, line=1, section=main.kind, allowed=allowed))
     if faults:
         raise UserError("\n".join(str(fault) for fault in sorted(faults)))
-    return main.struct(
-        **values[main.kind],
-        log=LogSettings(**values.get(LOG.kind, {})),
-        metrics=MetricSettings(**values.get(METRICS.kind, {})),
-    )
+    return values
