--- /dev/null
+++ b/eelgrassrack/decisions/poison.py
@@ -0,0 +1,86 @@
+"""Which requests are kept from endpoints because they crash them.
+
+Load pattern: one request crashes each endpoint that begins to run it, and its
+caller sends it again at another entry.  Without this module it fells one
+endpoint after the other, each time with all that ran beside it.
+
+A lost answer alone proves nothing.  A request is suspected of a crash if its
+answer was lost and its endpoint was found down right after.  What was lost in
+three crashes of different lifetimes is kept back: an innocent request that
+ran beside the guilty one is hit once or twice.
+"""
+
+import collections
+
+import msgspec
+
+# How long after a loss the endpoint must be found down.
+PROOF_SECONDS = 2.0
+
+# Crashes of different lifetimes that make a request guilty.
+MOST_CRASHES = 3
+
+# A crash is forgotten after this long; its callers gave up long before.
+MEMORY_SECONDS = 120.0
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A request's answer was lost in the crash of a lifetime."""
+
+    fingerprint: str
+    endpoint: str
+    born: int
+
+
+class Poison:
+    """Find the requests that crash endpoints."""
+
+    __slots__ = ("_crashes", "_losses")
+
+    def __init__(self) -> None:
+        self._losses: collections.deque[tuple[float, Crash]] = collections.deque()
+        self._crashes: dict[Crash, float] = {}
+
+    @property
+    def crashes(self) -> tuple[Crash, ...]:
+        """Return the crashes that are remembered."""
+        return tuple(self._crashes)
+
+    def note_loss(self, *, crash: Crash, now: float) -> None:
+        """Note a lost answer, which may have been a crash."""
+        self._forget(now)
+        self._losses.append((now, crash))
+
+    def note_down(self, *, endpoint: str, born: int, now: float) -> None:
+        """Note that a lifetime was found down."""
+        self._forget(now)
+        for _, crash in self._losses:
+            if crash.endpoint == endpoint and crash.born == born:
+                self._crashes[crash] = now
+
+    def merge(self, *, crashes: tuple[Crash, ...], now: float) -> None:
+        """Take over what another entry found."""
+        for crash in crashes:
+            self._crashes.setdefault(crash, now)
+
+    def is_guilty(self, *, fingerprint: str, now: float) -> bool:
+        """Tell whether a request is kept back."""
+        if not self._crashes:
+            return False
+        self._forget(now)
+        hits = {
+            (crash.endpoint, crash.born)
+            for crash in self._crashes
+            if crash.fingerprint == fingerprint
+        }
+        return len(hits) >= MOST_CRASHES
+
+    def _forget(self, now: float) -> None:
+        while self._losses and self._losses[0][0] < now - PROOF_SECONDS:
+            self._losses.popleft()
+        if any(at < now - MEMORY_SECONDS for at in self._crashes.values()):
+            self._crashes = {
+                crash: at
+                for crash, at in self._crashes.items()
+                if at >= now - MEMORY_SECONDS
+            }
--- a/eelgrassrack/decisions/sharedbudget.py
+++ b/eelgrassrack/decisions/sharedbudget.py
@@ -25,9 +25,7 @@
     return repeats + 1 <= allowed * USED_SHARE
 
 
-def share_cold_rate(
-    *, rate: float, overage: float, slack: float, entries: int
-) -> int:
+def share_cold_rate(*, rate: float, overage: float, slack: float, entries: int) -> int:
     """Return how many requests an entry may send a cold endpoint each second.
 
     At least one, or an endpoint that is cold for long would never be tried.
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -4,20 +4,20 @@
 import signal
 
 import logbook
-from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
 
 from ..supervisor import Supervisor
-from .beliefs import Peer, RolloutOrder
+from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
 from .follower import Contact, Follower
 from .ingress import Ingress
-from .messages import Refusal
 from .metrics import GatewayMetrics
+from .news import News, NewsExchange
 from .placing import Placing
 from .plan import Plan, Router
 from .pool import Pool
+from .rollouts import Rollouts
 from .serving import Serving
 from .settings import GatewaySettings
 
@@ -36,6 +36,12 @@
 # The balancer's health check of an entry and operators' reads are short.
 BACKLOG = 1_024
 
+# A call to the store beside the watches.
+CALL_SECONDS = 1.5
+
+# Between looks for peers; each is a stale read, at a tenth of a call's price.
+PEERS_SECONDS = 5.0
+
 
 class Gateway:
     """All parts of one gateway."""
@@ -49,8 +55,10 @@
         "_is_closing",
         "_kinds",
         "_metrics",
+        "_news",
         "_placing",
         "_pool",
+        "_rollouts",
         "_router",
         "_server",
         "_settings",
@@ -60,7 +68,12 @@
     )
 
     def __init__(
-        self, *, settings: GatewaySettings, store: object, kinds: type, translation: object
+        self,
+        *,
+        settings: GatewaySettings,
+        store: object,
+        kinds: type,
+        translation: object,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
@@ -74,9 +87,27 @@
         self._fleet = Fleet(
             contact=self._contact,
             clock=loop.time,
-            forget=lambda lifetime: self._pool.forget(lifetime=lifetime),
+            forget=self._forget,
+        )
+        self._news = NewsExchange(
+            name=settings.name,
+            address=(settings.address, settings.news_port),
+            make_news=self._make_news,
+            take_news=self._take_news,
+        )
+        self._rollouts = Rollouts(
+            fleet=self._fleet,
+            store=store,
+            session_seconds=settings.session_seconds,
+            heard=lambda: self._news.heard,
+            rank=self._find_rank,
+        )
+        self._placing = Placing(
+            fleet=self._fleet,
+            rollouts=self._rollouts,
+            settings=settings,
+            count_entries=lambda: self._news.entries,
         )
-        self._placing = Placing(fleet=self._fleet, settings=settings)
         self._translation = translation
         self._supervisor = Supervisor(name="gateway")
         self._followers = self._make_followers()
@@ -114,7 +145,7 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._start()
+        await self._start()
         await stopping.wait()
         await self._stop()
 
@@ -124,10 +155,14 @@
         is_known = self._router.plan is not None and self._fleet.is_known
         return is_known and not self._is_closing
 
-    def _start(self) -> None:
+    async def _start(self) -> None:
         for follower in self._followers:
             self._supervisor.start(name=follower.kind, job=follower.run)
+        await self._news.open()
         self._supervisor.start(name="chores", job=self._do_chores)
+        self._supervisor.start(name="news", job=self._news.run)
+        self._supervisor.start(name="rollouts", job=self._rollouts.run)
+        self._supervisor.start(name="peers", job=self._follow_peers)
         host, port = self._settings.listen.rsplit(":", 1)
         self._server.listen(int(port), host, backlog=BACKLOG)
         for door in self._doors:
@@ -165,6 +200,7 @@
             await asyncio.sleep(CHORE_SECONDS)
             self._pool.prune(now=asyncio.get_running_loop().time())
             self._fleet.sweep()
+            self._placing.take_news(self._news.heard)
 
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
@@ -173,6 +209,14 @@
             self._follow(
                 kinds.ENDPOINTS, self._fleet.take_list, self._fleet.take_changes
             ),
+            self._follow(
+                kinds.ROLLOUTS, self._rollouts.take_list, self._rollouts.take_changes
+            ),
+            self._follow(
+                kinds.EVACUATIONS,
+                self._fleet.take_evacuations,
+                self._fleet.change_evacuations,
+            ),
         )
 
     def _follow(self, kind: str, take_list: object, take_changes: object) -> Follower:
@@ -184,6 +228,59 @@
             take_changes=take_changes,
         )
 
+    async def _follow_peers(self) -> None:
+        """Say where this gateway is, and look for others now and then.
+
+        A stale list serves: a peer that starts later sends news by itself.
+        """
+        settings = self._settings
+        address = f"{settings.address}:{settings.news_port}"
+        is_written = False
+        while True:
+            if not is_written:
+                is_written = await self._store.write_peer(
+                    name=settings.name, address=address, timeout=CALL_SECONDS
+                )
+            listed = await self._store.list(
+                kind=self._kinds.PEERS, timeout=CALL_SECONDS, is_stale_fine=True
+            )
+            if isinstance(listed, Listed):
+                peers = {
+                    name: one
+                    for name, one in listed.objects.items()
+                    if isinstance(one, Peer)
+                }
+                self._news.take_peers(peers)
+            await asyncio.sleep(PEERS_SECONDS if is_written else 1.0)
+
+    def _make_news(self, *, name: str, lifetime: str, port: int, number: int) -> News:
+        trials, pins = self._rollouts.tell()
+        return News(
+            name=name,
+            lifetime=lifetime,
+            port=port,
+            number=number,
+            configuration=self._router.version,
+            knows_store=self._contact.lost_at is None,
+            flights=self._placing.tell_flights(),
+            trials=trials,
+            pins=pins,
+            crashes=self._placing.tell_crashes(),
+        )
+
+    def _take_news(self, news: News) -> None:
+        self._rollouts.take_news(news)
+        self._placing.take_news(self._news.heard)
+
+    def _find_rank(self) -> int:
+        """Return this gateway's place among the live ones, by name."""
+        names = sorted([self._settings.name, *(one.name for one in self._news.heard)])
+        return names.index(self._settings.name)
+
+    def _forget(self, lifetime: tuple[str, int]) -> None:
+        self._pool.forget(lifetime=lifetime)
+        self._placing.note_gone(lifetime)
+
     def _take_plans(self, objects: dict[str, object | None]) -> None:
         for plan in objects.values():
             match plan:
--- a/eelgrassrack/gateway/doors.py
+++ b/eelgrassrack/gateway/doors.py
@@ -1,6 +1,5 @@
 """Small answers to the balancer and to operators."""
 
-import asyncio
 from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -140,9 +140,7 @@
         self._machine.receive_data(data)
 
 
-async def open_connection(
-    *, address: tuple[str, int], timeout: float
-) -> Connection:
+async def open_connection(*, address: tuple[str, int], timeout: float) -> Connection:
     """Connect within `timeout` seconds; raise `ConnectError`."""
     stream = IOStream(_make_socket())
     try:
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -1,5 +1,6 @@
 """The endpoints that may be used now, and what runs on them."""
 
+import collections
 from collections.abc import Callable, Iterable
 
 import logbook
@@ -20,19 +21,23 @@
     """What this gateway knows of one lifetime of an endpoint.
 
     `own` counts its requests under way here, `peers` those of other gateways
-    by their last news, `tokens` the tokens of the own ones.
+    by their last news; `own_work` and `peers_work` weigh them by their tokens.
+    `badness` is the share of failures among the last answers, and
+    `cold_sends` holds the times of the last second's sends to a cold endpoint.
     """
 
     __slots__ = (
+        "badness",
+        "cold_sends",
         "cold_until",
         "endpoint",
         "load",
         "load_at",
         "missing_since",
         "own",
-        "own_tokens",
+        "own_work",
         "peers",
-        "peers_tokens",
+        "peers_work",
         "seen_at",
         "shunned_until",
     )
@@ -42,9 +47,11 @@
         self.seen_at = now
         self.cold_until = now + endpoint.cold
         self.own = 0
-        self.own_tokens = 0
+        self.own_work = 0
         self.peers = 0
-        self.peers_tokens = 0
+        self.peers_work = 0
+        self.badness = 0.0
+        self.cold_sends: collections.deque[float] = collections.deque()
         self.load: Load | None = None
         self.load_at = float("-inf")
         self.missing_since: float | None = None
@@ -56,19 +63,31 @@
         return self.own + self.peers
 
     @property
-    def tokens(self) -> int:
-        """Return how many tokens those requests may come to."""
-        return self.own_tokens + self.peers_tokens
+    def work(self) -> int:
+        """Return the work of those requests."""
+        return self.own_work + self.peers_work
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the endpoint bears only a few requests a second."""
         return now < self.cold_until
 
 
-class Leaving(msgspec.Struct, frozen=True):
-    """An endpoint's lifetime that takes no new work."""
+class VersionChoice(msgspec.Struct, kw_only=True, frozen=True):
+    """Which versions may get a request: `only` one, or all but `never`.
 
-    lifetime: tuple[str, int]
+    Where `is_strict` isn't set, the others may stand in when there is none.
+    """
+
+    only: str | None = None
+    never: str | None = None
+    is_strict: bool = False
+
+    def allows(self, version: str) -> bool:
+        """Tell whether a version is one of them."""
+        return version != self.never and self.only in {None, version}
+
+
+ANY_VERSION = VersionChoice()
 
 
 class Fleet:
@@ -81,6 +100,7 @@
         "_forget",
         "evacuated",
         "is_known",
+        "leaving",
     )
 
     def __init__(
@@ -95,6 +115,7 @@
         self._forget = forget
         self._flights: dict[str, Flight] = {}
         self.evacuated: frozenset[str] = frozenset()
+        self.leaving: set[tuple[str, int]] = set()
         self.is_known = False
 
     def __iter__(self) -> Iterable[Flight]:
@@ -108,7 +129,7 @@
     def take_list(self, objects: dict[str, object]) -> None:
         """Take over the whole list."""
         self.is_known = True
-        missing = {name: None for name in self._flights.keys() - objects.keys()}
+        missing = dict.fromkeys(self._flights.keys() - objects.keys())
         self.take_changes({**objects, **missing})
 
     def take_changes(self, objects: dict[str, object | None]) -> None:
@@ -131,6 +152,14 @@
             log.notice("fleet: domains taken out: {}", ", ".join(sorted(domains)))
         self.evacuated = domains
 
+    def change_evacuations(self, changes: dict[str, object | None]) -> None:
+        """Take over failure domains that were taken out or brought back."""
+        out = set(self.evacuated) | {
+            name for name, found in changes.items() if found is not None
+        }
+        back = {name for name, found in changes.items() if found is None}
+        self.take_evacuations(out - back)
+
     def sweep(self) -> None:
         """Drop entries that were missing after an outage and stayed away."""
         now = self._clock()
@@ -138,16 +167,20 @@
             if flight.missing_since is not None and not self._may_be_back(now):
                 self._drop(flight, "still missing after the store's return")
 
-    def select(self, *, service: str, version: str | None = None) -> list[Flight]:
+    def select(
+        self, *, service: str, versions: VersionChoice = ANY_VERSION
+    ) -> list[Flight]:
         """Return the lifetimes that may get a request now."""
-        return [
+        usable = [
             flight
             for flight in self._flights.values()
             if flight.endpoint.service == service
             and not flight.endpoint.is_draining
             and flight.endpoint.domain not in self.evacuated
-            and (version is None or flight.endpoint.version == version)
+            and flight.endpoint.lifetime not in self.leaving
         ]
+        chosen = [one for one in usable if versions.allows(one.endpoint.version)]
+        return chosen if chosen or versions.is_strict else usable
 
     def is_usable(self, endpoint: Endpoint) -> bool:
         """Tell whether a lifetime may still get a request."""
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -75,7 +75,6 @@
 
     __slots__ = (
         "_contact",
-        
         "_store",
         "_take_changes",
         "_take_list",
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -16,8 +16,8 @@
 from tornado.iostream import StreamClosedError
 
 from .errors import CallerGoneError
-from .messages import Arrival, Refusal
 from .exchange import set_probes
+from .messages import Arrival, Refusal
 
 log = logbook.Logger("ingress")
 
@@ -198,13 +198,9 @@
         """Serve the request, now that it is whole."""
         self._arrival.body = b"".join(self._chunks)
         self._chunks.clear()
-        reply = Reply(
-            connection=self._connection, is_closing=self._ingress._is_closing
-        )
+        reply = Reply(connection=self._connection, is_closing=self._ingress._is_closing)
         self._connection.set_close_callback(self._leave)
-        self._task = asyncio.ensure_future(
-            self._ingress._serve(self._arrival, reply)
-        )
+        self._task = asyncio.ensure_future(self._ingress._serve(self._arrival, reply))
 
     def on_connection_close(self) -> None:
         """Stop the work for a caller that left."""
--- a/eelgrassrack/gateway/messages.py
+++ b/eelgrassrack/gateway/messages.py
@@ -25,7 +25,8 @@
 
     `headers` are those that are passed on unchanged.  `patience` is how many
     seconds the caller waits, `arrived` the loop's time when its header was
-    read, `resume_after` the id of the last event that the caller has.
+    read, `resume_after` the id of the last event that the caller has,
+    `length_hint` its guess of the tokens in the answer.
     """
 
     id: str
@@ -43,6 +44,7 @@
     parts: tuple[Part, ...] = ()
     session: str = ""
     resume_after: str = ""
+    length_hint: int = 0
     body: bytes = b""
 
 
@@ -60,6 +62,7 @@
     `headers` are those to pass on.  `not_run` says that the endpoint promised
     not to have run the request.  `keep_alive` is the seconds for which the
     endpoint keeps an idle connection, `will_close` that it closes this one.
+    `confidence` is the model's own opinion of the answer, from 0 to 100.
     """
 
     status: int
@@ -73,6 +76,7 @@
     keep_alive: float | None = None
     will_close: bool = False
     misdirected: bool = False
+    confidence: int | None = None
 
 
 class Data(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/eelgrassrack/gateway/news.py
@@ -0,0 +1,207 @@
+"""News between gateways: small datagrams, several times a second.
+
+A datagram that is lost is followed by a newer one, and a peer that falls
+silent is simply not heard: there is no connection that could hang.  Each
+datagram holds the whole state, so the order of arrival doesn't matter.
+"""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+import logbook
+import msgspec
+
+from ..decisions.poison import Crash
+from ..decisions.versiontrial import Tally
+from .beliefs import Peer
+
+log = logbook.Logger("news")
+
+# Between datagrams to all peers: a quarter of the second in which an entry's
+# load may change by half in a burst.
+NEWS_SECONDS = 0.25
+
+# With more peers than this the pause grows, so that what an entry sends and
+# reads a second doesn't grow with the fleet.
+FULL_RATE_PEERS = 8
+
+# A peer that wasn't heard for so long has nothing under way that counts.
+HEARD_SECONDS = 2.0
+
+# A peer that wasn't heard for so long has no share of the common limits.
+SHARE_SECONDS = 20.0
+
+# The longest datagram that is read.
+MOST_BYTES = 60_000
+
+
+class FlightNews(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway has under way at a lifetime of an endpoint."""
+
+    endpoint: str
+    born: int
+    running: int
+    work: int
+
+
+class TrialNews(msgspec.Struct, frozen=True, array_like=True):
+    """How far a roll-out has come, as seen by one gateway."""
+
+    service: str
+    version: str
+    created: int
+    elapsed: float
+    is_bad: bool
+    tallies: tuple[Tally, ...]
+
+
+class Pin(msgspec.Struct, frozen=True, array_like=True):
+    """A session, by its hash, and whether it is on the new version."""
+
+    session: int
+    is_new: bool
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """The state of one gateway, as it tells its peers."""
+
+    name: str
+    lifetime: str
+    port: int
+    number: int
+    configuration: int
+    knows_store: bool
+    flights: tuple[FlightNews, ...] = ()
+    leaving: tuple[tuple[str, int], ...] = ()
+    evacuated: tuple[str, ...] = ()
+    trials: tuple[TrialNews, ...] = ()
+    pins: tuple[Pin, ...] = ()
+    crashes: tuple[Crash, ...] = ()
+
+
+class Heard(msgspec.Struct):
+    """The newest news of a peer, and when it came."""
+
+    news: News
+    address: tuple[str, int]
+    at: float
+
+
+class NewsExchange(asyncio.DatagramProtocol):
+    """Send own news to all peers and keep theirs."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: tuple[str, int],
+        make_news: Callable[..., News],
+        take_news: Callable[[News], None],
+    ) -> None:
+        self.lifetime = secrets.token_hex(4)
+        self._name = name
+        self._address = address
+        self._make_news = make_news
+        self._take_news = take_news
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._heard: dict[str, Heard] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._number = 0
+        self._started_at = asyncio.get_running_loop().time()
+        self._listed_at: dict[str, float] = {}
+
+    async def open(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self._address)
+
+    async def run(self) -> None:
+        """Send news until cancelled."""
+        while True:
+            self.send()
+            crowd = max(1.0, len(self._peers) / FULL_RATE_PEERS)
+            await asyncio.sleep(NEWS_SECONDS * crowd)
+
+    def send(self) -> None:
+        """Send the news as they are now."""
+        if self._transport is None or not self._peers:
+            return
+        self._number += 1
+        news = self._make_news(
+            name=self._name,
+            lifetime=self.lifetime,
+            port=self._address[1],
+            number=self._number,
+        )
+        data = msgspec.msgpack.encode(news)
+        for address in self._peers.values():
+            self._transport.sendto(data, address)
+
+    def take_peers(self, peers: dict[str, Peer]) -> None:
+        """Take over the list of all gateways that were ever there."""
+        now = asyncio.get_running_loop().time()
+        for peer in peers.values():
+            if peer.name != self._name:
+                self._add(peer.name, peer.address, now)
+
+    @property
+    def heard(self) -> tuple[News, ...]:
+        """Return the news of peers that were heard lately."""
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            one.news for one in self._heard.values() if now < one.at + HEARD_SECONDS
+        )
+
+    @property
+    def entries(self) -> int:
+        """Return how many gateways share the common limits, this one included.
+
+        One that is listed counts until it wasn't heard for long: it may be
+        alive on the other side of a cut and use its share there.
+        """
+        now = asyncio.get_running_loop().time()
+        return 1 + sum(
+            now < self._find_last(name) + SHARE_SECONDS for name in self._peers
+        )
+
+    def find_address(self, name: str) -> str | None:
+        """Return a peer's IP number."""
+        address = self._peers.get(name)
+        return address[0] if address else None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take over a peer's news, unless they are older than known ones."""
+        try:
+            news = msgspec.msgpack.decode(data, type=News)
+        except msgspec.DecodeError as error:
+            log.warning("news: bytes of {} can't be read: {}", addr[0], error)
+            return
+        if news.name == self._name:
+            return
+        now = asyncio.get_running_loop().time()
+        self._add(news.name, (addr[0], news.port), now)
+        known = self._heard.get(news.name)
+        if known is not None and known.news.lifetime == news.lifetime:
+            if known.news.number >= news.number:
+                return
+        elif known is None or now > known.at + HEARD_SECONDS:
+            log.info("news: {} is heard", news.name)
+        self._heard[news.name] = Heard(news, (addr[0], news.port), now)
+        self._take_news(news)
+
+    def error_received(self, exc: Exception) -> None:
+        """Leave out what the network says of a peer that is down."""
+        log.debug("news: {}", exc)
+
+    def _add(self, name: str, address: tuple[str, int], now: float) -> None:
+        self._peers[name] = address
+        self._listed_at.setdefault(name, now)
+
+    def _find_last(self, name: str) -> float:
+        heard = self._heard.get(name)
+        return heard.at if heard else self._listed_at[name]
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -1,14 +1,19 @@
 """Place requests on endpoints by what this gateway knows of them."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import logbook
 
-from ..decisions.engines import Candidate, choose_engine
+from ..decisions.engines import Candidate, choose_engine, estimate_work
+from ..decisions.poison import Crash, Poison
+from ..decisions.sharedbudget import share_cold_rate
 from .endpoints import Endpoint
 from .fleet import Fleet, Flight
 from .messages import Head, Refusal
+from .news import FlightNews, News
+from .rollouts import Rollouts
 from .settings import GatewaySettings
 
 if TYPE_CHECKING:
@@ -16,85 +21,204 @@
 
 log = logbook.Logger("placing")
 
-# An endpoint that broke an attempt is passed over for this long; the time in
-# which a crashed one is noticed by the platform and taken off its list.
-SHUN_SECONDS = 1.0
+# An endpoint that failed once is passed over for a moment; one that fails
+# often, for about as long as it takes to find out whether it got better.
+SHORT_SHUN_SECONDS = 0.3
+LONG_SHUN_SECONDS = 3.0
+
+# The share of failures among the last answers from which one fails often,
+# and the weight of one answer in it.
+OFTEN_BAD = 0.3
+BADNESS_WEIGHT = 0.2
+
+# While every endpoint is at the limit of its cold start, look again so often.
+COLD_PAUSE_SECONDS = 0.05
 
 NONE_LEFT = Refusal(status=503, reason="no endpoint", retry_after=1.0)
+POISON = Refusal(status=502, reason="crashes the endpoints that run it")
 
 
 class Placing:
     """Choose endpoints and keep count of what runs on them."""
 
-    __slots__ = ("_fleet", "_loop", "_settings", "entries")
-
-    def __init__(self, *, fleet: Fleet, settings: GatewaySettings) -> None:
+    __slots__ = (
+        "_count_entries",
+        "_fleet",
+        "_loop",
+        "_poison",
+        "_rollouts",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        rollouts: Rollouts,
+        settings: GatewaySettings,
+        count_entries: Callable[[], int],
+    ) -> None:
         self._fleet = fleet
+        self._rollouts = rollouts
         self._settings = settings
+        self._count_entries = count_entries
+        self._poison = Poison()
         self._loop = asyncio.get_running_loop()
-        self.entries = 1
+
+    @property
+    def entries(self) -> int:
+        """Return how many gateways share the common limits."""
+        return self._count_entries()
 
     async def place(self, job: "Job") -> Endpoint | Refusal:
         """Return the endpoint for the next attempt."""
-        flights = self._fleet.select(service=job.permit.service.name)
-        fresh = [one for one in flights if one.endpoint.name not in job.tried]
-        if not fresh:
-            return NONE_LEFT
-        now = self._loop.time()
-        by_name = {one.endpoint.name: one for one in fresh}
-        chosen = choose_engine(
-            candidates=[self._describe(one, now) for one in fresh],
-            affinity=_find_affinity(job),
-            spread=self._settings.name,
-        )
-        return by_name[chosen.name].endpoint
-
-    def choose_model(self, job: "Job") -> str:
-        """Return the model to name to the endpoint."""
-        models = job.permit.route.models
-        if job.arrival.model == "*" and models:
-            return models[0]
-        return job.arrival.model
+        while True:
+            now = self._loop.time()
+            if self._poison.is_guilty(fingerprint=job.fingerprint, now=now):
+                return POISON
+            flights = self._select(job)
+            if not flights:
+                return NONE_LEFT
+            free = [one for one in flights if self._has_cold_room(one, job, now)]
+            if free:
+                return self._choose(job, free, now)
+            await asyncio.sleep(COLD_PAUSE_SECONDS)
 
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Count a request that is sent."""
-        flight = self._fleet.find(endpoint.name)
+        flight = self._find(endpoint)
         if flight is not None:
             flight.own += 1
+            flight.own_work += job.work
+            flight.cold_sends.append(self._loop.time())
 
     def end(self, job: "Job", endpoint: Endpoint) -> None:
         """Count the end of a request."""
         flight = self._find(endpoint)
         if flight is not None:
             flight.own -= 1
+            flight.own_work -= job.work
 
-    def note_head(self, endpoint: Endpoint, head: Head) -> None:
+    def note_head(self, job: "Job", endpoint: Endpoint, head: Head) -> None:
         """Take over what an answer says of its endpoint."""
         flight = self._find(endpoint)
         if flight is not None and head.load is not None:
             flight.load = head.load
             flight.load_at = self._loop.time()
 
-    def note_good(self, job: "Job", endpoint: Endpoint) -> None:
-        """Learn from a whole answer."""
+    def note_answer(
+        self, job: "Job", endpoint: Endpoint, *, failed: bool, seconds: float
+    ) -> None:
+        """Learn from an answer, or from one that was lost."""
+        self._rollouts.note(
+            service=endpoint.service,
+            version=endpoint.version,
+            route=job.permit.route.name,
+            model=job.model,
+            endpoint=endpoint.name,
+            failed=failed,
+            seconds=seconds,
+        )
+        flight = self._find(endpoint)
+        if flight is None:
+            return
+        flight.badness += (failed - flight.badness) * BADNESS_WEIGHT
+        if failed:
+            self._shun(flight)
 
-    def note_not_run(self, job: "Job", endpoint: Endpoint) -> None:
+    def note_not_run(self, job: "Job", endpoint: Endpoint, *, is_down: bool) -> None:
         """Learn from an attempt that didn't run."""
-        self._shun(endpoint)
+        now = self._loop.time()
+        if is_down:
+            self._poison.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
+        flight = self._find(endpoint)
+        if flight is None:
+            return
+        if is_down:
+            flight.badness += (1 - flight.badness) * BADNESS_WEIGHT
+        self._shun(flight)
+
+    def note_lost(self, job: "Job", endpoint: Endpoint) -> None:
+        """Note an answer that was lost; the request may have crashed it."""
+        crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
+        self._poison.note_loss(crash=crash, now=self._loop.time())
+
+    def note_gone(self, lifetime: tuple[str, int]) -> None:
+        """Note that a lifetime ended without a word."""
+        name, born = lifetime
+        self._poison.note_down(endpoint=name, born=born, now=self._loop.time())
+
+    def tell_flights(self) -> tuple[FlightNews, ...]:
+        """Return what is under way, for peers."""
+        return tuple(
+            FlightNews(*flight.endpoint.lifetime, flight.own, flight.own_work)
+            for flight in self._fleet
+            if flight.own
+        )
 
-    def note_bad(self, job: "Job", endpoint: Endpoint) -> None:
-        """Learn from an attempt that failed or was lost."""
-        self._shun(endpoint)
+    def tell_crashes(self) -> tuple[Crash, ...]:
+        """Return the crashes that were found, for peers."""
+        return self._poison.crashes
+
+    def take_news(self, heard: tuple[News, ...]) -> None:
+        """Take over what all peers have under way."""
+        totals: dict[tuple[str, int], list[int]] = {}
+        for news in heard:
+            for told in news.flights:
+                total = totals.setdefault((told.endpoint, told.born), [0, 0])
+                total[0] += told.running
+                total[1] += told.work
+        for flight in self._fleet:
+            total = totals.get(flight.endpoint.lifetime, (0, 0))
+            flight.peers, flight.peers_work = total
+        now = self._loop.time()
+        for news in heard:
+            if news.crashes:
+                self._poison.merge(crashes=news.crashes, now=now)
+
+    def _select(self, job: "Job") -> list[Flight]:
+        versions = self._rollouts.choose_version(
+            service=job.permit.service.name,
+            session=job.arrival.session,
+            request=job.arrival.id,
+        )
+        flights = self._fleet.select(service=job.permit.service.name, versions=versions)
+        return [one for one in flights if one.endpoint.name not in job.passed_over]
 
-    def _shun(self, endpoint: Endpoint) -> None:
-        flight = self._find(endpoint)
-        if flight is not None:
-            flight.shunned_until = self._loop.time() + SHUN_SECONDS
+    def _choose(self, job: "Job", flights: list[Flight], now: float) -> Endpoint:
+        by_name = {one.endpoint.name: one for one in flights}
+        chosen = choose_engine(
+            candidates=[self._describe(one, now) for one in flights],
+            work=job.work,
+            affinity=_find_affinity(job),
+            spread=self._settings.name,
+        )
+        return by_name[chosen.name].endpoint
+
+    def _has_cold_room(self, flight: Flight, job: "Job", now: float) -> bool:
+        sends = flight.cold_sends
+        while sends and sends[0] < now - 1.0:
+            sends.popleft()
+        service = job.permit.service
+        if not service.cold_rate or not flight.is_cold(now):
+            return True
+        most = share_cold_rate(
+            rate=service.cold_rate,
+            overage=self._settings.cold_overage,
+            slack=self._settings.cold_slack,
+            entries=self.entries,
+        )
+        return len(sends) < most
+
+    def _shun(self, flight: Flight) -> None:
+        often = flight.badness >= OFTEN_BAD
+        seconds = LONG_SHUN_SECONDS if often else SHORT_SHUN_SECONDS
+        flight.shunned_until = self._loop.time() + seconds
 
     def _describe(self, flight: Flight, now: float) -> Candidate:
         return Candidate(
             name=flight.endpoint.name,
-            running=flight.running,
+            load=flight.work,
             slots=flight.endpoint.slots,
             is_near=flight.endpoint.domain == self._settings.domain,
             is_shunned=now < flight.shunned_until or flight.missing_since is not None,
@@ -108,6 +232,20 @@
         return flight
 
 
+def find_work(job: "Job") -> int:
+    """Return the work of a request with the model it is to ask."""
+    costs = dict(job.permit.service.costs)
+    least = min(costs.values(), default=0.0)
+    factor = costs.get(job.model, least) / least if least else 1.0
+    arrival = job.arrival
+    generated = min(arrival.length_hint or arrival.tokens_out, arrival.tokens_out)
+    return estimate_work(
+        tokens_in=arrival.tokens_in, tokens_out=generated, cost_factor=factor
+    )
+
+
 def _find_affinity(job: "Job") -> str:
-    parts = job.arrival.parts
-    return parts[0].name if len(parts) > 1 else ""
+    shared = job.arrival.parts[:-1]
+    if not shared:
+        return ""
+    return "\0".join([job.model, *(part.name for part in shared)])
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -35,9 +35,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await open_connection(
-            address=endpoint.address, timeout=CONNECT_SECONDS
-        )
+        return await open_connection(address=endpoint.address, timeout=CONNECT_SECONDS)
 
     def give_back(
         self, *, endpoint: Endpoint, connection: Connection, head: Head, now: float
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -12,16 +12,18 @@
 
 import logbook
 import msgspec
+import xxhash
 
+from ..decisions.modelchoice import choose_first, choose_next
 from ..decisions.sharedbudget import allow_retry
 from .endpoints import Endpoint
-from .errors import BrokenError, CallerGoneError, ConnectError
+from .errors import BrokenError, ConnectError
 from .events import EventSplitter, skip_known
 from .exchange import Connection
 from .ingress import Reply
-from .messages import Arrival, Data, End, Head, Kind, Refusal
+from .messages import Arrival, Data, End, Head, Refusal
 from .metrics import GatewayMetrics
-from .placing import Placing
+from .placing import Placing, find_work
 from .plan import Permit, Router
 from .pool import Pool
 from .retries import RecentSends
@@ -40,6 +42,9 @@
 
 USUAL_LIMIT_SECONDS = 30.0
 
+# A caller that leaves the choice of the model to the router names this one.
+ANY_MODEL = "*"
+
 GOOD = range(200, 300)
 FAILURES = range(500, 600)
 
@@ -60,7 +65,7 @@
     """The attempt surely didn't run and never will."""
 
     reason: str
-    counts: bool = True
+    is_down: bool = False
 
 
 class Lost(msgspec.Struct, kw_only=True, frozen=True):
@@ -76,7 +81,14 @@
     body: bytes
 
 
-Outcome = Delivered | NotRun | Lost | Failed
+class Unsure(msgspec.Struct, kw_only=True, frozen=True):
+    """The model holds little of its own answer; another is asked."""
+
+    model: str
+    confidence: int
+
+
+Outcome = Delivered | NotRun | Lost | Failed | Unsure
 
 
 class Job:
@@ -87,12 +99,16 @@
         "attempts",
         "deadline",
         "failure",
+        "fingerprint",
         "first_at",
+        "model",
+        "passed_over",
         "permit",
+        "sent_at",
         "resume_after",
         "standing",
         "tried",
-        "version",
+        "work",
     )
 
     def __init__(self, *, arrival: Arrival, permit: Permit, deadline: float) -> None:
@@ -105,17 +121,31 @@
         self.failure: Failed | None = None
         self.resume_after = arrival.resume_after
         self.first_at: float | None = None
-        self.version = ""
+        self.sent_at = 0.0
+        self.passed_over: set[str] = set()
+        self.fingerprint = make_fingerprint(arrival, permit)
+        self.model = choose_model(arrival, permit)
+        self.work = find_work(self)
 
     @property
     def is_repeatable(self) -> bool:
         """Tell whether it may run more than once."""
         return self.permit.route.is_repeatable
 
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many more endpoints it may be sent."""
+        return self.permit.route.attempts - self.attempts
+
     def note(self, standing: Standing) -> None:
         """Take over what an attempt showed."""
         self.standing = max(self.standing, standing)
 
+    def ask(self, model: str) -> None:
+        """Have another model answer."""
+        self.model = model
+        self.work = find_work(self)
+
 
 class Serving:
     """Serve requests."""
@@ -182,6 +212,9 @@
             self._note_outcome(job, placed, outcome)
             if isinstance(outcome, Delivered):
                 return
+            if isinstance(outcome, Unsure):
+                job.ask(outcome.model)
+                job.passed_over.discard(placed.name)
             refusal = self._find_end(job, outcome)
             if refusal is not None:
                 await self._conclude(job, reply, refusal)
@@ -194,6 +227,8 @@
 
     def _find_end(self, job: Job, outcome: Outcome) -> Refusal | None:
         """Return why the request isn't sent again, or None if it is."""
+        if isinstance(outcome, Unsure):
+            return None
         if not job.is_repeatable and not isinstance(outcome, NotRun):
             return Refusal(status=502, reason="may have run and isn't repeatable")
         if job.attempts >= job.permit.route.attempts:
@@ -201,31 +236,33 @@
         now = self._loop.time()
         if job.deadline - now < LEAST_LEFT_SECONDS:
             return _refuse_unserved("no time left")
-        counts = self._find_sends(job.permit.service.name).count(now)
-        if not allow_retry(
+        if not self._has_budget(job):
+            return _refuse_unserved("retry budget spent")
+        return None
+
+    def _has_budget(self, job: Job) -> bool:
+        counts = self._find_sends(job.permit.service.name).count(self._loop.time())
+        return allow_retry(
             requests=counts.requests,
             repeats=counts.repeats,
             ratio=self._settings.retry_ratio,
             slack=self._settings.retry_slack,
             entries=self._placing.entries,
-        ):
-            return _refuse_unserved("retry budget spent")
-        return None
+        )
 
     async def _attempt(self, job: Job, endpoint: Endpoint, reply: Reply) -> Outcome:
         connection: Connection | None = None
         job.tried.append(endpoint.name)
-        job.version = endpoint.version
+        job.passed_over.add(endpoint.name)
         job.attempts += 1
+        job.sent_at = self._loop.time()
         self._placing.begin(job, endpoint)
         try:
-            connection = await self._pool.take(
-                endpoint=endpoint, now=self._loop.time()
-            )
+            connection = await self._pool.take(endpoint=endpoint, now=self._loop.time())
             self._send(job, endpoint, connection)
             outcome = await self._relay(job, endpoint, connection, reply)
         except ConnectError as error:
-            return NotRun(reason=str(error))
+            return NotRun(reason=str(error), is_down=True)
         except BrokenError as error:
             return Lost(reason=str(error))
         finally:
@@ -243,7 +280,7 @@
             organisation=job.permit.organisation_name,
             left=job.deadline - self._loop.time(),
             resume_after=job.resume_after,
-            model=self._placing.choose_model(job),
+            model=job.model,
             priority=None,
         )
         connection.send(
@@ -265,7 +302,7 @@
                 for name, value in response.headers.raw_items()
             ],
         )
-        self._placing.note_head(endpoint, head)
+        self._placing.note_head(job, endpoint, head)
         if head.not_run:
             await self._read_body(connection)
             self._keep(endpoint, connection, head)
@@ -274,6 +311,9 @@
             return Lost(reason=f"an answer to {head.attempt}")
         if head.status in GOOD and not head.is_whole:
             return Lost(reason="a success without its stamp")
+        unsure = self._find_unsure(job, head, reply)
+        if unsure is not None:
+            return unsure
         if head.status in GOOD and head.is_event_stream:
             return await self._relay_events(job, endpoint, connection, head, reply)
         body = await self._read_body(connection)
@@ -283,6 +323,25 @@
         await self._deliver(job, reply, head, body)
         return Delivered()
 
+    def _find_unsure(self, job: Job, head: Head, reply: Reply) -> Unsure | None:
+        """Return which model to ask instead, if this one is unsure.
+
+        Its answer is dropped only while the caller has none of it, another
+        attempt is left, and the budget of repeats has room.
+        """
+        if head.status not in GOOD or reply.is_begun or not job.is_repeatable:
+            return None
+        if job.arrival.model != ANY_MODEL or not job.attempts_left:
+            return None
+        model = choose_next(
+            models=job.permit.route.models,
+            model=job.model,
+            confidence=head.confidence,
+        )
+        if model is None or not self._has_budget(job):
+            return None
+        return Unsure(model=model, confidence=head.confidence)
+
     async def _read_body(self, connection: Connection) -> bytes:
         pieces = []
         while True:
@@ -357,19 +416,24 @@
         """Learn from an attempt; what it shows of the endpoint goes to placing."""
         match outcome:
             case Delivered():
-                self._placing.note_good(job, endpoint)
+                self._note_answer(job, endpoint, failed=False)
                 self._note_end(job, "answered")
                 return
-            case NotRun(reason=reason):
-                self._placing.note_not_run(job, endpoint)
+            case Unsure(confidence=confidence):
+                reason = f"confidence {confidence}"
+                job.note(Standing.RAN)
+                self._note_answer(job, endpoint, failed=False)
+            case NotRun(reason=reason, is_down=is_down):
+                self._placing.note_not_run(job, endpoint, is_down=is_down)
             case Lost(reason=reason):
                 job.note(Standing.UNKNOWN)
-                self._placing.note_bad(job, endpoint)
+                self._note_answer(job, endpoint, failed=True)
+                self._placing.note_lost(job, endpoint)
             case Failed(head=head):
                 reason = f"status {head.status}"
                 job.note(Standing.RAN)
                 job.failure = outcome
-                self._placing.note_bad(job, endpoint)
+                self._note_answer(job, endpoint, failed=True)
         log.info(
             "serving: attempt {} of {} at {} {}: {}: {}",
             job.attempts,
@@ -380,6 +444,12 @@
             reason,
         )
 
+    def _note_answer(self, job: Job, endpoint: Endpoint, *, failed: bool) -> None:
+        first_at = job.first_at or self._loop.time()
+        self._placing.note_answer(
+            job, endpoint, failed=failed, seconds=max(first_at - job.sent_at, 0.0)
+        )
+
     async def _conclude(self, job: Job, reply: Reply, refusal: Refusal) -> None:
         """Give the final answer to a request that isn't tried again."""
         if reply.is_begun:
@@ -448,6 +518,27 @@
         return sends
 
 
+def choose_model(arrival: Arrival, permit: Permit) -> str:
+    """Return the model to begin with, or the one that the caller names."""
+    models = permit.route.models
+    if arrival.model != ANY_MODEL or not models:
+        return arrival.model
+    return choose_first(
+        models=models,
+        attempts=permit.route.attempts,
+        is_repeatable=permit.route.is_repeatable and not arrival.resume_after,
+    )
+
+
+def make_fingerprint(arrival: Arrival, permit: Permit) -> str:
+    """Return what the same request has in common each time it comes."""
+    digest = xxhash.xxh3_64()
+    for text in (arrival.method, arrival.target, permit.organisation_name):
+        digest.update(text.encode() + b"\0")
+    digest.update(arrival.body)
+    return digest.hexdigest()
+
+
 def _find_deadline(arrival: Arrival, permit: Permit) -> float:
     limit = permit.route.timeout or USUAL_LIMIT_SECONDS
     if arrival.patience is not None:
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -95,6 +95,7 @@
         parts=_decode_parts(named.get("x-prompt-prefix", "")),
         session=named.get("session", ""),
         resume_after=named.get("last-event-id", ""),
+        length_hint=_decode_count(named.get("x-length-hint", "")) or 0,
     )
 
 
@@ -127,9 +128,7 @@
     return pairs
 
 
-def decode_head(
-    *, status: int, reason: str, pairs: Iterable[tuple[str, str]]
-) -> Head:
+def decode_head(*, status: int, reason: str, pairs: Iterable[tuple[str, str]]) -> Head:
     """Return the head of an endpoint's answer."""
     kept = []
     named: dict[str, str] = {}
@@ -152,6 +151,7 @@
         keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
         will_close="close" in listed,
         misdirected=status == MISDIRECTED,
+        confidence=_decode_count(named.get("x-confidence", "")),
     )
 
 
@@ -195,6 +195,10 @@
     return Load(*(int(one) for one in fields))
 
 
+def _decode_count(value: str) -> int | None:
+    return int(value) if value.isdecimal() else None
+
+
 def _decode_keep_alive(value: str) -> float | None:
     """Return the seconds that `Keep-Alive: timeout=5` names."""
     for item in value.split(","):
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -133,7 +133,11 @@
 
 def encode_status(status: RolloutStatus) -> dict[str, object]:
     """Return the status for the store."""
-    return {"state": status.state.value, "to": status.version}
+    return {
+        "state": status.state.value,
+        "to": status.version,
+        "since": status.since,
+    }
 
 
 def _decode_status(wire: WireObject) -> RolloutStatus | None:
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -163,7 +163,9 @@
         )
 
 
-def _make_path(kind: str, *, name: str = "", query: dict[str, str] | None = None) -> str:
+def _make_path(
+    kind: str, *, name: str = "", query: dict[str, str] | None = None
+) -> str:
     path = f"/objects/{kind}/{name}" if name else f"/objects/{kind}"
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
