--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -10,7 +10,7 @@
 from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
-from .follower import Contact, Follower
+from .follower import URGENT_WATCH_SECONDS, WATCH_SECONDS, Contact, Follower
 from .ingress import Ingress
 from .metrics import GatewayMetrics
 from .news import News, NewsExchange
@@ -20,6 +20,7 @@
 from .rollouts import Rollouts
 from .serving import Serving
 from .settings import GatewaySettings
+from .sharing import PATH, Beliefs, Sharing, encode_beliefs
 
 log = logbook.Logger("gateway")
 
@@ -62,6 +63,7 @@
         "_router",
         "_server",
         "_settings",
+        "_sharing",
         "_store",
         "_supervisor",
         "_translation",
@@ -92,6 +94,7 @@
         self._news = NewsExchange(
             name=settings.name,
             address=(settings.address, settings.news_port),
+            seeds=tuple(seed.rsplit(":", 1)[0] for seed in settings.seeds),
             make_news=self._make_news,
             take_news=self._take_news,
         )
@@ -101,6 +104,7 @@
             session_seconds=settings.session_seconds,
             heard=lambda: self._news.heard,
             rank=self._find_rank,
+            contact=self._contact,
         )
         self._placing = Placing(
             fleet=self._fleet,
@@ -134,9 +138,14 @@
             Door(address=settings.readiness, answer=self._answer_readiness),
             Door(
                 address=f"{settings.address}:{settings.metrics_port}",
-                answer=lambda _: (200, self._metrics.render()),
+                answer=self._answer_inside,
             ),
         )
+        self._sharing = Sharing(
+            find_url=self._find_url,
+            is_needed=self._needs_beliefs,
+            take=self._take_beliefs,
+        )
 
     async def run(self) -> None:
         """Serve until told to stop, then stop gracefully."""
@@ -149,11 +158,15 @@
         await stopping.wait()
         await self._stop()
 
+    @property
+    def is_informed(self) -> bool:
+        """Tell whether a configuration and the endpoints are known."""
+        return self._router.plan is not None and self._fleet.is_known
+
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
-        is_known = self._router.plan is not None and self._fleet.is_known
-        return is_known and not self._is_closing
+        return self.is_informed and not self._is_closing
 
     async def _start(self) -> None:
         for follower in self._followers:
@@ -163,6 +176,9 @@
         self._supervisor.start(name="news", job=self._news.run)
         self._supervisor.start(name="rollouts", job=self._rollouts.run)
         self._supervisor.start(name="peers", job=self._follow_peers)
+        self._supervisor.start(
+            name="sharing", job=lambda: self._sharing.run(lambda: self._news.heard)
+        )
         host, port = self._settings.listen.rsplit(":", 1)
         self._server.listen(int(port), host, backlog=BACKLOG)
         for door in self._doors:
@@ -187,6 +203,7 @@
         self._ingress.close_idle()
         log.notice("gateway: stopped, {} cut", self._ingress.open_requests)
         await self._supervisor.stop()
+        self._sharing.close()
         self._store.close()
 
     def _reload(self) -> None:
@@ -205,7 +222,12 @@
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
         return (
-            self._follow(kinds.CONFIGURATION, self._take_plans, self._take_plans),
+            self._follow(
+                kinds.CONFIGURATION,
+                self._take_plans,
+                self._take_plans,
+                wait=URGENT_WATCH_SECONDS,
+            ),
             self._follow(
                 kinds.ENDPOINTS, self._fleet.take_list, self._fleet.take_changes
             ),
@@ -219,14 +241,29 @@
             ),
         )
 
-    def _follow(self, kind: str, take_list: object, take_changes: object) -> Follower:
-        return Follower(
+    def _follow(
+        self,
+        kind: str,
+        take_list: object,
+        take_changes: object,
+        wait: float = WATCH_SECONDS,
+    ) -> Follower:
+        follower = Follower(
             store=self._store,
             kind=kind,
             contact=self._contact,
             take_list=take_list,
             take_changes=take_changes,
+            wait=wait,
         )
+        follower.on_gap = lambda: self._hurry(follower)
+        return follower
+
+    def _hurry(self, cause: Follower | None = None) -> None:
+        """Have watches call again that may be deaf, as one has found out."""
+        for follower in self._followers:
+            if follower is not cause:
+                follower.hurry()
 
     async def _follow_peers(self) -> None:
         """Say where this gateway is, and look for others now and then.
@@ -268,7 +305,52 @@
             crashes=self._placing.tell_crashes(),
         )
 
+    def _answer_inside(self, path: str) -> tuple[int, bytes]:
+        """Answer a peer, or an operator who reads metrics."""
+        if path != PATH:
+            return (200, self._metrics.render())
+        beliefs = Beliefs(
+            plan=self._router.plan,
+            endpoints=tuple(
+                flight.endpoint
+                for flight in self._fleet
+                if flight.missing_since is None
+            ),
+            evacuated=tuple(sorted(self._fleet.evacuated)),
+            orders=self._rollouts.orders,
+            knows_store=self._contact.lost_at is None,
+        )
+        return (200, encode_beliefs(beliefs))
+
+    def _needs_beliefs(self) -> bool:
+        """Tell whether peers know what the store doesn't tell here."""
+        heard = self._news.heard
+        if not self.is_informed:
+            return any(news.configuration for news in heard)
+        if self._contact.lost_at is not None:
+            return any(news.knows_store for news in heard)
+        return any(news.configuration > self._router.version for news in heard)
+
+    def _take_beliefs(self, beliefs: Beliefs, name: str) -> None:
+        """Take over what a peer has read, as far as it is newer."""
+        log.info("gateway: beliefs of {}, store {}", name, beliefs.knows_store)
+        if beliefs.plan is not None:
+            self._take_plans({name: beliefs.plan})
+        if self._contact.lost_at is None and self._fleet.is_known:
+            return
+        if beliefs.knows_store or not self._fleet.is_known:
+            self._fleet.adopt(beliefs.endpoints)
+            self._fleet.take_evacuations(beliefs.evacuated)
+            orders = {order.service: order for order in beliefs.orders}
+            self._rollouts.take_list(orders)
+
+    def _find_url(self, name: str) -> str | None:
+        address = self._news.find_address(name)
+        return f"http://{address}:{self._settings.metrics_port}" if address else None
+
     def _take_news(self, news: News) -> None:
+        if news.configuration > self._router.version:
+            self._hurry()
         self._rollouts.take_news(news)
         self._placing.take_news(self._news.heard)
 
@@ -286,6 +368,7 @@
             match plan:
                 case Plan() if self._router.take(plan):
                     self._metrics.version.set(plan.version)
+                    self._news.send()
                     log.info("gateway: configuration {} in force", plan.version)
                 case Plan() | None:
                     continue
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -152,6 +152,20 @@
             log.notice("fleet: domains taken out: {}", ", ".join(sorted(domains)))
         self.evacuated = domains
 
+    def adopt(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take over the whole list of a peer that reaches the store.
+
+        What is missing there is gone, also while the store doesn't answer
+        here: an endpoint that leaves would otherwise get work until it ends.
+        """
+        self.is_known = True
+        by_name = {one.name: one for one in endpoints}
+        for flight in tuple(self._flights.values()):
+            if flight.endpoint.name not in by_name:
+                self._drop(flight, "missing at a peer")
+        for endpoint in by_name.values():
+            self._take(endpoint)
+
     def change_evacuations(self, changes: dict[str, object | None]) -> None:
         """Take over failure domains that were taken out or brought back."""
         out = set(self.evacuated) | {
@@ -210,6 +224,10 @@
             return
         if endpoint.is_draining and not flight.endpoint.is_draining:
             log.info("fleet: {} is draining", endpoint.name)
+        # A lifetime that drains never takes work again: an older word of a
+        # peer must not bring it back.
+        if flight.endpoint.is_draining and not endpoint.is_draining:
+            return
         flight.endpoint = endpoint
         flight.missing_since = None
         flight.cold_until = now + endpoint.cold
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -14,9 +14,13 @@
 # A list takes milliseconds; a slow store takes 50 times as long.
 LIST_SECONDS = 2.0
 
-# A watch waits this long.  Each call is paid for, a waiting watch as one; a
-# watch whose connection has fallen silent is noticed at its end at the latest.
-WATCH_SECONDS = 12.0
+# A store that forgets its history may leave a waiting watch deaf: changes were
+# made, nobody tells it, and it only finds out at its next call.  The watch of
+# what must be in force within two seconds therefore waits for a short time,
+# the others within half of the five seconds that they have.  Each call is paid
+# for, so no watch waits shorter than that.
+WATCH_SECONDS = 2.5
+URGENT_WATCH_SECONDS = 1.2
 WATCH_SLACK_SECONDS = 1.0
 
 # Pauses after failures, with jitter, so that entries that lost the store
@@ -78,8 +82,10 @@
         "_store",
         "_take_changes",
         "_take_list",
+        "_wait",
         "_watching",
         "kind",
+        "on_gap",
         "revision",
     )
 
@@ -91,7 +97,10 @@
         contact: Contact,
         take_list: Callable[[dict[str, object]], None],
         take_changes: Callable[[dict[str, object | None]], None],
+        wait: float = WATCH_SECONDS,
     ) -> None:
+        self._wait = wait
+        self.on_gap: Callable[[], None] = _ignore
         self._store = store
         self.kind = kind
         self._contact = contact
@@ -131,6 +140,7 @@
             case HistoryGone():
                 log.notice("store: history of {} gone, listing again", self.kind)
                 self.revision = None
+                self.on_gap()
             case Away(reason=reason):
                 self._contact.note(
                     is_answered=False, now=now, reason=f"{self.kind}: {reason}"
@@ -147,8 +157,8 @@
             self._store.watch(
                 kind=self.kind,
                 revision=self.revision,
-                wait=WATCH_SECONDS,
-                timeout=WATCH_SECONDS + WATCH_SLACK_SECONDS,
+                wait=self._wait,
+                timeout=self._wait + WATCH_SLACK_SECONDS,
             )
         )
         try:
@@ -157,6 +167,10 @@
             if asyncio.current_task().cancelling():
                 self._watching.cancel()
                 raise
-            return Away(reason="others have seen changes since")
+            return Changed(revision=self.revision, objects={})
         finally:
             self._watching = None
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Callers' connections: requests are read, answers are written."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -13,7 +14,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from .errors import CallerGoneError
 from .exchange import set_probes
@@ -104,6 +105,21 @@
             raise CallerGoneError(str(error)) from error
 
 
+def has_unread(stream: IOStream) -> bool:
+    """Tell whether bytes wait in the stream's buffer or in the kernel."""
+    if stream.closed():
+        return False
+    if stream._read_buffer_size:
+        return True
+    try:
+        data = stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return False
+    return bool(data)
+
+
 class Service(Protocol):
     """What serves requests."""
 
@@ -142,9 +158,14 @@
         self._connections.discard(server_conn)
 
     def close_idle(self) -> None:
-        """Close connections on which no request is under way."""
+        """Close connections on which no request is under way or has come in.
+
+        A busy process may not have read yet what its caller sent.  Closing
+        then would cut a whole request, which its caller can't safely repeat.
+        """
         for connection in tuple(self._idle):
-            connection.close()
+            if not has_unread(connection.stream):
+                connection.close()
 
     def _leave_idle(self, connection: HTTPConnection) -> None:
         self._idle.discard(connection)
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -96,12 +96,14 @@
         *,
         name: str,
         address: tuple[str, int],
+        seeds: tuple[str, ...],
         make_news: Callable[..., News],
         take_news: Callable[[News], None],
     ) -> None:
         self.lifetime = secrets.token_hex(4)
         self._name = name
         self._address = address
+        self._seeds = [(seed, address[1]) for seed in seeds if seed != address[0]]
         self._make_news = make_news
         self._take_news = take_news
         self._peers: dict[str, tuple[str, int]] = {}
@@ -125,7 +127,8 @@
 
     def send(self) -> None:
         """Send the news as they are now."""
-        if self._transport is None or not self._peers:
+        addresses = self._peers.values() or self._seeds
+        if self._transport is None or not addresses:
             return
         self._number += 1
         news = self._make_news(
@@ -135,7 +138,7 @@
             number=self._number,
         )
         data = msgspec.msgpack.encode(news)
-        for address in self._peers.values():
+        for address in addresses:
             self._transport.sendto(data, address)
 
     def take_peers(self, peers: dict[str, Peer]) -> None:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -109,7 +109,7 @@
     def note_answer(
         self, job: "Job", endpoint: Endpoint, *, failed: bool, seconds: float
     ) -> None:
-        """Learn from an answer, or from one that was lost."""
+        """Learn from an answer; `seconds` is the time to its first piece."""
         self._rollouts.note(
             service=endpoint.service,
             version=endpoint.version,
@@ -139,7 +139,15 @@
         self._shun(flight)
 
     def note_lost(self, job: "Job", endpoint: Endpoint) -> None:
-        """Note an answer that was lost; the request may have crashed it."""
+        """Note an answer that was lost; the request may have crashed it.
+
+        That says nothing of the endpoint's version: connections break for
+        many reasons, on old and new endpoints alike.
+        """
+        flight = self._find(endpoint)
+        if flight is not None:
+            flight.badness += (1 - flight.badness) * BADNESS_WEIGHT
+            self._shun(flight)
         crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
         self._poison.note_loss(crash=crash, now=self._loop.time())
 
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -19,6 +19,7 @@
 )
 from .beliefs import RolloutOrder, RolloutState, RolloutStatus
 from .fleet import ANY_VERSION, Fleet, VersionChoice
+from .follower import Contact
 from .news import News, Pin, TrialNews
 
 log = logbook.Logger("rollout")
@@ -101,6 +102,7 @@
     """All roll-outs."""
 
     __slots__ = (
+        "_contact",
         "_fleet",
         "_heard",
         "_loop",
@@ -119,7 +121,9 @@
         session_seconds: float,
         heard: Callable[[], tuple[News, ...]],
         rank: Callable[[], int],
+        contact: Contact,
     ) -> None:
+        self._contact = contact
         self._fleet = fleet
         self._store = store
         self._session_seconds = session_seconds
@@ -146,6 +150,11 @@
                 case _:
                     log.warning("rollout: order {} can't be read: {}", name, found)
 
+    @property
+    def orders(self) -> tuple[RolloutOrder, ...]:
+        """Return all orders."""
+        return tuple(trial.order for trial in self._trials.values())
+
     def choose_version(
         self, *, service: str, session: str, request: str
     ) -> VersionChoice:
@@ -235,14 +244,14 @@
         self._judge(trial)
         wanted = self._find_wanted(trial, now - trial.since)
         status = trial.order.status
-        if status is not None and status.state is wanted:
-            if status.version == trial.order.version:
-                trial.writing_from = None
-                return
+        is_written = status is not None and status.version == trial.order.version
+        if is_written and status.state is wanted:
+            trial.writing_from = None
+            return
         if trial.writing_from is None:
             wait = WRITE_DELAY_SECONDS * self._rank()
             trial.writing_from = now + wait * (0.8 + 0.4 * random.random())
-        if now < trial.writing_from:
+        if now < trial.writing_from or self._contact.lost_at is not None:
             return
         await self._write(trial, wanted)
 
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -427,7 +427,6 @@
                 self._placing.note_not_run(job, endpoint, is_down=is_down)
             case Lost(reason=reason):
                 job.note(Standing.UNKNOWN)
-                self._note_answer(job, endpoint, failed=True)
                 self._placing.note_lost(job, endpoint)
             case Failed(head=head):
                 reason = f"status {head.status}"
--- a/eelgrassrack/gateway/settings.py
+++ b/eelgrassrack/gateway/settings.py
@@ -14,6 +14,7 @@
 MILLISECONDS = Number(low=0, high=3_600_000)
 SHARE = Number(low=0, high=100)
 COUNT = Number(low=0, high=1_000_000)
+SEEDS = Items(item=ADDRESS)
 DOMAINS = Items(item=Text(pattern=r"[A-Za-z0-9_.-]+", allowed="a name"))
 
 
@@ -30,11 +31,17 @@
     objects_url: str
     region: str = ""
     domains: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = ()
     grace_seconds: float = 8.0
     memory_mb: float = 150.0
     cpu_share: float = 1.0
     link_mbps: float = 1_000.0
     heartbeat_ms: float = 1_200.0
+    drain_ms: float = 2_000.0
+    configuration_ms: float = 2_000.0
+    evacuation_ms: float = 5_000.0
+    rollback_ms: float = 5_000.0
+    contact_ms: float = 3_000.0
     retry_ratio: float = 0.5
     retry_window_seconds: float = 10.0
     retry_slack: float = 10.0
@@ -60,6 +67,11 @@
         Key(name="domain", check=NAME, meaning="Failure domain that it lies in."),
         Key(name="region", check=NAME, meaning="Region that it lies in."),
         Key(name="domains", check=DOMAINS, meaning="All failure domains."),
+        Key(
+            name="seeds",
+            check=SEEDS,
+            meaning="Addresses of gateways to begin with, if the store is away.",
+        ),
         Key(name="listen", check=ADDRESS, meaning="Address for callers."),
         Key(name="readiness", check=ADDRESS, meaning="Address for the balancer."),
         Key(name="address", check=NAME, meaning="IP number of the instance."),
@@ -71,6 +83,11 @@
         _number("cpu_share", SHARE, "Part of a core that it has."),
         _number("link_mbps", COUNT, "What the instance's link carries.", "Mbit/s"),
         _number("heartbeat_ms", MILLISECONDS, "Between endpoints' reports.", "ms"),
+        _number("drain_ms", MILLISECONDS, "After which a leaver gets no work.", "ms"),
+        _number("configuration_ms", MILLISECONDS, "To take a configuration.", "ms"),
+        _number("evacuation_ms", MILLISECONDS, "To leave a failure domain.", "ms"),
+        _number("rollback_ms", MILLISECONDS, "To give up a bad version.", "ms"),
+        _number("contact_ms", MILLISECONDS, "In which a fault is noticed.", "ms"),
         _number("retry_ratio", SHARE, "Retries to each request, over all."),
         _number("retry_window_seconds", SECONDS, "In which they count.", "s"),
         _number("retry_slack", COUNT, "Retries allowed beside, over all."),
