--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import signal
+import time
 
 import logbook
 from tornado.httpserver import HTTPServer
 
+from ..decisions.watchturns import find_wait
 from ..supervisor import Supervisor
 from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
-from .follower import URGENT_WATCH_SECONDS, WATCH_SECONDS, Contact, Follower
+from .follower import Contact, Follower, TakeChanges, TakeList
 from .ingress import Ingress
 from .metrics import GatewayMetrics
 from .news import News, NewsExchange
@@ -37,6 +39,8 @@
 # The balancer's health check of an entry and operators' reads are short.
 BACKLOG = 1_024
 
+MILLISECONDS = 1000.0
+
 # A call to the store beside the watches.
 CALL_SECONDS = 1.5
 
@@ -221,32 +225,43 @@
 
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
+        settings = self._settings
+        fleet = self._fleet
+        rollouts = self._rollouts
         return (
             self._follow(
-                kinds.CONFIGURATION,
-                self._take_plans,
-                self._take_plans,
-                wait=URGENT_WATCH_SECONDS,
+                kind=kinds.CONFIGURATION,
+                take_list=self._take_plans,
+                take_changes=self._take_plans,
+                bound_ms=settings.configuration_ms,
             ),
             self._follow(
-                kinds.ENDPOINTS, self._fleet.take_list, self._fleet.take_changes
+                kind=kinds.ENDPOINTS,
+                take_list=fleet.take_list,
+                take_changes=fleet.take_changes,
+                bound_ms=settings.drain_ms,
             ),
             self._follow(
-                kinds.ROLLOUTS, self._rollouts.take_list, self._rollouts.take_changes
+                kind=kinds.ROLLOUTS,
+                take_list=rollouts.take_list,
+                take_changes=rollouts.take_changes,
+                bound_ms=settings.rollback_ms,
             ),
             self._follow(
-                kinds.EVACUATIONS,
-                self._fleet.take_evacuations,
-                self._fleet.change_evacuations,
+                kind=kinds.EVACUATIONS,
+                take_list=fleet.take_evacuations,
+                take_changes=fleet.change_evacuations,
+                bound_ms=settings.evacuation_ms,
             ),
         )
 
     def _follow(
         self,
+        *,
         kind: str,
-        take_list: object,
-        take_changes: object,
-        wait: float = WATCH_SECONDS,
+        take_list: TakeList,
+        take_changes: TakeChanges,
+        bound_ms: float,
     ) -> Follower:
         follower = Follower(
             store=self._store,
@@ -254,7 +269,12 @@
             contact=self._contact,
             take_list=take_list,
             take_changes=take_changes,
-            wait=wait,
+            find_wait=lambda: find_wait(
+                bound=bound_ms / MILLISECONDS,
+                entries=1 + len(self._news.heard),
+                rank=self._find_rank(),
+                time_of_day=time.time(),
+            ),
         )
         follower.on_gap = lambda: self._hurry(follower)
         return follower
@@ -299,6 +319,7 @@
             number=number,
             configuration=self._router.version,
             knows_store=self._contact.lost_at is None,
+            revisions=tuple(one.event_revision for one in self._followers),
             flights=self._placing.tell_flights(),
             trials=trials,
             pins=pins,
@@ -349,8 +370,8 @@
         return f"http://{address}:{self._settings.metrics_port}" if address else None
 
     def _take_news(self, news: News) -> None:
-        if news.configuration > self._router.version:
-            self._hurry()
+        for follower, revision in zip(self._followers, news.revisions, strict=False):
+            follower.catch_up(revision)
         self._rollouts.take_news(news)
         self._placing.take_news(self._news.heard)
 
@@ -368,7 +389,6 @@
             match plan:
                 case Plan() if self._router.take(plan):
                     self._metrics.version.set(plan.version)
-                    self._news.send()
                     log.info("gateway: configuration {} in force", plan.version)
                 case Plan() | None:
                     continue
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -14,13 +14,8 @@
 # A list takes milliseconds; a slow store takes 50 times as long.
 LIST_SECONDS = 2.0
 
-# A store that forgets its history may leave a waiting watch deaf: changes were
-# made, nobody tells it, and it only finds out at its next call.  The watch of
-# what must be in force within two seconds therefore waits for a short time,
-# the others within half of the five seconds that they have.  Each call is paid
-# for, so no watch waits shorter than that.
-WATCH_SECONDS = 2.5
-URGENT_WATCH_SECONDS = 1.2
+# A list or a watch that is due is answered within milliseconds, from a slow
+# store within a second.
 WATCH_SLACK_SECONDS = 1.0
 
 # Pauses after failures, with jitter, so that entries that lost the store
@@ -29,6 +24,10 @@
 LONGEST_PAUSE = 1.0
 
 
+TakeList = Callable[[dict[str, object]], None]
+TakeChanges = Callable[[dict[str, object | None]], None]
+
+
 class Store(Protocol):
     """The calls that a follower makes."""
 
@@ -74,16 +73,19 @@
     """Keep a view of one kind up to date.
 
     `take_list` gets all objects, `take_changes` those that changed, with None
-    for a removed one.
+    for a removed one.  `find_wait` tells for how many seconds a watch waits.
+    `event_revision` is the store's revision at the last change that was seen.
     """
 
     __slots__ = (
         "_contact",
+        "_find_wait",
         "_store",
         "_take_changes",
         "_take_list",
-        "_wait",
+        "_told",
         "_watching",
+        "event_revision",
         "kind",
         "on_gap",
         "revision",
@@ -95,11 +97,13 @@
         store: Store,
         kind: str,
         contact: Contact,
-        take_list: Callable[[dict[str, object]], None],
-        take_changes: Callable[[dict[str, object | None]], None],
-        wait: float = WATCH_SECONDS,
+        take_list: TakeList,
+        take_changes: TakeChanges,
+        find_wait: Callable[[], float],
     ) -> None:
-        self._wait = wait
+        self._find_wait = find_wait
+        self._told = 0
+        self.event_revision = 0
         self.on_gap: Callable[[], None] = _ignore
         self._store = store
         self.kind = kind
@@ -131,11 +135,12 @@
         now = asyncio.get_running_loop().time()
         match result:
             case Listed():
-                self.revision = result.revision
+                self.revision = self.event_revision = result.revision
                 self._take_list(result.objects)
             case Changed():
                 self.revision = result.revision
                 if result.objects:
+                    self.event_revision = result.revision
                     self._take_changes(result.objects)
             case HistoryGone():
                 log.notice("store: history of {} gone, listing again", self.kind)
@@ -152,13 +157,25 @@
     async def _list(self) -> Listed | Away:
         return await self._store.list(kind=self.kind, timeout=LIST_SECONDS)
 
+    def catch_up(self, revision: int) -> None:
+        """Watch anew if a peer has seen changes up to a later revision.
+
+        Once for each revision: if there is nothing new of this kind then, the
+        next news of the same would only make another call.
+        """
+        if self.revision is None or revision <= max(self.revision, self._told):
+            return
+        self._told = revision
+        self.hurry()
+
     async def _watch(self) -> Changed | HistoryGone | Away:
+        wait = self._find_wait()
         self._watching = asyncio.ensure_future(
             self._store.watch(
                 kind=self.kind,
                 revision=self.revision,
-                wait=self._wait,
-                timeout=self._wait + WATCH_SLACK_SECONDS,
+                wait=wait,
+                timeout=wait + WATCH_SLACK_SECONDS,
             )
         )
         try:
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -64,7 +64,11 @@
 
 
 class News(msgspec.Struct, frozen=True, array_like=True):
-    """The state of one gateway, as it tells its peers."""
+    """The state of one gateway, as it tells its peers.
+
+    `revisions` are those of the store at the last changes of each kind that
+    were seen, in the order in which all gateways follow the kinds.
+    """
 
     name: str
     lifetime: str
@@ -72,6 +76,7 @@
     number: int
     configuration: int
     knows_store: bool
+    revisions: tuple[int, ...] = ()
     flights: tuple[FlightNews, ...] = ()
     leaving: tuple[tuple[str, int], ...] = ()
     evacuated: tuple[str, ...] = ()
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -25,8 +25,9 @@
 CONFLICT = 409
 MILLISECONDS = 1000.0
 
-# Connections to the store: a waiting watch a kind, and a call beside them.
-MOST_CONNECTIONS = 8
+# Connections to the store: a waiting watch a kind, one more for each that was
+# given up but still waits there, and calls beside them.
+MOST_CONNECTIONS = 16
 
 JSON = {"Content-Type": "application/json"}
 
