--- a/eelgrassrack/decisions/engines.py
+++ b/eelgrassrack/decisions/engines.py
@@ -1,13 +1,15 @@
 """Which engine or service endpoint a request goes to, at an entry alone.
 
-Load pattern: requests share long prompt parts, a few of them very hot, and
-engines slow down with each request that runs beside.  Without affinity each
-engine reads each shared part again; with affinity alone the engine of a hot
-part is full while others are idle.
-
-All entries rank the engines of a shared part by the same hash, so they agree
-without asking each other.  The first of the ranking that isn't loaded well
-beyond the mean is taken (consistent hashing with bounded loads).
+Load pattern: requests share long prompt parts, a few of them very hot; prompts
+differ by a factor of fifty, and an engine reads them one after the other.
+Without affinity each engine reads each shared part again; with affinity alone
+the engine of a hot part has a queue while others are idle.
+
+Each endpoint is weighed by the seconds until the first token: what it still
+has to read, and what it would read of this prompt.  A shared part that it
+holds already counts for it.  All entries rank the endpoints of a shared part
+by the same hash, so that without asking each other they take the same one to
+hold it.
 """
 
 from collections.abc import Sequence
@@ -15,70 +17,83 @@
 import msgspec
 import xxhash
 
-# An engine takes a shared part's requests up to this factor of the mean load,
-# plus so many requests like this one where the mean is small.
-AFFINITY_FACTOR = 1.3
-AFFINITY_REQUESTS = 2.0
+# An endpoint of another failure domain counts as if it were busy for so much
+# longer: bytes between domains are paid for, but a queue costs more.
+FAR_SECONDS = 0.002
 
-# An endpoint of another failure domain counts as if it had this many more
-# requests: bytes between domains are paid for, but a queue costs more.
-FAR_REQUESTS = 0.5
+# A request that runs beside makes each token a little slower.
+BESIDE_SECONDS = 0.004
 
-# What a model takes of an engine's time grows with its cost, but slower:
-# a model of 14 times the cost was measured to take 3.5 times as long.
-COST_SLOPE = 0.19
-
-# A generated token takes about as long as so many read ones, at the batch
-# sizes of a normal day.
-READ_PER_GENERATED = 20
+# Work of a plain request, which has no prompt: of the order of its run time,
+# so that endpoints of a plain service are weighed by requests under way.
+PLAIN_SECONDS = 0.05
 
 
 class Candidate(msgspec.Struct, kw_only=True, frozen=True):
     """An endpoint that may get the request.
 
-    `load` is the work of all entries' requests there, `slots` how many
-    requests it runs at once.
+    `backlog` is the seconds that it is busy with reading what all entries
+    sent, `running` their requests there, `slots` how many it runs at once.
+    `holds_parts` says that it most likely has the shared parts cached.
     """
 
     name: str
-    load: float
+    backlog: float
+    running: int
     slots: int
     is_near: bool
+    holds_parts: bool = False
     is_shunned: bool = False
 
 
-def estimate_work(*, tokens_in: int, tokens_out: int, cost_factor: float) -> int:
-    """Return a request's work in read tokens of the cheapest model.
+class Reading(msgspec.Struct, kw_only=True, frozen=True):
+    """Seconds to read a prompt whole, and of that its shared parts."""
 
-    `cost_factor` is how many times its model costs what the cheapest does.
-    A request to a plain service counts as one.
-    """
-    tokens = tokens_in + tokens_out * READ_PER_GENERATED
-    return max(int(tokens * (1 + (cost_factor - 1) * COST_SLOPE)), 1)
+    whole: float
+    shared: float = 0.0
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """An endpoint and the seconds until the first token there."""
+
+    name: str
+    seconds: float
+    wait: float
 
 
 def choose_engine(
-    *, candidates: Sequence[Candidate], work: float, affinity: str, spread: str
-) -> Candidate:
-    """Return the endpoint for a request of so much work.
+    *, candidates: Sequence[Candidate], reading: Reading, affinity: str, spread: str
+) -> Choice:
+    """Return the endpoint for a request.
 
     Requests of the same `affinity` go together; `spread` breaks ties, so that
     entries don't all choose the same of equal endpoints.
     """
     sound = [one for one in candidates if not one.is_shunned] or candidates
-    if not affinity:
-        return min(sound, key=lambda one: (_weigh(one, work), _rank(spread, one.name)))
-    mean = sum(one.load for one in sound) / len(sound)
-    bound = mean * AFFINITY_FACTOR + work * AFFINITY_REQUESTS
-    ranked = sorted(sound, key=lambda one: _rank(affinity, one.name))
-    fitting = (one for one in ranked if one.load + work <= bound)
-    fit = next(fitting, None)
-    return fit or min(sound, key=lambda one: _weigh(one, work))
-
-
-def _weigh(one: Candidate, work: float) -> float:
-    far = 0.0 if one.is_near else FAR_REQUESTS * work
-    return (one.load + far) / one.slots
+    home = max(sound, key=lambda one: _rank(affinity, one.name)) if affinity else None
+    best = min(
+        sound,
+        key=lambda one: (
+            _weigh(one, reading, is_home=one is home),
+            _rank(spread, one.name),
+        ),
+    )
+    own = reading.whole - (reading.shared if best.holds_parts else 0.0)
+    wait = best.backlog + _find_queue(best)
+    return Choice(best.name, wait + own, wait)
+
+
+def _weigh(one: Candidate, reading: Reading, *, is_home: bool) -> float:
+    saved = reading.shared if one.holds_parts or is_home else 0.0
+    far = 0.0 if one.is_near else FAR_SECONDS
+    beside = BESIDE_SECONDS * one.running / one.slots
+    return one.backlog + _find_queue(one) + beside + far + reading.whole - saved
+
+
+def _find_queue(one: Candidate) -> float:
+    """Return the seconds to wait for a slot, roughly, if all are taken."""
+    waiting = one.running + 1 - one.slots
+    return waiting * PLAIN_SECONDS if waiting > 0 else 0.0
 
 
 def _rank(key: str, name: str) -> int:
--- /dev/null
+++ b/eelgrassrack/decisions/pace.py
@@ -0,0 +1,63 @@
+"""How long each model takes to read a prompt, learned from answers.
+
+Load pattern: a route's models read prompts at speeds that differ by a factor
+of ten, and prompts differ by a factor of fifty.  Whoever counts requests, or
+tokens, sends a short question behind a long prompt of the slowest model and
+makes it wait for two seconds.
+
+Only answers of endpoints that had nothing else to read are learned from: with
+a queue before it the time says more of the queue than of the model.
+"""
+
+# Seconds to read a token with the cheapest model before any answer was seen:
+# 157 and 112 tokens a millisecond are what today's engines do.
+FIRST_PACE = 1 / 120_000
+
+# Before any answer, a model of n times the cost is taken to be this part of
+# n times as slow; measured were 10 times at 14 times the cost.
+COST_SHARE = 0.7
+
+# What an idle engine takes before the first token whatever the prompt.
+BASE_SECONDS = 0.031
+
+# Prompts shorter than this say too little of the pace.
+LEAST_TOKENS = 500
+
+# One answer's weight; paces change with the batch beside, within seconds.
+WEIGHT = 1 / 12
+
+# An answer much slower than the known pace has met something else, such as
+# another entry's request that wasn't known of yet.
+MOST_FACTOR = 3.0
+
+
+class Pace:
+    """Seconds to read a prompt, by model."""
+
+    __slots__ = ("_paces",)
+
+    def __init__(self) -> None:
+        self._paces: dict[str, float] = {}
+
+    def note(self, *, model: str, cost: float, tokens: int, seconds: float) -> None:
+        """Learn from an answer of an endpoint that was idle.
+
+        `cost` is that of the model relative to the cheapest, `tokens` the
+        prompt without what was most likely cached.
+        """
+        if tokens < LEAST_TOKENS:
+            return
+        known = self._find(model, cost)
+        seen = max(seconds - BASE_SECONDS, 0.0) / tokens
+        seen = min(seen, known * MOST_FACTOR)
+        self._paces[model] = known + (seen - known) * WEIGHT
+
+    def estimate(self, *, model: str, cost: float, tokens: int) -> float:
+        """Return the seconds that an engine is busy with reading a prompt."""
+        return self._find(model, cost) * tokens
+
+    def _find(self, model: str, cost: float) -> float:
+        known = self._paces.get(model)
+        if known is not None:
+            return known
+        return FIRST_PACE * max(cost * COST_SHARE, 1.0)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -221,6 +221,7 @@
             await asyncio.sleep(CHORE_SECONDS)
             self._pool.prune(now=asyncio.get_running_loop().time())
             self._fleet.sweep()
+            self._placing.forget_parts()
             self._placing.take_news(self._news.heard)
 
     def _make_followers(self) -> tuple[Follower, ...]:
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -21,7 +21,9 @@
     """What this gateway knows of one lifetime of an endpoint.
 
     `own` counts its requests under way here, `peers` those of other gateways
-    by their last news; `own_work` and `peers_work` weigh them by their tokens.
+    by their last news; `own_backlog` and `peers_backlog` are the seconds that
+    the endpoint needs to read their prompts.  `parts` holds the shared parts
+    of prompts that were sent there, with the time of the last use.
     `badness` is the share of failures among the last answers, and
     `cold_sends` holds the times of the last second's sends to a cold endpoint.
     """
@@ -35,9 +37,10 @@
         "load_at",
         "missing_since",
         "own",
-        "own_work",
+        "own_backlog",
+        "parts",
         "peers",
-        "peers_work",
+        "peers_backlog",
         "seen_at",
         "shunned_until",
     )
@@ -47,9 +50,10 @@
         self.seen_at = now
         self.cold_until = now + endpoint.cold
         self.own = 0
-        self.own_work = 0
+        self.own_backlog = 0.0
         self.peers = 0
-        self.peers_work = 0
+        self.peers_backlog = 0.0
+        self.parts: dict[str, float] = {}
         self.badness = 0.0
         self.cold_sends: collections.deque[float] = collections.deque()
         self.load: Load | None = None
@@ -63,9 +67,13 @@
         return self.own + self.peers
 
     @property
-    def work(self) -> int:
-        """Return the work of those requests."""
-        return self.own_work + self.peers_work
+    def backlog(self) -> float:
+        """Return the seconds that it needs to read all prompts."""
+        return max(self.own_backlog, 0.0) + self.peers_backlog
+
+    def forget_parts(self, *, before: float) -> None:
+        """Forget shared parts that were used before a time."""
+        self.parts = {name: at for name, at in self.parts.items() if at >= before}
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the endpoint bears only a few requests a second."""
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -37,12 +37,15 @@
 
 
 class FlightNews(msgspec.Struct, frozen=True, array_like=True):
-    """What one gateway has under way at a lifetime of an endpoint."""
+    """What one gateway has under way at a lifetime of an endpoint.
+
+    `backlog_ms` is the time that the endpoint needs to read its prompts.
+    """
 
     endpoint: str
     born: int
     running: int
-    work: int
+    backlog_ms: int
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -1,12 +1,20 @@
 """Place requests on endpoints by what this gateway knows of them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import logbook
 
-from ..decisions.engines import Candidate, choose_engine, estimate_work
+from ..decisions.engines import (
+    PLAIN_SECONDS,
+    Candidate,
+    Choice,
+    Reading,
+    choose_engine,
+)
+from ..decisions.modelchoice import Estimate
+from ..decisions.pace import Pace
 from ..decisions.poison import Crash, Poison
 from ..decisions.sharedbudget import share_cold_rate
 from .endpoints import Endpoint
@@ -31,6 +39,12 @@
 OFTEN_BAD = 0.3
 BADNESS_WEIGHT = 0.2
 
+# An endpoint with less than this to read is as good as idle, and shows the
+# pace of its model.
+IDLE_SECONDS = 0.01
+
+MILLISECONDS = 1000.0
+
 # While every endpoint is at the limit of its cold start, look again so often.
 COLD_PAUSE_SECONDS = 0.05
 
@@ -45,6 +59,7 @@
         "_count_entries",
         "_fleet",
         "_loop",
+        "_pace",
         "_poison",
         "_rollouts",
         "_settings",
@@ -63,6 +78,7 @@
         self._settings = settings
         self._count_entries = count_entries
         self._poison = Poison()
+        self._pace = Pace()
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -76,28 +92,62 @@
             now = self._loop.time()
             if self._poison.is_guilty(fingerprint=job.fingerprint, now=now):
                 return POISON
-            flights = self._select(job)
+            flights = self._select(job, passed_over=job.passed_over)
             if not flights:
                 return NONE_LEFT
             free = [one for one in flights if self._has_cold_room(one, job, now)]
             if free:
-                return self._choose(job, free, now)
+                return self._choose(job, free)
             await asyncio.sleep(COLD_PAUSE_SECONDS)
 
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Count a request that is sent."""
         flight = self._find(endpoint)
+        if flight is None:
+            return
+        now = self._loop.time()
+        job.reading = self._find_reading(job, job.model).whole
+        affinity = _find_affinity(job, job.model)
+        if affinity:
+            if self._holds(flight, affinity, now):
+                job.reading -= self._find_reading(job, job.model).shared
+            flight.parts[affinity] = now
+        job.was_idle = flight.backlog < IDLE_SECONDS
+        flight.own += 1
+        flight.own_backlog += job.reading
+        flight.cold_sends.append(now)
+
+    def note_first(self, job: "Job", endpoint: Endpoint) -> None:
+        """Note the first piece of an answer: its prompt has been read."""
+        flight = self._find(endpoint)
         if flight is not None:
-            flight.own += 1
-            flight.own_work += job.work
-            flight.cold_sends.append(self._loop.time())
+            flight.own_backlog -= job.reading
+        if job.was_idle and job.reading:
+            paced = self._find_reading(job, job.model).whole
+            share = job.reading / paced if paced else 0.0
+            self._pace.note(
+                model=job.model,
+                cost=_find_costs(job, job.model),
+                tokens=int(job.arrival.tokens_in * share),
+                seconds=self._loop.time() - job.sent_at,
+            )
+        job.reading = 0.0
 
     def end(self, job: "Job", endpoint: Endpoint) -> None:
         """Count the end of a request."""
         flight = self._find(endpoint)
         if flight is not None:
             flight.own -= 1
-            flight.own_work -= job.work
+            flight.own_backlog -= job.reading
+        job.reading = 0.0
+
+    def estimate(self, job: "Job", model: str) -> Estimate:
+        """Return how soon the first token of a model would come."""
+        flights = self._select(job, passed_over=frozenset())
+        if not flights:
+            return Estimate(float("inf"), float("inf"))
+        choice = self._weigh(job, model, flights)
+        return Estimate(choice.seconds, choice.wait)
 
     def note_head(self, job: "Job", endpoint: Endpoint, head: Head) -> None:
         """Take over what an answer says of its endpoint."""
@@ -156,10 +206,20 @@
         name, born = lifetime
         self._poison.note_down(endpoint=name, born=born, now=self._loop.time())
 
+    def forget_parts(self) -> None:
+        """Forget which shared parts were used long ago."""
+        before = self._loop.time() - self._settings.reuse_seconds
+        for flight in self._fleet:
+            flight.forget_parts(before=before)
+
     def tell_flights(self) -> tuple[FlightNews, ...]:
         """Return what is under way, for peers."""
         return tuple(
-            FlightNews(*flight.endpoint.lifetime, flight.own, flight.own_work)
+            FlightNews(
+                *flight.endpoint.lifetime,
+                flight.own,
+                int(flight.own_backlog * MILLISECONDS),
+            )
             for flight in self._fleet
             if flight.own
         )
@@ -175,33 +235,54 @@
             for told in news.flights:
                 total = totals.setdefault((told.endpoint, told.born), [0, 0])
                 total[0] += told.running
-                total[1] += told.work
+                total[1] += told.backlog_ms
         for flight in self._fleet:
             total = totals.get(flight.endpoint.lifetime, (0, 0))
-            flight.peers, flight.peers_work = total
+            flight.peers = total[0]
+            flight.peers_backlog = total[1] / MILLISECONDS
         now = self._loop.time()
         for news in heard:
             if news.crashes:
                 self._poison.merge(crashes=news.crashes, now=now)
 
-    def _select(self, job: "Job") -> list[Flight]:
+    def _select(self, job: "Job", passed_over: Collection[str]) -> list[Flight]:
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
             session=job.arrival.session,
             request=job.arrival.id,
         )
         flights = self._fleet.select(service=job.permit.service.name, versions=versions)
-        return [one for one in flights if one.endpoint.name not in job.passed_over]
+        return [one for one in flights if one.endpoint.name not in passed_over]
 
-    def _choose(self, job: "Job", flights: list[Flight], now: float) -> Endpoint:
+    def _choose(self, job: "Job", flights: list[Flight]) -> Endpoint:
+        choice = self._weigh(job, job.model, flights)
         by_name = {one.endpoint.name: one for one in flights}
-        chosen = choose_engine(
-            candidates=[self._describe(one, now) for one in flights],
-            work=job.work,
-            affinity=_find_affinity(job),
+        return by_name[choice.name].endpoint
+
+    def _weigh(self, job: "Job", model: str, flights: list[Flight]) -> Choice:
+        now = self._loop.time()
+        affinity = _find_affinity(job, model)
+        return choose_engine(
+            candidates=[self._describe(one, affinity, now) for one in flights],
+            reading=self._find_reading(job, model),
+            affinity=affinity,
             spread=self._settings.name,
         )
-        return by_name[chosen.name].endpoint
+
+    def _find_reading(self, job: "Job", model: str) -> Reading:
+        arrival = job.arrival
+        if not arrival.tokens_in:
+            return Reading(whole=PLAIN_SECONDS)
+        cost = _find_costs(job, model)
+        shared = sum(part.tokens for part in arrival.parts[:-1])
+        return Reading(
+            whole=self._pace.estimate(model=model, cost=cost, tokens=arrival.tokens_in),
+            shared=self._pace.estimate(model=model, cost=cost, tokens=shared),
+        )
+
+    def _holds(self, flight: Flight, affinity: str, now: float) -> bool:
+        used_at = flight.parts.get(affinity)
+        return used_at is not None and now < used_at + self._settings.reuse_seconds
 
     def _has_cold_room(self, flight: Flight, job: "Job", now: float) -> bool:
         sends = flight.cold_sends
@@ -223,12 +304,14 @@
         seconds = LONG_SHUN_SECONDS if often else SHORT_SHUN_SECONDS
         flight.shunned_until = self._loop.time() + seconds
 
-    def _describe(self, flight: Flight, now: float) -> Candidate:
+    def _describe(self, flight: Flight, affinity: str, now: float) -> Candidate:
         return Candidate(
             name=flight.endpoint.name,
-            load=flight.work,
+            backlog=flight.backlog,
+            running=flight.running,
             slots=flight.endpoint.slots,
             is_near=flight.endpoint.domain == self._settings.domain,
+            holds_parts=bool(affinity) and self._holds(flight, affinity, now),
             is_shunned=now < flight.shunned_until or flight.missing_since is not None,
         )
 
@@ -240,20 +323,15 @@
         return flight
 
 
-def find_work(job: "Job") -> int:
-    """Return the work of a request with the model it is to ask."""
+def _find_costs(job: "Job", model: str) -> float:
+    """Return how many times a model costs what the cheapest does."""
     costs = dict(job.permit.service.costs)
     least = min(costs.values(), default=0.0)
-    factor = costs.get(job.model, least) / least if least else 1.0
-    arrival = job.arrival
-    generated = min(arrival.length_hint or arrival.tokens_out, arrival.tokens_out)
-    return estimate_work(
-        tokens_in=arrival.tokens_in, tokens_out=generated, cost_factor=factor
-    )
+    return costs.get(model, least) / least if least else 1.0
 
 
-def _find_affinity(job: "Job") -> str:
+def _find_affinity(job: "Job", model: str) -> str:
     shared = job.arrival.parts[:-1]
     if not shared:
         return ""
-    return "\0".join([job.model, *(part.name for part in shared)])
+    return "\0".join([model, *(part.name for part in shared)])
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -23,7 +23,7 @@
 from .ingress import Reply
 from .messages import Arrival, Data, End, Head, Refusal
 from .metrics import GatewayMetrics
-from .placing import Placing, find_work
+from .placing import Placing
 from .plan import Permit, Router
 from .pool import Pool
 from .retries import RecentSends
@@ -104,11 +104,12 @@
         "model",
         "passed_over",
         "permit",
+        "reading",
         "sent_at",
         "resume_after",
         "standing",
         "tried",
-        "work",
+        "was_idle",
     )
 
     def __init__(self, *, arrival: Arrival, permit: Permit, deadline: float) -> None:
@@ -124,8 +125,9 @@
         self.sent_at = 0.0
         self.passed_over: set[str] = set()
         self.fingerprint = make_fingerprint(arrival, permit)
-        self.model = choose_model(arrival, permit)
-        self.work = find_work(self)
+        self.model = arrival.model
+        self.reading = 0.0
+        self.was_idle = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -141,10 +143,10 @@
         """Take over what an attempt showed."""
         self.standing = max(self.standing, standing)
 
-    def ask(self, model: str) -> None:
-        """Have another model answer."""
-        self.model = model
-        self.work = find_work(self)
+    @property
+    def has_choice(self) -> bool:
+        """Tell whether the router chooses the model."""
+        return self.arrival.model == ANY_MODEL and bool(self.permit.route.models)
 
 
 class Serving:
@@ -193,6 +195,8 @@
             deadline=_find_deadline(arrival, verdict),
         )
         self._find_sends(verdict.service.name).note_request(self._loop.time())
+        if job.has_choice:
+            job.model = self._choose_model(job)
         try:
             async with asyncio.timeout_at(job.deadline):
                 await self._run(job, reply)
@@ -202,6 +206,16 @@
             self._note_end(job, "caller_gone")
             raise
 
+    def _choose_model(self, job: Job) -> str:
+        route = job.permit.route
+        return choose_first(
+            models=route.models,
+            attempts=route.attempts,
+            is_repeatable=route.is_repeatable and not job.resume_after,
+            objective=route.objective,
+            estimate=lambda one: self._placing.estimate(job, one),
+        )
+
     async def _run(self, job: Job, reply: Reply) -> None:
         while True:
             placed = await self._placing.place(job)
@@ -213,7 +227,7 @@
             if isinstance(outcome, Delivered):
                 return
             if isinstance(outcome, Unsure):
-                job.ask(outcome.model)
+                job.model = outcome.model
                 job.passed_over.discard(placed.name)
             refusal = self._find_end(job, outcome)
             if refusal is not None:
@@ -303,6 +317,7 @@
             ],
         )
         self._placing.note_head(job, endpoint, head)
+        self._placing.note_first(job, endpoint)
         if head.not_run:
             await self._read_body(connection)
             self._keep(endpoint, connection, head)
@@ -331,12 +346,16 @@
         """
         if head.status not in GOOD or reply.is_begun or not job.is_repeatable:
             return None
-        if job.arrival.model != ANY_MODEL or not job.attempts_left:
+        if not job.has_choice or not job.attempts_left:
             return None
+        objective = job.permit.route.objective
         model = choose_next(
             models=job.permit.route.models,
             model=job.model,
             confidence=head.confidence,
+            left=job.arrival.arrived + objective - self._loop.time(),
+            objective=objective,
+            estimate=lambda one: self._placing.estimate(job, one),
         )
         if model is None or not self._has_budget(job):
             return None
@@ -517,18 +536,6 @@
         return sends
 
 
-def choose_model(arrival: Arrival, permit: Permit) -> str:
-    """Return the model to begin with, or the one that the caller names."""
-    models = permit.route.models
-    if arrival.model != ANY_MODEL or not models:
-        return arrival.model
-    return choose_first(
-        models=models,
-        attempts=permit.route.attempts,
-        is_repeatable=permit.route.is_repeatable and not arrival.resume_after,
-    )
-
-
 def make_fingerprint(arrival: Arrival, permit: Permit) -> str:
     """Return what the same request has in common each time it comes."""
     digest = xxhash.xxh3_64()
