--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -277,14 +277,14 @@
                 time_of_day=time.time(),
             ),
         )
-        follower.on_gap = lambda: self._hurry(follower)
+        follower.on_gap = lambda: self._distrust_others(follower)
         return follower
 
-    def _hurry(self, cause: Follower | None = None) -> None:
-        """Have watches call again that may be deaf, as one has found out."""
+    def _distrust_others(self, cause: Follower) -> None:
+        """Have the others list too, since one has found out that it was deaf."""
         for follower in self._followers:
             if follower is not cause:
-                follower.hurry()
+                follower.distrust()
 
     async def _follow_peers(self) -> None:
         """Say where this gateway is, and look for others now and then.
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -12,10 +12,12 @@
 log = logbook.Logger("store")
 
 # A list takes milliseconds; a slow store takes 50 times as long.
-LIST_SECONDS = 2.0
+LIST_SECONDS = 1.2
 
-# A list or a watch that is due is answered within milliseconds, from a slow
-# store within a second.
+# A watch that is due is answered within milliseconds, from a slow store within
+# a fifth of a second.  One that is overdue is deaf; its call to the store is
+# then left to end by itself.
+OVERDUE_SECONDS = 0.3
 WATCH_SLACK_SECONDS = 1.0
 
 # Pauses after failures, with jitter, so that entries that lost the store
@@ -124,8 +126,13 @@
             await asyncio.sleep(pause * (0.5 + random.random()))
             pause = min(pause * 2, LONGEST_PAUSE)
 
-    def hurry(self) -> None:
-        """End a waiting watch: others have seen changes that it hasn't told."""
+    def distrust(self) -> None:
+        """List anew: the watch under way may be deaf.
+
+        Watching anew isn't enough, since a store that just forgot its history
+        leaves new watches deaf for a moment too; a list tells what is there.
+        """
+        self.revision = None
         if self._watching is not None:
             self._watching.cancel()
 
@@ -138,12 +145,13 @@
                 self.revision = self.event_revision = result.revision
                 self._take_list(result.objects)
             case Changed():
-                self.revision = result.revision
+                # Distrusted meanwhile: what comes now may leave out changes.
+                self.revision = self.revision and result.revision
                 if result.objects:
                     self.event_revision = result.revision
                     self._take_changes(result.objects)
             case HistoryGone():
-                log.notice("store: history of {} gone, listing again", self.kind)
+                log.notice("store: watch of {} is of no use, listing", self.kind)
                 self.revision = None
                 self.on_gap()
             case Away(reason=reason):
@@ -158,7 +166,7 @@
         return await self._store.list(kind=self.kind, timeout=LIST_SECONDS)
 
     def catch_up(self, revision: int) -> None:
-        """Watch anew if a peer has seen changes up to a later revision.
+        """List anew if a peer has seen changes up to a later revision.
 
         Once for each revision: if there is nothing new of this kind then, the
         next news of the same would only make another call.
@@ -166,25 +174,32 @@
         if self.revision is None or revision <= max(self.revision, self._told):
             return
         self._told = revision
-        self.hurry()
+        self.distrust()
 
     async def _watch(self) -> Changed | HistoryGone | Away:
         wait = self._find_wait()
+        revision = self.revision
         self._watching = asyncio.ensure_future(
             self._store.watch(
                 kind=self.kind,
-                revision=self.revision,
+                revision=revision,
                 wait=wait,
                 timeout=wait + WATCH_SLACK_SECONDS,
             )
         )
         try:
-            return await self._watching
-        except asyncio.CancelledError:
-            if asyncio.current_task().cancelling():
+            done, _ = await asyncio.wait(
+                {self._watching}, timeout=wait + OVERDUE_SECONDS
+            )
+            if not done:
                 self._watching.cancel()
-                raise
-            return Changed(revision=self.revision, objects={})
+                return HistoryGone()
+            if self._watching.cancelled():
+                return Changed(revision=revision, objects={})
+            return self._watching.result()
+        except asyncio.CancelledError:
+            self._watching.cancel()
+            raise
         finally:
             self._watching = None
 
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -106,10 +106,12 @@
 
 
 def has_unread(stream: IOStream) -> bool:
-    """Tell whether bytes wait in the stream's buffer or in the kernel."""
+    """Tell whether bytes wait in the stream, on their way from it, or before it."""
     if stream.closed():
         return False
-    if stream._read_buffer_size:
+    # A head that was read is out of the buffer before anyone has seen it: then
+    # nobody reads from the stream for a moment.
+    if stream._read_buffer_size or not stream.reading():
         return True
     try:
         data = stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -24,7 +24,7 @@
 
 # With more peers than this the pause grows, so that what an entry sends and
 # reads a second doesn't grow with the fleet.
-FULL_RATE_PEERS = 8
+FULL_RATE_PEERS = 32
 
 # A peer that wasn't heard for so long has nothing under way that counts.
 HEARD_SECONDS = 2.0
