--- /dev/null
+++ b/eelgrassrack/decisions/watchers.py
@@ -0,0 +1,42 @@
+"""Which entries watch the store for all.
+
+Load pattern: each change of the configuration or of an endpoint ends the
+waiting watch of every entry, which then makes a call for the next.  At a few
+changes a second and hundreds of entries those calls alone are more than the
+store takes, and each is paid for.
+
+A few entries watch, chosen by a hash of their names so that they lie in
+several failure domains.  Their news tell the others that something changed,
+and those fetch it from them.  Where no entry is heard that reaches the store,
+each watches for itself.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+# Up to this many entries all watch: the calls of the others cost less than
+# what a change that comes a little later does.
+ALL_WATCH = 8
+
+# With more, so many watch.  Half of them may fall away or be turned away by
+# the store at the same time, and a change still comes by several ways.
+WATCHERS = 6
+
+
+class Watch(msgspec.Struct, frozen=True):
+    """An entry's place among those that watch, or None, and how many do."""
+
+    rank: int | None
+    watchers: int
+
+
+def find_watch(*, name: str, others: Iterable[str], is_store_heard: bool) -> Watch:
+    """Return whether an entry watches, given the names of the live others."""
+    names = {name, *others}
+    ranked = sorted(names, key=lambda one: xxhash.xxh3_64_intdigest(one.encode()))
+    rank = ranked.index(name)
+    if len(names) <= ALL_WATCH or not is_store_heard:
+        return Watch(rank, len(names))
+    return Watch(rank if rank < WATCHERS else None, WATCHERS)
--- a/eelgrassrack/gateway/beliefs.py
+++ b/eelgrassrack/gateway/beliefs.py
@@ -35,16 +35,24 @@
 
 
 class Listed(msgspec.Struct, kw_only=True, frozen=True):
-    """All objects of one kind, as of a revision of the store."""
+    """All objects of one kind, as of a revision of the store.
+
+    `newest` is the revision of the last change of this kind that shows in it.
+    """
 
     revision: int
+    newest: int
     objects: dict[str, object]
 
 
 class Changed(msgspec.Struct, kw_only=True, frozen=True):
-    """Changes since the revision before; None stands for a removed object."""
+    """Changes since the revision before; None stands for a removed object.
+
+    `newest` is the revision of the last of them, 0 if there are none.
+    """
 
     revision: int
+    newest: int = 0
     objects: dict[str, object | None]
 
 
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -7,6 +7,7 @@
 import logbook
 from tornado.httpserver import HTTPServer
 
+from ..decisions.watchers import Watch, find_watch
 from ..decisions.watchturns import find_wait
 from ..supervisor import Supervisor
 from .beliefs import Listed, Peer
@@ -22,7 +23,7 @@
 from .rollouts import Rollouts
 from .serving import Serving
 from .settings import GatewaySettings
-from .sharing import PATH, Beliefs, Sharing, encode_beliefs
+from .sharing import PATH, Beliefs, Need, Sharing, encode_beliefs
 
 log = logbook.Logger("gateway")
 
@@ -52,6 +53,7 @@
     """All parts of one gateway."""
 
     __slots__ = (
+        "_adopted",
         "_contact",
         "_doors",
         "_fleet",
@@ -86,6 +88,7 @@
         self._store = store
         self._kinds = kinds
         self._is_closing = False
+        self._adopted: tuple[int, ...] = (0, 0, 0, 0)
         self._metrics = GatewayMetrics()
         self._contact = Contact()
         self._router = Router()
@@ -147,7 +150,7 @@
         )
         self._sharing = Sharing(
             find_url=self._find_url,
-            is_needed=self._needs_beliefs,
+            find_need=self._find_need,
             take=self._take_beliefs,
         )
 
@@ -270,12 +273,8 @@
             contact=self._contact,
             take_list=take_list,
             take_changes=take_changes,
-            find_wait=lambda: find_wait(
-                bound=bound_ms / MILLISECONDS,
-                entries=1 + len(self._news.heard),
-                rank=self._find_rank(),
-                time_of_day=time.time(),
-            ),
+            find_wait=lambda: self._find_wait(bound_ms / MILLISECONDS),
+            is_active=self._is_watcher,
         )
         follower.on_gap = lambda: self._distrust_others(follower)
         return follower
@@ -319,14 +318,24 @@
             port=port,
             number=number,
             configuration=self._router.version,
-            knows_store=self._contact.lost_at is None,
-            revisions=tuple(one.event_revision for one in self._followers),
+            knows_store=self._knows_store,
+            revisions=self._revisions,
             flights=self._placing.tell_flights(),
             trials=trials,
             pins=pins,
             crashes=self._placing.tell_crashes(),
         )
 
+    @property
+    def _knows_store(self) -> bool:
+        """Tell whether what this gateway tells is fresh from the store."""
+        has_read = all(one.event_revision for one in self._followers)
+        return has_read and self._is_watcher() and self._contact.lost_at is None
+
+    @property
+    def _revisions(self) -> tuple[int, ...]:
+        return tuple(one.event_revision for one in self._followers)
+
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
         """Answer a peer, or an operator who reads metrics."""
         if path != PATH:
@@ -340,27 +349,66 @@
             ),
             evacuated=tuple(sorted(self._fleet.evacuated)),
             orders=self._rollouts.orders,
-            knows_store=self._contact.lost_at is None,
+            knows_store=self._knows_store,
+            revisions=self._revisions,
         )
         return (200, encode_beliefs(beliefs))
 
-    def _needs_beliefs(self) -> bool:
+    def _find_need(self) -> Need:
         """Tell whether peers know what the store doesn't tell here."""
         heard = self._news.heard
         if not self.is_informed:
-            return any(news.configuration for news in heard)
+            is_known = any(news.configuration for news in heard)
+            return Need.URGENT if is_known else Need.NONE
+        informed = [news for news in heard if news.knows_store]
+        if not self._is_watcher():
+            is_behind = any(
+                mine < theirs
+                for news in informed
+                for mine, theirs in zip(self._adopted, news.revisions, strict=False)
+            )
+            return Need.URGENT if is_behind else Need.NONE
         if self._contact.lost_at is not None:
-            return any(news.knows_store for news in heard)
-        return any(news.configuration > self._router.version for news in heard)
+            return Need.PATIENT if informed else Need.NONE
+        is_newer = any(news.configuration > self._router.version for news in heard)
+        return Need.PATIENT if is_newer else Need.NONE
+
+    def _find_watch(self) -> Watch:
+        """Return this gateway's place among those that watch the store."""
+        heard = self._news.heard
+        return find_watch(
+            name=self._settings.name,
+            others=(news.name for news in heard),
+            is_store_heard=any(news.knows_store for news in heard),
+        )
+
+    def _is_watcher(self) -> bool:
+        return self._find_watch().rank is not None
+
+    def _find_wait(self, bound: float) -> float:
+        watch = self._find_watch()
+        return find_wait(
+            bound=bound,
+            entries=watch.watchers,
+            rank=watch.rank or 0,
+            time_of_day=time.time(),
+        )
 
     def _take_beliefs(self, beliefs: Beliefs, name: str) -> None:
         """Take over what a peer has read, as far as it is newer."""
-        log.info("gateway: beliefs of {}, store {}", name, beliefs.knows_store)
+        log.info(
+            "gateway: beliefs of {}, store {}, revisions {}",
+            name,
+            "known" if beliefs.knows_store else "lost",
+            beliefs.revisions,
+        )
         if beliefs.plan is not None:
             self._take_plans({name: beliefs.plan})
-        if self._contact.lost_at is None and self._fleet.is_known:
+        is_served = self._is_watcher() and self._contact.lost_at is None
+        if is_served and self._fleet.is_known:
             return
         if beliefs.knows_store or not self._fleet.is_known:
+            self._adopted = beliefs.revisions
             self._fleet.adopt(beliefs.endpoints)
             self._fleet.take_evacuations(beliefs.evacuated)
             orders = {order.service: order for order in beliefs.orders}
@@ -371,8 +419,13 @@
         return f"http://{address}:{self._settings.metrics_port}" if address else None
 
     def _take_news(self, news: News) -> None:
-        for follower, revision in zip(self._followers, news.revisions, strict=False):
-            follower.catch_up(revision)
+        if self._is_watcher():
+            for follower, revision in zip(
+                self._followers, news.revisions, strict=False
+            ):
+                follower.catch_up(revision)
+        elif self._find_need() is not Need.NONE:
+            self._sharing.wake.set()
         self._rollouts.take_news(news)
         self._placing.take_news(self._news.heard)
 
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -5,6 +5,7 @@
 
 import logbook
 import msgspec
+import xxhash
 
 from .endpoints import Endpoint
 from .follower import Contact
@@ -20,6 +21,8 @@
 class Flight:
     """What this gateway knows of one lifetime of an endpoint.
 
+    `key` is a short hash of the lifetime, by which gateways speak of it.
+
     `own` counts its requests under way here, `peers` those of other gateways
     by their last news; `own_backlog` and `peers_backlog` are the seconds that
     the endpoint needs to read their prompts.  `parts` holds the shared parts
@@ -33,6 +36,7 @@
         "cold_sends",
         "cold_until",
         "endpoint",
+        "key",
         "load",
         "load_at",
         "missing_since",
@@ -47,6 +51,8 @@
 
     def __init__(self, *, endpoint: Endpoint, now: float) -> None:
         self.endpoint = endpoint
+        name, born = endpoint.lifetime
+        self.key = xxhash.xxh32_intdigest(f"{name}.{born}".encode())
         self.seen_at = now
         self.cold_until = now + endpoint.cold
         self.own = 0
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -20,6 +20,14 @@
 OVERDUE_SECONDS = 0.3
 WATCH_SLACK_SECONDS = 1.0
 
+# Changes come in clumps, as when a service's endpoints are replaced.  After
+# one the next call waits this long, so that a clump costs one call; a change
+# may take two seconds to be in force.
+GATHER_SECONDS = 0.25
+
+# How often an entry that doesn't watch looks whether it should.
+PASSIVE_SECONDS = 0.25
+
 # Pauses after failures, with jitter, so that entries that lost the store
 # together don't come back together.
 FIRST_PAUSE = 0.1
@@ -75,13 +83,16 @@
     """Keep a view of one kind up to date.
 
     `take_list` gets all objects, `take_changes` those that changed, with None
-    for a removed one.  `find_wait` tells for how many seconds a watch waits.
+    for a removed one.  `find_wait` tells for how many seconds a watch waits,
+    `is_active` whether this entry watches at all.
     `event_revision` is the store's revision at the last change that was seen.
     """
 
     __slots__ = (
         "_contact",
         "_find_wait",
+        "_has_changed",
+        "_is_active",
         "_store",
         "_take_changes",
         "_take_list",
@@ -102,9 +113,12 @@
         take_list: TakeList,
         take_changes: TakeChanges,
         find_wait: Callable[[], float],
+        is_active: Callable[[], bool],
     ) -> None:
+        self._is_active = is_active
         self._find_wait = find_wait
         self._told = 0
+        self._has_changed = False
         self.event_revision = 0
         self.on_gap: Callable[[], None] = _ignore
         self._store = store
@@ -119,8 +133,15 @@
         """Follow until cancelled."""
         pause = FIRST_PAUSE
         while True:
+            if not self._is_active():
+                # What comes meanwhile comes by way of peers.
+                self.revision = None
+                await asyncio.sleep(PASSIVE_SECONDS)
+                continue
             answered = await self._advance()
             if answered:
+                if self._has_changed:
+                    await asyncio.sleep(GATHER_SECONDS)
                 pause = FIRST_PAUSE
                 continue
             await asyncio.sleep(pause * (0.5 + random.random()))
@@ -142,13 +163,15 @@
         now = asyncio.get_running_loop().time()
         match result:
             case Listed():
-                self.revision = self.event_revision = result.revision
+                self.revision = result.revision
+                self.event_revision = max(self.event_revision, result.newest, 1)
                 self._take_list(result.objects)
             case Changed():
                 # Distrusted meanwhile: what comes now may leave out changes.
                 self.revision = self.revision and result.revision
+                self._has_changed = bool(result.objects)
                 if result.objects:
-                    self.event_revision = result.revision
+                    self.event_revision = max(self.event_revision, result.newest)
                     self._take_changes(result.objects)
             case HistoryGone():
                 log.notice("store: watch of {} is of no use, listing", self.kind)
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -39,11 +39,11 @@
 class FlightNews(msgspec.Struct, frozen=True, array_like=True):
     """What one gateway has under way at a lifetime of an endpoint.
 
+    `lifetime` is a short hash, since most bytes of the news would be names.
     `backlog_ms` is the time that the endpoint needs to read its prompts.
     """
 
-    endpoint: str
-    born: int
+    lifetime: int
     running: int
     backlog_ms: int
 
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -216,7 +216,7 @@
         """Return what is under way, for peers."""
         return tuple(
             FlightNews(
-                *flight.endpoint.lifetime,
+                flight.key,
                 flight.own,
                 int(flight.own_backlog * MILLISECONDS),
             )
@@ -230,14 +230,14 @@
 
     def take_news(self, heard: tuple[News, ...]) -> None:
         """Take over what all peers have under way."""
-        totals: dict[tuple[str, int], list[int]] = {}
+        totals: dict[int, list[int]] = {}
         for news in heard:
             for told in news.flights:
-                total = totals.setdefault((told.endpoint, told.born), [0, 0])
+                total = totals.setdefault(told.lifetime, [0, 0])
                 total[0] += told.running
                 total[1] += told.backlog_ms
         for flight in self._fleet:
-            total = totals.get(flight.endpoint.lifetime, (0, 0))
+            total = totals.get(flight.key, (0, 0))
             flight.peers = total[0]
             flight.peers_backlog = total[1] / MILLISECONDS
         now = self._loop.time()
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -88,6 +88,7 @@
     ) -> Listed | Away:
         """Return all objects of a kind, within `timeout` seconds a page."""
         objects: dict[str, object] = {}
+        newest = 0
         after = ""
         while True:
             query = {"after": after} if after else {}
@@ -101,8 +102,11 @@
                 return page if isinstance(page, Away) else Away(reason="410 to a list")
             for item in page.items:
                 objects[item.metadata.name] = _decode(kind, item)
+                newest = max(newest, item.metadata.revision)
             if not page.has_more or not page.items:
-                return Listed(revision=page.store_revision, objects=objects)
+                return Listed(
+                    revision=page.store_revision, newest=newest, objects=objects
+                )
             after = page.items[-1].metadata.name
 
     async def watch(
@@ -118,6 +122,7 @@
             return changes
         return Changed(
             revision=changes.store_revision,
+            newest=_find_newest(changes),
             objects={
                 event.object.metadata.name: (
                     None if event.tombstone else _decode(kind, event.object)
@@ -164,6 +169,22 @@
         )
 
 
+def _find_newest(changes: WireWatch) -> int:
+    """Return the revision of the last change.
+
+    A removed object only tells that of its last change before.
+    """
+    return max(
+        (
+            changes.store_revision
+            if event.tombstone
+            else event.object.metadata.revision
+            for event in changes.events
+        ),
+        default=0,
+    )
+
+
 def _make_path(
     kind: str, *, name: str = "", query: dict[str, str] | None = None
 ) -> str:
