--- a/eelgrassrack/gateway/beliefs.py
+++ b/eelgrassrack/gateway/beliefs.py
@@ -12,7 +12,7 @@
 
     RUNNING = "running"
     DONE = "done"
-    ROLLED_BACK = "rolled_back"
+    ROLLED_BACK = "rolled back"
 
 
 class RolloutStatus(msgspec.Struct, kw_only=True, frozen=True):
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -56,17 +56,17 @@
         "_adopted",
         "_contact",
         "_doors",
-        "_fleet",
+        "fleet",
         "_followers",
-        "_ingress",
+        "ingress",
         "_is_closing",
         "_kinds",
         "_metrics",
         "_news",
         "_placing",
         "_pool",
-        "_rollouts",
-        "_router",
+        "rollouts",
+        "router",
         "_server",
         "_settings",
         "_sharing",
@@ -91,9 +91,9 @@
         self._adopted: tuple[int, ...] = (0, 0, 0, 0)
         self._metrics = GatewayMetrics()
         self._contact = Contact()
-        self._router = Router()
+        self.router = Router()
         self._pool = Pool()
-        self._fleet = Fleet(
+        self.fleet = Fleet(
             contact=self._contact,
             clock=loop.time,
             forget=self._forget,
@@ -105,8 +105,8 @@
             make_news=self._make_news,
             take_news=self._take_news,
         )
-        self._rollouts = Rollouts(
-            fleet=self._fleet,
+        self.rollouts = Rollouts(
+            fleet=self.fleet,
             store=store,
             session_seconds=settings.session_seconds,
             heard=lambda: self._news.heard,
@@ -114,8 +114,8 @@
             contact=self._contact,
         )
         self._placing = Placing(
-            fleet=self._fleet,
-            rollouts=self._rollouts,
+            fleet=self.fleet,
+            rollouts=self.rollouts,
             settings=settings,
             count_entries=lambda: self._news.entries,
         )
@@ -123,20 +123,20 @@
         self._supervisor = Supervisor(name="gateway")
         self._followers = self._make_followers()
         serving = Serving(
-            router=self._router,
+            router=self.router,
             placing=self._placing,
             pool=self._pool,
             translation=translation,
             metrics=self._metrics,
             settings=settings,
         )
-        self._ingress = Ingress(
+        self.ingress = Ingress(
             service=serving,
             decode=translation.decode_arrival,
             is_closing=lambda: self._is_closing,
         )
         self._server = HTTPServer(
-            self._ingress,
+            self.ingress,
             idle_connection_timeout=60.0,
             max_header_size=65_536,
             max_body_size=8_388_608,
@@ -161,27 +161,28 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._start()
+        await self.start()
         await stopping.wait()
-        await self._stop()
+        await self.stop()
 
     @property
     def is_informed(self) -> bool:
         """Tell whether a configuration and the endpoints are known."""
-        return self._router.plan is not None and self._fleet.is_known
+        return self.router.plan is not None and self.fleet.is_known
 
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
         return self.is_informed and not self._is_closing
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Open all doors and begin to follow the store."""
         for follower in self._followers:
             self._supervisor.start(name=follower.kind, job=follower.run)
         await self._news.open()
         self._supervisor.start(name="chores", job=self._do_chores)
         self._supervisor.start(name="news", job=self._news.run)
-        self._supervisor.start(name="rollouts", job=self._rollouts.run)
+        self._supervisor.start(name="rollouts", job=self.rollouts.run)
         self._supervisor.start(name="peers", job=self._follow_peers)
         self._supervisor.start(
             name="sharing", job=lambda: self._sharing.run(lambda: self._news.heard)
@@ -194,23 +195,33 @@
             "gateway: {} started in {}", self._settings.name, self._settings.domain
         )
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Leave the rotation, end what is under way, and close."""
-        log.notice("gateway: stopping, {} open", self._ingress.open_requests)
+        log.notice("gateway: stopping, {} open", self.ingress.open_requests)
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._is_closing = True
         last = began + self._settings.grace_seconds - LAST_SECONDS
         await asyncio.sleep(ROTATION_SECONDS)
         self._server.stop()
-        self._ingress.close_idle()
-        while self._ingress.open_requests and loop.time() < last:
+        self.ingress.close_idle()
+        while self.ingress.open_requests and loop.time() < last:
             await asyncio.sleep(0.05)
-            self._ingress.close_idle()
-        self._ingress.close_idle()
-        log.notice("gateway: stopped, {} cut", self._ingress.open_requests)
+            self.ingress.close_idle()
+        self.ingress.close_idle()
+        log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
+        await self.close()
+
+    async def close(self) -> None:
+        """End all parts at once."""
+        self._server.stop()
+        await self._server.close_all_connections()
+        for door in self._doors:
+            door.close()
         await self._supervisor.stop()
+        self._news.close()
         self._sharing.close()
+        self._pool.close()
         self._store.close()
 
     def _reload(self) -> None:
@@ -223,15 +234,15 @@
         while True:
             await asyncio.sleep(CHORE_SECONDS)
             self._pool.prune(now=asyncio.get_running_loop().time())
-            self._fleet.sweep()
+            self.fleet.sweep()
             self._placing.forget_parts()
             self._placing.take_news(self._news.heard)
 
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
         settings = self._settings
-        fleet = self._fleet
-        rollouts = self._rollouts
+        fleet = self.fleet
+        rollouts = self.rollouts
         return (
             self._follow(
                 kind=kinds.CONFIGURATION,
@@ -311,13 +322,13 @@
             await asyncio.sleep(PEERS_SECONDS if is_written else 1.0)
 
     def _make_news(self, *, name: str, lifetime: str, port: int, number: int) -> News:
-        trials, pins = self._rollouts.tell()
+        trials, pins = self.rollouts.tell()
         return News(
             name=name,
             lifetime=lifetime,
             port=port,
             number=number,
-            configuration=self._router.version,
+            configuration=self.router.version,
             knows_store=self._knows_store,
             revisions=self._revisions,
             flights=self._placing.tell_flights(),
@@ -341,14 +352,12 @@
         if path != PATH:
             return (200, self._metrics.render())
         beliefs = Beliefs(
-            plan=self._router.plan,
+            plan=self.router.plan,
             endpoints=tuple(
-                flight.endpoint
-                for flight in self._fleet
-                if flight.missing_since is None
+                flight.endpoint for flight in self.fleet if flight.missing_since is None
             ),
-            evacuated=tuple(sorted(self._fleet.evacuated)),
-            orders=self._rollouts.orders,
+            evacuated=tuple(sorted(self.fleet.evacuated)),
+            orders=self.rollouts.orders,
             knows_store=self._knows_store,
             revisions=self._revisions,
         )
@@ -370,7 +379,7 @@
             return Need.URGENT if is_behind else Need.NONE
         if self._contact.lost_at is not None:
             return Need.PATIENT if informed else Need.NONE
-        is_newer = any(news.configuration > self._router.version for news in heard)
+        is_newer = any(news.configuration > self.router.version for news in heard)
         return Need.PATIENT if is_newer else Need.NONE
 
     def _find_watch(self) -> Watch:
@@ -405,14 +414,14 @@
         if beliefs.plan is not None:
             self._take_plans({name: beliefs.plan})
         is_served = self._is_watcher() and self._contact.lost_at is None
-        if is_served and self._fleet.is_known:
+        if is_served and self.fleet.is_known:
             return
-        if beliefs.knows_store or not self._fleet.is_known:
+        if beliefs.knows_store or not self.fleet.is_known:
             self._adopted = beliefs.revisions
-            self._fleet.adopt(beliefs.endpoints)
-            self._fleet.take_evacuations(beliefs.evacuated)
+            self.fleet.adopt(beliefs.endpoints)
+            self.fleet.take_evacuations(beliefs.evacuated)
             orders = {order.service: order for order in beliefs.orders}
-            self._rollouts.take_list(orders)
+            self.rollouts.take_list(orders)
 
     def _find_url(self, name: str) -> str | None:
         address = self._news.find_address(name)
@@ -426,7 +435,7 @@
                 follower.catch_up(revision)
         elif self._find_need() is not Need.NONE:
             self._sharing.wake.set()
-        self._rollouts.take_news(news)
+        self.rollouts.take_news(news)
         self._placing.take_news(self._news.heard)
 
     def _find_rank(self) -> int:
@@ -441,7 +450,7 @@
     def _take_plans(self, objects: dict[str, object | None]) -> None:
         for plan in objects.values():
             match plan:
-                case Plan() if self._router.take(plan):
+                case Plan() if self.router.take(plan):
                     self._metrics.version.set(plan.version)
                     log.info("gateway: configuration {} in force", plan.version)
                 case Plan() | None:
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -126,6 +126,11 @@
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=self._address)
 
+    def close(self) -> None:
+        """Listen no more."""
+        if self._transport is not None:
+            self._transport.close()
+
     async def run(self) -> None:
         """Send news until cancelled."""
         while True:
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -58,6 +58,11 @@
             if not usable:
                 del self._idle[lifetime]
 
+    def close(self) -> None:
+        """Close all connections."""
+        for lifetime in list(self._idle):
+            self.forget(lifetime=lifetime)
+
     def forget(self, *, lifetime: tuple[str, int]) -> None:
         """Close the connections of an endpoint that is gone."""
         for connection in self._idle.pop(lifetime, ()):
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -18,6 +18,8 @@
 PRIORITY = "X-Request-Priority"
 AUTHORIZATION = "Authorization"
 SESSION = "Session"
+CONFIDENCE = "X-Confidence"
+INSTANCE = "X-Instance"
 SCHEME = "bearer "
 
 # Headers of one connection, which end at each hop (RFC 9110, 7.6.1).
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -1,13 +1,23 @@
 """The objects of the platform's store, decoded into the gateway's types."""
 
+import logbook
 import msgspec
 
 from ..gateway.beliefs import Peer, RolloutOrder, RolloutState, RolloutStatus
 from ..gateway.endpoints import Endpoint
 from .errors import FormatError
 
+log = logbook.Logger("store")
+
 MILLISECONDS = 1000.0
 
+STATES = {
+    "running": RolloutState.RUNNING,
+    "done": RolloutState.DONE,
+    "rolled_back": RolloutState.ROLLED_BACK,
+}
+STATE_WORDS = {state: word for word, state in STATES.items()}
+
 
 class WireMeta(msgspec.Struct, frozen=True):
     """What the store keeps of an object.
@@ -134,7 +144,7 @@
 def encode_status(status: RolloutStatus) -> dict[str, object]:
     """Return the status for the store."""
     return {
-        "state": status.state.value,
+        "state": STATE_WORDS[status.state],
         "to": status.version,
         "since": status.since,
     }
@@ -145,8 +155,9 @@
         status = msgspec.json.decode(wire.status, type=WireStatus | None)
         if status is None:
             return None
-        state = RolloutState(status.state)
-    except (msgspec.DecodeError, ValueError):
+        state = STATES[status.state]
+    except (msgspec.DecodeError, KeyError) as error:
+        log.warning("store: status of {} can't be read: {}", wire.metadata.name, error)
         return None
     return RolloutStatus(state=state, version=status.to, since=status.since)
 
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -21,6 +21,13 @@
 
 Decode = Callable[[WireObject], object]
 
+OBJECTS_PATH = "/objects"
+
+# A revision to watch from, and the milliseconds to wait for a change.
+WATCH_QUERY = "watch"
+WAIT_QUERY = "waitMs"
+STALE_QUERY = "staleOk"
+
 GONE = 410
 CONFLICT = 409
 MILLISECONDS = 1000.0
@@ -93,7 +100,7 @@
         while True:
             query = {"after": after} if after else {}
             if is_stale_fine:
-                query["staleOk"] = "1"
+                query[STALE_QUERY] = "1"
             outcome = await self._http.fetch(
                 path=_make_path(kind, query=query), timeout=timeout
             )
@@ -113,7 +120,10 @@
         self, *, kind: str, revision: int, wait: float, timeout: float
     ) -> Changed | HistoryGone | Away:
         """Return what changed after a revision, waiting `wait` seconds for it."""
-        query = {"watch": str(revision), "waitMs": str(int(wait * MILLISECONDS))}
+        query = {
+            WATCH_QUERY: str(revision),
+            WAIT_QUERY: str(int(wait * MILLISECONDS)),
+        }
         outcome = await self._http.fetch(
             path=_make_path(kind, query=query), timeout=timeout
         )
@@ -188,7 +198,7 @@
 def _make_path(
     kind: str, *, name: str = "", query: dict[str, str] | None = None
 ) -> str:
-    path = f"/objects/{kind}/{name}" if name else f"/objects/{kind}"
+    path = f"{OBJECTS_PATH}/{kind}/{name}" if name else f"{OBJECTS_PATH}/{kind}"
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
 
--- /dev/null
+++ b/test/decisions/test_modelchoice.py
@@ -0,0 +1,78 @@
+"""Tests of the choice of models."""
+
+from eelgrassrack.decisions.modelchoice import Estimate, choose_first, choose_next
+
+MODELS = ("small", "middle", "large")
+SECONDS = {"small": 0.04, "middle": 0.08, "large": 0.4}
+
+
+def idle(model):
+    return Estimate(SECONDS[model], 0.0)
+
+
+def full(model):
+    return Estimate(SECONDS[model] + 5.0, 5.0)
+
+
+def first(estimate=idle, objective=2.0, attempts=3, is_repeatable=True):
+    return choose_first(
+        models=MODELS,
+        attempts=attempts,
+        is_repeatable=is_repeatable,
+        objective=objective,
+        estimate=estimate,
+    )
+
+
+def following(confidence, model="small", left=1.9, estimate=idle):
+    return choose_next(
+        models=MODELS,
+        model=model,
+        confidence=confidence,
+        left=left,
+        objective=2.0,
+        estimate=estimate,
+    )
+
+
+def test_the_cheapest_begins():
+    assert first() == "small"
+
+
+def test_what_may_run_once_only_begins_with_the_best():
+    assert first(is_repeatable=False) == "large"
+    assert first(attempts=1) == "large"
+
+
+def test_a_long_prompt_begins_with_the_best():
+    """Asking another model first would make its answer late."""
+    assert first(objective=0.6) == "large"
+    assert first(objective=0.3) == "small"
+
+
+def test_a_sure_answer_is_taken():
+    assert following(60) is None
+    assert following(None) is None
+
+
+def test_a_little_unsure_goes_to_the_next_and_far_to_the_best():
+    assert following(50) == "middle"
+    assert following(20) == "large"
+    assert following(20, model="middle") == "large"
+
+
+def test_the_best_answer_is_taken_however_unsure():
+    assert following(0, model="large") is None
+
+
+def test_under_overload_better_models_give_way():
+    """Engines have five seconds to read.
+
+    Each run of the best model would take the time of ten others, and come late.
+    """
+    assert following(20, estimate=full) is None
+
+
+def test_an_idle_engine_answers_though_late():
+    """A very long prompt is late anyway; a wrong answer would be worth nothing."""
+    assert following(20, left=0.1) == "large"
--- /dev/null
+++ b/test/decisions/test_sharedbudget.py
@@ -0,0 +1,77 @@
+"""Tests of limits that entries share without asking each other."""
+
+import collections
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassrack.decisions.sharedbudget import allow_retry, share_cold_rate
+from eelgrassrack.gateway.retries import RecentSends
+
+WINDOW = 10.0
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 4),
+        st.floats(0.0, 0.4),
+        st.sampled_from(["request", "failure", "restart"]),
+    ),
+    max_size=300,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(events=EVENTS, slack=st.integers(20, 100))
+def test_the_budget_holds_over_all_entries(events, slack):
+    """Entries fail, are restarted with empty memories, and load is uneven.
+
+    A restarted entry has forgotten its repeats of the window; the part of the
+    limit that isn't used is for that.  Each entry restarts once a window at
+    most here, as a platform that replaces instances does.
+    """
+    entries = 5
+    sends = {number: RecentSends(seconds=WINDOW) for number in range(entries)}
+    restarted = dict.fromkeys(range(entries), float("-inf"))
+    requests, repeats = collections.deque(), collections.deque()
+    now = 0.0
+    for entry, pause, kind in events:
+        now += pause
+        if kind == "restart" and sum(at > now - WINDOW for at in restarted.values()):
+            continue
+        if kind == "restart":
+            sends[entry] = RecentSends(seconds=WINDOW)
+            restarted[entry] = now
+            continue
+        if kind == "request":
+            sends[entry].note_request(now)
+            requests.append(now)
+            continue
+        counts = sends[entry].count(now)
+        if allow_retry(
+            requests=counts.requests,
+            repeats=counts.repeats,
+            ratio=0.9,
+            slack=slack,
+            entries=entries,
+        ):
+            sends[entry].note_repeat(now)
+            repeats.append(now)
+        in_window = sum(at >= now - WINDOW for at in repeats)
+        earned = sum(at >= now - WINDOW for at in requests)
+        assert in_window <= 0.9 * earned + slack
+
+
+def test_nothing_sent_still_leaves_a_share_of_the_slack():
+    assert allow_retry(requests=0, repeats=0, ratio=0.9, slack=50, entries=5)
+    assert not allow_retry(requests=0, repeats=7, ratio=0.9, slack=50, entries=5)
+
+
+@given(
+    rate=st.floats(1, 200),
+    slack=st.floats(0, 20),
+    entries=st.integers(1, 60),
+)
+def test_cold_shares_add_up_to_the_limit(rate, slack, entries):
+    share = share_cold_rate(rate=rate, overage=1.5, slack=slack, entries=entries)
+    assert share >= 1
+    assert share == 1 or share * entries <= rate * 1.5 + slack
--- /dev/null
+++ b/test/decisions/test_versiontrial.py
@@ -0,0 +1,98 @@
+"""Tests of how a new version is tried and judged."""
+
+import random
+
+import pytest
+
+from eelgrassrack.decisions.versiontrial import (
+    STEPS,
+    TRIAL_SHARE,
+    Tally,
+    find_share,
+    is_bad,
+    is_slow,
+    may_end,
+)
+
+
+def judge(rows):
+    return is_bad(tallies=[Tally(*row) for row in rows], version="v2")
+
+
+def test_the_share_is_small_in_the_first_half_and_never_falls():
+    shares = [find_share(elapsed=part / 100, limit=1.0) for part in range(101)]
+    assert shares[:50] == [TRIAL_SHARE] * 50
+    assert shares == sorted(shares)
+    assert shares[-1] == STEPS[-1][1] == 1.0
+
+
+def test_old_endpoints_are_kept_while_they_work():
+    assert not may_end(elapsed=8.0, limit=10.0, old_running=0)
+    assert not may_end(elapsed=8.5, limit=10.0, old_running=2)
+    assert may_end(elapsed=8.5, limit=10.0, old_running=0)
+    assert may_end(elapsed=9.4, limit=10.0, old_running=2)
+
+
+def test_half_of_the_answers_bad_on_several_endpoints_is_bad():
+    assert judge([("v2", "r", "e1", 6, 3), ("v2", "r", "e2", 6, 3)])
+
+
+def test_one_broken_endpoint_is_no_bad_version():
+    """An endpoint of the new version fails for reasons of its own."""
+    rows = [("v2", "r", "e1", 12, 9), *[("v2", "r", f"g{n}", 12, 0) for n in range(8)]]
+    assert not judge(rows)
+
+
+def test_a_trouble_that_both_share_is_no_bad_version():
+    rows = [("v2", "r", "e1", 20, 4), ("v2", "r", "e2", 20, 4), ("", "r", "", 200, 40)]
+    assert not judge(rows)
+
+
+def test_bad_on_one_route_only_is_bad():
+    """The other routes' answers are fine and far more."""
+    rows = [
+        ("v2", "a", "e1", 8, 4),
+        ("v2", "a", "e2", 8, 4),
+        ("v2", "b", "e1", 200, 0),
+        ("v2", "b", "e2", 200, 0),
+        ("", "a", "", 100, 0),
+    ]
+    assert judge(rows)
+
+
+@pytest.mark.parametrize("share", [0.4, 0.5, 0.6])
+def test_a_bad_version_is_found_before_fifty_bad_answers(share):
+    dice = random.Random(int(share * 10))
+    for _ in range(200):
+        counts = {name: [0, 0] for name in ("e1", "e2", "e3")}
+        bad = 0
+        while bad < 50:
+            row = counts[dice.choice(list(counts))]
+            failed = dice.random() < share
+            row[0] += 1
+            row[1] += failed
+            bad += failed
+            if judge([("v2", "r", name, *row) for name, row in counts.items()]):
+                break
+        assert bad < 25
+
+
+def test_a_good_version_among_noise_is_hardly_ever_bad():
+    """A tenth of all answers fail on both versions."""
+    dice = random.Random(1)
+    wrong = 0
+    for _ in range(300):
+        counts = {name: [0, 0] for name in ("e1", "e2", "e3")}
+        for _ in range(150):
+            row = counts[dice.choice(list(counts))]
+            row[0] += 1
+            row[1] += dice.random() < 0.1
+        rows = [("v2", "r", name, *row) for name, row in counts.items()]
+        wrong += judge([*rows, ("", "r", "", 1_000, 100)])
+    assert wrong <= 3
+
+
+def test_slow_is_far_beyond_the_usual():
+    assert not is_slow(seconds=5.0, usual=None)
+    assert not is_slow(seconds=0.3, usual=0.1)
+    assert is_slow(seconds=0.8, usual=0.1)
--- /dev/null
+++ b/test/decisions/test_watches.py
@@ -0,0 +1,83 @@
+"""Tests of which entries watch the store, and of their turns."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from eelgrassrack.decisions.idle import choose_idle_seconds
+from eelgrassrack.decisions.pace import BASE_SECONDS, Pace
+from eelgrassrack.decisions.watchers import ALL_WATCH, WATCHERS, find_watch
+from eelgrassrack.decisions.watchturns import find_wait
+
+
+@given(
+    entries=st.integers(1, 12),
+    bound=st.floats(1.0, 6.0),
+    time_of_day=st.floats(0.0, 1e9),
+)
+def test_somebody_watches_anew_well_within_the_bound(entries, bound, time_of_day):
+    """A store that forgot its history leaves all waiting watches deaf.
+
+    The first whose turn comes finds out and tells the others; also with one
+    entry in a row missing that is within the time for the change.
+    """
+    ends = sorted(
+        find_wait(bound=bound, entries=entries, rank=rank, time_of_day=time_of_day)
+        for rank in range(entries)
+    )
+    assert 0.0 < ends[0] <= bound
+    gaps = [after - before for before, after in itertools.pairwise(ends)]
+    assert max(gaps, default=0.0) <= bound * 0.4 + 0.3 + 0.01
+
+
+def test_all_watch_in_a_small_fleet_and_few_in_a_large_one():
+    names = [f"entry-{number}" for number in range(40)]
+    for count in (ALL_WATCH, 40):
+        watches = [
+            find_watch(
+                name=name,
+                others=[one for one in names[:count] if one != name],
+                is_store_heard=True,
+            )
+            for name in names[:count]
+        ]
+        ranks = [one.rank for one in watches if one.rank is not None]
+        assert sorted(ranks) == list(range(min(count, max(WATCHERS, 0)))) or (
+            count == ALL_WATCH and sorted(ranks) == list(range(ALL_WATCH))
+        )
+
+
+def test_where_nobody_reaches_the_store_each_tries_itself():
+    """The store turns away all that watch, and would serve the others."""
+    names = [f"entry-{number}" for number in range(40)]
+    watches = [
+        find_watch(name=name, others=names, is_store_heard=False) for name in names
+    ]
+    assert all(one.rank is not None for one in watches)
+
+
+def test_idle_connections_are_left_before_the_endpoint_leaves_them():
+    assert choose_idle_seconds(5.0) < 5.0
+    assert choose_idle_seconds(0.0) == 0.0
+    assert choose_idle_seconds(None) > 0.0
+
+
+def test_paces_are_learned_by_model():
+    pace = Pace()
+    for _ in range(100):
+        pace.note(model="large", cost=14.0, tokens=10_000, seconds=BASE_SECONDS + 0.64)
+        pace.note(model="small", cost=1.0, tokens=10_000, seconds=BASE_SECONDS + 0.06)
+    large = pace.estimate(model="large", cost=14.0, tokens=1_000)
+    small = pace.estimate(model="small", cost=1.0, tokens=1_000)
+    assert 0.055 < large < 0.07
+    assert 0.005 < small < 0.007
+
+
+def test_short_prompts_and_outliers_teach_little():
+    pace = Pace()
+    before = pace.estimate(model="small", cost=1.0, tokens=1_000)
+    pace.note(model="small", cost=1.0, tokens=100, seconds=9.0)
+    assert pace.estimate(model="small", cost=1.0, tokens=1_000) == before
+    pace.note(model="small", cost=1.0, tokens=1_000, seconds=9.0)
+    assert pace.estimate(model="small", cost=1.0, tokens=1_000) < before * 1.5
--- /dev/null
+++ b/test/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/test/gateway/test_rollouts.py
@@ -0,0 +1,147 @@
+"""Roll-outs through gateways, endpoints of two versions and the store."""
+
+import asyncio
+
+from eelgrassrack.platform.store import Kinds
+from eelgrassrack.standins.directengine import Reply
+from eelgrassrack.standins.metadatastore import Fault
+
+from .world import make_world, run, wait_for
+
+
+def order(world, *, seconds):
+    world.store.put(
+        kind=Kinds.ROLLOUTS,
+        name="plain",
+        spec={"service": "plain", "to": "v2", "durationS": seconds},
+    )
+
+
+async def add_versions(world, *, bad=False):
+    old = [await world.add_engine(f"old{number}") for number in range(2)]
+    script = [Reply(status=500), Reply()] * 200 if bad else [Reply()]
+    new = [
+        await world.add_engine(f"new{number}", *script, version="v2")
+        for number in range(2)
+    ]
+    return old, new
+
+
+async def press(world, *, until, number=0, session=None):
+    """Call again and again until something holds."""
+    count = 0
+    async with asyncio.timeout(15):
+        while not until():
+            count += 1
+            headers = [("Session", session)] if session else []
+            await world.call(
+                "/issue/1", number=number, attempt=f"a{number}-{count}", headers=headers
+            )
+    return count
+
+
+def test_a_good_version_is_taken_over_in_time():
+    async def main():
+        async with make_world() as world:
+            old, new = await add_versions(world)
+            await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=3.0)
+            await press(world, until=lambda: world.status_of("plain") == "running")
+            await press(world, until=lambda: world.status_of("plain") == "done")
+            before = sum(len(engine.runs) for engine in old)
+            for number in range(10):
+                await world.call(attempt=f"b{number}")
+            assert sum(len(engine.runs) for engine in old) == before
+            assert sum(len(engine.runs) for engine in new) > 10
+
+    run(main())
+
+
+def test_a_bad_version_is_rolled_back_before_many_have_met_it():
+    """Half of the new version's answers are failures, on all its endpoints."""
+
+    async def main():
+        async with make_world() as world:
+            _, new = await add_versions(world, bad=True)
+            await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=60.0)
+            total = await press(
+                world, until=lambda: world.status_of("plain") == "rolled_back"
+            )
+            met = sum(len(engine.runs) for engine in new)
+            assert met < total * 0.15 + 30
+            await press(world, until=lambda: total)
+            after = sum(len(engine.runs) for engine in new)
+            for number in range(50):
+                await world.call(attempt=f"c{number}")
+            assert sum(len(engine.runs) for engine in new) == after
+
+    run(main())
+
+
+def test_evidence_of_all_gateways_counts_together():
+    """Each gateway sees few bad answers; only together they are enough."""
+
+    async def main():
+        async with make_world() as world:
+            await add_versions(world, bad=True)
+            for number in (1, 2):
+                await world.start_gateway(number=number)
+            await world.wait_ready(0)
+            await world.wait_ready(1)
+            order(world, seconds=60.0)
+            await asyncio.gather(
+                *(
+                    press(
+                        world,
+                        until=lambda: world.status_of("plain") == "rolled_back",
+                        number=number,
+                    )
+                    for number in (0, 1)
+                )
+            )
+
+    run(main())
+
+
+def test_a_session_stays_on_its_version():
+    """A caller's session is on the old version when a roll-out begins."""
+
+    async def main():
+        async with make_world() as world:
+            _, new = await add_versions(world)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=60.0)
+            await wait_for(lambda: gateway.rollouts.orders)
+            for number in range(60):
+                for _ in range(2):
+                    await world.call(
+                        attempt=f"a{number}", headers=[("Session", f"s{number}")]
+                    )
+            assert not any(engine.runs for engine in new)
+
+    run(main())
+
+
+def test_a_lost_answer_of_the_store_leaves_one_true_status():
+    """The store writes a status and its answer is lost.
+
+    Written again as another change, it could undo what came between.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await add_versions(world)
+            await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=3.0)
+            world.store.fault = Fault.LOSES_WRITES
+            await press(world, until=lambda: world.status_of("plain") == "running")
+            await asyncio.sleep(0.5)
+            world.store.fault = Fault.NONE
+            await press(world, until=lambda: world.status_of("plain") == "done")
+
+    run(main())
--- /dev/null
+++ b/test/gateway/test_serving.py
@@ -0,0 +1,445 @@
+"""Requests from callers through a gateway to endpoints and back."""
+
+import asyncio
+
+import pytest
+
+from eelgrassrack.standins.directengine import (
+    Break,
+    Events,
+    Garbage,
+    Hang,
+    Refuse,
+    Reply,
+    Unframed,
+)
+
+from .world import KEY, call, connect, make_world, run, wait_for
+
+ASK = (
+    ("X-Model", "*"),
+    ("X-Token-Usage", "1000,50"),
+    ("X-Prompt-Prefix", "aa:400,bb:600"),
+    ("Session", "s1"),
+)
+
+
+def test_a_request_is_passed_on_as_it_came():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call(
+                "/look/1?q=2",
+                headers=[("X-Tenant", "other"), ("X-Hold", "h"), ("X-Own", "kept")],
+            )
+            assert (got.status, got.body, got.is_whole) == (200, b"done", True)
+            assert got.headers["x-server-stamp"]
+            seen = engine.runs[0]
+            assert (seen.method, seen.target, seen.body) == (
+                "POST",
+                "/look/1?q=2",
+                b"ask",
+            )
+            assert seen.headers["x-tenant"] == "first"
+            assert seen.headers["x-expect-instance"] == "e1"
+            assert seen.headers["x-own"] == "kept"
+            assert "authorization" not in seen.headers
+            assert "x-hold" not in seen.headers
+            assert 0 < int(seen.headers["x-deadline-ms"]) <= 2_000
+
+    run(main())
+
+
+def test_what_isnt_allowed_is_refused():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call("/nowhere/1")).status == 404
+            assert (await world.call(key="unknown")).status == 401
+            assert (await world.call(key=None)).status == 401
+            assert not engine.runs
+            assert (await world.call("/open/1", key=None)).status == 200
+
+    run(main())
+
+
+def test_without_a_configuration_callers_are_told_to_come_back():
+    """A gateway starts while the store has no configuration yet.
+
+    Its callers must not be told that their route or key doesn't exist.
+    """
+
+    async def main():
+        async with make_world(configured=False) as world:
+            gateway = await world.start_gateway()
+            got = await world.call()
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            assert not gateway.is_ready
+
+    run(main())
+
+
+def test_what_may_not_be_repeated_runs_once():
+    """An endpoint runs an issue of a credential and its answer is lost.
+
+    Sent again it would be issued twice; told "not run" the caller would send
+    it again itself.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engines = [
+                await world.add_engine("e1", Break()),
+                await world.add_engine("e2", Break()),
+            ]
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1")
+            assert got.status == 502
+            assert sum(len(engine.runs) for engine in engines) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("path", ["/issue/1", "/look/1"])
+def test_what_surely_hasnt_run_goes_to_another_endpoint(path):
+    """A full endpoint sends a request back; its caller notices nothing."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Refuse(), slots=100)
+            sound = await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call(path)
+            assert got.status == 200
+            assert len(sound.runs) == 1
+
+    run(main())
+
+
+def test_a_request_that_no_endpoint_took_is_said_not_to_have_run():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Refuse())
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1")
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            assert not engine.runs
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "broken", [Break(), Garbage(), Unframed(is_reset=True), Reply(attempt="other")]
+)
+def test_a_broken_answer_is_never_passed_on(broken):
+    """An endpoint resets, sends rubbish, or answers another request.
+
+    The caller of a lookup gets the whole answer of another endpoint.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", broken, slots=100)
+            await world.add_engine("e2", Reply(body=b"whole"), slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call()
+            assert (got.status, got.body, got.is_whole) == (200, b"whole", True)
+
+    run(main())
+
+
+def test_an_answer_that_ends_with_its_connection_in_order_is_whole():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Unframed(body=b"all of it"))
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call()
+            assert (got.status, got.body, got.is_whole) == (200, b"all of it", True)
+
+    run(main())
+
+
+def test_bytes_after_an_answer_are_no_one_elses():
+    """A faulty endpoint sends a second answer after the first.
+
+    Used again, the connection would give it to the next caller.
+    """
+
+    async def main():
+        async with make_world() as world:
+            extra = (
+                b"HTTP/1.1 200 OK\r\nX-Server-Stamp: 9\r\nContent-Length: 3\r\n\r\nbad"
+            )
+            engine = await world.add_engine(
+                "e1", Reply(extra=extra), Reply(body=b"second")
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call(attempt="a1")).body == b"done"
+            await asyncio.sleep(0.05)
+            assert (await world.call(attempt="a2")).body == b"second"
+            assert engine.connections == 2
+
+    run(main())
+
+
+def test_a_kept_connection_is_used_again():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            for number in range(3):
+                assert (await world.call(attempt=f"a{number}")).status == 200
+            assert engine.connections == 1
+
+    run(main())
+
+
+def test_a_stream_goes_on_at_another_endpoint():
+    """An endpoint crashes in the middle of an event.
+
+    The caller gets each event once and in order, and the end of the stream.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            first = await world.add_engine(
+                "e1", Events(count=6, breaks_after=2), slots=100, **rest
+            )
+            second = await world.add_engine("e2", Events(count=6), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1")
+            assert got.is_whole
+            lines = got.body.decode().split("\n")
+            assert [line for line in lines if line.startswith("id")] == [
+                f"id: {number}" for number in range(1, 7)
+            ]
+            assert second.runs[0].headers["last-event-id"] == "2"
+            assert len(first.runs) == 1
+
+    run(main())
+
+
+def test_a_broken_stream_that_may_not_go_on_never_looks_whole():
+    """An endpoint crashes in a stream that may run once only."""
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            await world.add_engine("e1", Events(count=6, breaks_after=2), **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/once/1")
+            assert got.status == 200
+            assert not got.is_whole
+            assert got.body.count(b"\n\n") == 2
+
+    run(main())
+
+
+def test_an_unsure_model_is_followed_by_a_better_one():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1",
+                Events(count=50, gap=0.01, confidence=10),
+                Events(count=3, confidence=90),
+                service="models",
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=ASK)
+            assert got.is_whole
+            assert got.body.count(b"\n\n") == 3
+            assert [one.model for one in engine.runs] == ["small", "large"]
+
+    run(main())
+
+
+def test_a_caller_that_names_its_model_gets_it():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, confidence=0), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=[("X-Model", "middle")])
+            assert got.is_whole
+            assert [one.model for one in engine.runs] == ["middle"]
+
+    run(main())
+
+
+def test_the_work_for_a_caller_that_left_is_given_up():
+    """A caller closes its connection in the middle of a stream.
+
+    The endpoint would go on working for nobody.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=500, gap=0.02), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/chat/1")
+            await caller.reader.readuntil(b"\n\n")
+            caller.close()
+            await wait_for(lambda: engine.cancelled, seconds=0.5)
+
+    run(main())
+
+
+def test_a_request_that_waits_for_an_endpoint_is_given_up_with_its_caller():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Hang())
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1")
+            await wait_for(lambda: engine.runs)
+            caller.close()
+            await wait_for(lambda: engine.cancelled, seconds=0.5)
+
+    run(main())
+
+
+def test_a_route_s_time_limit_ends_a_request():
+    """An endpoint hangs: the caller gets its answer half a second later at most."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Hang())
+            await world.start_gateway()
+            await world.wait_ready()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            got = await world.call("/short/1")
+            assert got.status == 504
+            assert 0.25 < loop.time() - began < 0.8
+
+    run(main())
+
+
+def test_a_later_attempt_gets_only_the_time_that_is_left():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Reply(status=500, delay=0.6), slots=100)
+            second = await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call()).status == 200
+            assert int(second.runs[0].headers["x-deadline-ms"]) < 1_500
+
+    run(main())
+
+
+def test_an_endpoint_s_failure_is_passed_on_unchanged():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Reply(status=500, body=b"why"))
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1")
+            assert (got.status, got.body) == (500, b"why")
+            assert got.headers["x-server-stamp"]
+
+    run(main())
+
+
+def test_a_reused_address_runs_nothing():
+    """An endpoint's address is taken by another one, which says so.
+
+    The request must not run there, and goes to the endpoint that is meant.
+    """
+
+    async def main():
+        async with make_world() as world:
+            stranger = await world.add_engine("stranger", service="other")
+            sound = await world.add_engine("e2", slots=1)
+            entry = {"address": stranger.address, "slots": 100}
+            world.engines["e1"] = stranger
+            world.list_engine("e1", **entry)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call()).status == 200
+            assert not stranger.runs
+            assert len(sound.runs) == 1
+            del world.engines["e1"]
+
+    run(main())
+
+
+def test_bad_input_harms_no_other_request():
+    """A caller sends rubbish, or a head that is too long."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            for data in (b"\x00\x01\r\n\r\n", b"GET / HTTP/1.1\r\nA: " + b"x" * 99_000):
+                caller = await connect(world.settings[0].listen)
+                caller.writer.write(data)
+                await asyncio.wait_for(caller.reader.read(), 5)
+                caller.close()
+                assert (await world.call()).status == 200
+
+    run(main())
+
+
+def test_a_long_body_comes_through_in_chunks():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.writer.write(
+                f"POST /look/1 HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: a\r\n"
+                f"Authorization: Bearer {KEY}\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n".encode()
+            )
+            for _ in range(20):
+                caller.writer.write(b"1000\r\n" + b"x" * 4096 + b"\r\n")
+            caller.writer.write(b"0\r\n\r\n")
+            got = await caller.read()
+            caller.close()
+            assert got.status == 200
+            assert engine.runs[0].body == b"x" * 81_920
+
+    run(main())
+
+
+def test_metrics_are_served_as_text():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            await world.start_gateway()
+            await world.wait_ready()
+            await world.call()
+            settings = world.settings[0]
+            address = f"{settings.address}:{settings.metrics_port}"
+            got = await call(address, "/metrics", method="GET", body=b"")
+            assert b"gateway_requests_total 1.0" in got.body
+            assert b'gateway_ends_total{end="answered"} 1.0' in got.body
+
+    run(main())
--- /dev/null
+++ b/test/gateway/test_stop.py
@@ -0,0 +1,98 @@
+"""Graceful shutdown of a gateway."""
+
+import asyncio
+
+from eelgrassrack.standins.directengine import Events, Reply
+
+from .world import call, connect, make_world, run, wait_for
+
+
+def test_a_stop_cuts_no_request():
+    """A gateway gets SIGTERM while a stream runs and callers keep connections.
+
+    The balancer is told at once, the stream ends whole, a request that comes
+    within the balancer's delay is served.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            await world.add_engine("e2", Events(count=40, gap=0.05), service="models")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            address = world.settings[0].listen
+            streaming = await connect(address)
+            streaming.send("/chat/1")
+            kept = await connect(address)
+            kept.send("/look/1", attempt="k1")
+            assert (await kept.read()).status == 200
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(0.1)
+            ready = await call(world.settings[0].readiness, "/", method="GET")
+            assert ready.status == 503
+            kept.send("/look/2", attempt="k2")
+            got = await kept.read()
+            assert got.status == 200
+            assert got.headers["connection"] == "close"
+            assert (await world.call(attempt="new")).status == 200
+            assert (await streaming.read()).is_whole
+            await stopping
+
+    run(main())
+
+
+def test_a_request_that_lies_unread_isnt_closed_with_the_idle():
+    """A busy process has not read yet what came on an idle connection.
+
+    Closed as idle, its caller would not know whether it ran.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1", attempt="a1")
+            assert (await caller.read()).status == 200
+            await asyncio.sleep(0.05)
+            caller.send("/look/2", attempt="a2")
+            # The bytes are in the kernel's buffer; the loop hasn't run since.
+            await caller.writer.drain()
+            gateway.ingress.close_idle()
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
+
+
+def test_idle_connections_are_closed():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1")
+            await caller.read()
+            await asyncio.sleep(0.05)
+            gateway.ingress.close_idle()
+            assert await asyncio.wait_for(caller.reader.read(), 2) == b""
+            caller.close()
+
+    run(main())
+
+
+def test_a_stop_ends_in_time_though_a_request_doesnt():
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Reply(delay=20.0))
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1", patience_ms=30_000)
+            await wait_for(lambda: gateway.ingress.open_requests)
+            await asyncio.wait_for(gateway.stop(), 6.0)
+            caller.close()
+
+    run(main())
--- /dev/null
+++ b/test/gateway/world.py
@@ -0,0 +1,263 @@
+"""A gateway in this process, before stand-ins of the platform and of endpoints."""
+
+import asyncio
+import contextlib
+import socket
+
+import msgspec
+
+from eelgrassrack.gateway.daemon import Gateway
+from eelgrassrack.gateway.settings import GatewaySettings
+from eelgrassrack.platform import headers
+from eelgrassrack.platform.store import Kinds, PlatformStore
+from eelgrassrack.standins.directengine import DirectEngine, Reply
+from eelgrassrack.standins.metadatastore import MetadataStore
+
+HOST = "api.example"
+KEY = "key-of-first"
+ADDRESS = "127.0.0.1"
+
+MODELS = ("small", "middle", "large")
+
+
+def run(coroutine):
+    """Run a test's coroutine, for half a minute at most."""
+    return asyncio.run(asyncio.wait_for(coroutine, 30))
+
+
+def find_port():
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((ADDRESS, 0))
+        return sock.getsockname()[1]
+
+
+def make_route(name, prefix, kind="idempotent", **rest):
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": prefix,
+        "routeType": kind,
+        "timeoutMs": 2_000,
+        "targetLatencyMs": 500,
+        "service": "plain",
+        "maxAttempts": 3,
+        "priority": 1,
+        **rest,
+    }
+
+
+ROUTES = (
+    make_route("look", "/look/"),
+    make_route("issue", "/issue/", "non_idempotent"),
+    make_route("open", "/open/", public=True),
+    make_route("short", "/short/", timeoutMs=300),
+    make_route(
+        "chat",
+        "/chat/",
+        "streaming",
+        service="models",
+        resumable=True,
+        timeoutMs=8_000,
+        sizes=list(MODELS),
+    ),
+    make_route("once", "/once/", "streaming", service="models", timeoutMs=8_000),
+)
+
+
+def make_manifest(*, version=1, routes=ROUTES, keys=(KEY,)):
+    costs = zip(MODELS, (0.016, 0.12, 0.23), strict=True)
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {"name": "plain", "maxConnections": 50},
+            {
+                "name": "models",
+                "coldS": 3.0,
+                "coldPerS": 20.0,
+                "engine": {
+                    "slots": 8,
+                    "models": [{"name": name, "cost": cost} for name, cost in costs],
+                },
+            },
+        ],
+        "tenants": [{"name": "first", "apiKeys": list(keys), "priority": 1}],
+    }
+
+
+class World:
+    """A store, endpoints by service, and gateways."""
+
+    def __init__(self):
+        self.store = MetadataStore()
+        self.engines = {}
+        self.gateways = []
+        self.settings = []
+        self.news_port = find_port()
+
+    async def add_engine(self, name, *script, service="plain", **rest):
+        engine = DirectEngine(name=name, script=script or (Reply(),))
+        await engine.start()
+        self.engines[name] = engine
+        self.list_engine(name, service=service, **rest)
+        return engine
+
+    def list_engine(self, name, *, service="plain", state="ready", **rest):
+        entry = {
+            "service": service,
+            "address": self.engines[name].address,
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingMs": 0,
+            "born": 1_000,
+            **rest,
+        }
+        self.store.put(kind=Kinds.ENDPOINTS, name=name, spec=entry)
+
+    def configure(self, **changes):
+        manifest = make_manifest(**changes)
+        self.store.put(kind=Kinds.CONFIGURATION, name="main", spec=manifest)
+
+    async def start_gateway(self, *, number=1, objects_url=None, **rest):
+        """Start a gateway; each has an address of its own on loopback."""
+        address = f"127.0.0.{number}"
+        settings = GatewaySettings(
+            name=f"entry-{number}",
+            domain="north",
+            listen=f"{address}:{find_port()}",
+            readiness=f"{address}:{find_port()}",
+            address=address,
+            news_port=self.news_port,
+            metrics_port=self.news_port,
+            objects_url=objects_url or self.store.url,
+            seeds=("127.0.0.1:1", "127.0.0.2:1"),
+            grace_seconds=6.0,
+            **rest,
+        )
+        gateway = Gateway(
+            settings=settings,
+            store=PlatformStore(url=settings.objects_url),
+            kinds=Kinds,
+            translation=headers,
+        )
+        await gateway.start()
+        self.gateways.append(gateway)
+        self.settings.append(settings)
+        return gateway
+
+    async def wait_ready(self, number=0):
+        await wait_for(lambda: self.gateways[number].is_ready)
+
+    async def call(self, path="/look/1", *, number=0, **rest):
+        return await call(self.settings[number].listen, path, **rest)
+
+    def status_of(self, service):
+        found = self.store.find(kind=Kinds.ROLLOUTS, name=service)
+        status = msgspec.json.decode(found.status)
+        return status and status["state"]
+
+
+async def wait_for(condition, seconds=8.0):
+    """Wait until something holds; fail if it doesn't."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class Caller:
+    """One connection of a caller, read byte by byte."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    def send(
+        self,
+        path,
+        *,
+        method="POST",
+        body=b"ask",
+        attempt="a1",
+        key=KEY,
+        patience_ms=5_000,
+        headers=(),
+    ):
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Attempt-Id: {attempt}",
+            f"X-Deadline-Ms: {patience_ms}",
+            f"Content-Length: {len(body)}",
+        ]
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        lines += [f"{name}: {value}" for name, value in headers]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def read(self):
+        """Return status, headers, body and whether the answer was whole."""
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        status = int(lines[0].split()[1])
+        pairs = [line.split(": ", 1) for line in lines[1:] if line]
+        headers = {name.lower(): value for name, value in pairs}
+        if "content-length" in headers:
+            body = await self.reader.readexactly(int(headers["content-length"]))
+            return Got(status, headers, body, True)
+        return Got(status, headers, *await self._read_chunks())
+
+    async def _read_chunks(self):
+        body = b""
+        try:
+            while size := int(await self.reader.readline(), 16):
+                body += await self.reader.readexactly(size)
+                await self.reader.readexactly(2)
+            await self.reader.readexactly(2)
+        except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+        return body, True
+
+    def close(self):
+        self.writer.close()
+
+
+class Got(msgspec.Struct, frozen=True):
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+async def connect(address):
+    host, port = address.rsplit(":", 1)
+    return Caller(*await asyncio.open_connection(host, int(port)))
+
+
+async def call(address, path, **rest):
+    caller = await connect(address)
+    try:
+        caller.send(path, **rest)
+        return await caller.read()
+    finally:
+        caller.close()
+
+
+@contextlib.asynccontextmanager
+async def make_world(*, configured=True):
+    world = World()
+    await world.store.start()
+    if configured:
+        world.configure()
+    try:
+        yield world
+    finally:
+        for gateway in world.gateways:
+            await gateway.close()
+        for engine in world.engines.values():
+            await engine.stop()
+        await world.store.stop()
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how the platform speaks."""
