--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -28,17 +28,18 @@
         print(f"eelgrassrack: {error}", file=sys.stderr)
         return error.exit_code
     install_bounded(settings.log)
-    asyncio.run(run(settings))
+    asyncio.run(run(settings, path=argv[0]))
     return 0
 
 
-async def run(settings: GatewaySettings) -> None:
-    """Run a gateway on the platform's store."""
+async def run(settings: GatewaySettings, *, path: str) -> None:
+    """Run a gateway on the platform's store, with its settings' file at `path`."""
     gateway = Gateway(
         settings=settings,
         store=PlatformStore(url=settings.objects_url),
         kinds=Kinds,
         translation=headers,
+        read_settings=lambda: read_gateway_settings(path),
     )
     await gateway.run()
 
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -3,17 +3,19 @@
 import asyncio
 import signal
 import time
+from collections.abc import Callable
 
 import logbook
 from tornado.httpserver import HTTPServer
 
 from ..decisions.watchers import Watch, find_watch
 from ..decisions.watchturns import find_wait
+from ..errors import UserError
 from ..supervisor import Supervisor
 from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
-from .follower import Contact, Follower, TakeChanges, TakeList
+from .follower import Contact, Follower, Store, TakeChanges, TakeList
 from .ingress import Ingress
 from .metrics import GatewayMetrics
 from .news import News, NewsExchange
@@ -24,11 +26,12 @@
 from .serving import Serving
 from .settings import GatewaySettings
 from .sharing import PATH, Beliefs, Need, Sharing, encode_beliefs
+from .translation import Translation
 
 log = logbook.Logger("gateway")
 
 # Chores such as closing idle connections.
-CHORE_SECONDS = 0.5
+CHORE_SECONDS = 0.2
 
 # The balancer takes an instance out after two misses a second apart; new
 # connections come until then, and a little later over its own links.
@@ -45,6 +48,9 @@
 # A call to the store beside the watches.
 CALL_SECONDS = 1.5
 
+# Between looks at the settings file.
+SETTINGS_SECONDS = 3.0
+
 # Between looks for peers; each is a stale read, at a tenth of a call's price.
 PEERS_SECONDS = 5.0
 
@@ -67,7 +73,9 @@
         "_pool",
         "rollouts",
         "router",
+        "_read_settings",
         "_server",
+        "_serving",
         "_settings",
         "_sharing",
         "_store",
@@ -79,12 +87,14 @@
         self,
         *,
         settings: GatewaySettings,
-        store: object,
+        store: Store,
         kinds: type,
-        translation: object,
+        translation: Translation,
+        read_settings: Callable[[], GatewaySettings] | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
+        self._read_settings = read_settings
         self._store = store
         self._kinds = kinds
         self._is_closing = False
@@ -101,7 +111,7 @@
         self._news = NewsExchange(
             name=settings.name,
             address=(settings.address, settings.news_port),
-            seeds=tuple(seed.rsplit(":", 1)[0] for seed in settings.seeds),
+            seeds=find_seeds(settings),
             make_news=self._make_news,
             take_news=self._take_news,
         )
@@ -122,7 +132,7 @@
         self._translation = translation
         self._supervisor = Supervisor(name="gateway")
         self._followers = self._make_followers()
-        serving = Serving(
+        self._serving = Serving(
             router=self.router,
             placing=self._placing,
             pool=self._pool,
@@ -131,7 +141,7 @@
             settings=settings,
         )
         self.ingress = Ingress(
-            service=serving,
+            service=self._serving,
             decode=translation.decode_arrival,
             is_closing=lambda: self._is_closing,
         )
@@ -160,7 +170,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await stopping.wait()
         await self.stop()
@@ -224,18 +234,40 @@
         self._pool.close()
         self._store.close()
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
+        """Take over changed settings, but for addresses, which need a restart."""
+        if self._read_settings is None:
+            return
+        try:
+            settings = self._read_settings()
+        except UserError as error:
+            log.error("gateway: new settings left out: {}", error)
+            return
+        if settings == self._settings:
+            return
         log.notice("gateway: settings changed")
+        self._settings = settings
+        self._placing.take_settings(settings)
+        self._serving.take_settings(settings)
+        self.rollouts.take_settings(settings)
+        self._news.take_seeds(find_seeds(settings))
 
     def _answer_readiness(self, _: str) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.is_ready else (503, b"not ready\n")
 
     async def _do_chores(self) -> None:
+        next_look = 0.0
         while True:
             await asyncio.sleep(CHORE_SECONDS)
-            self._pool.prune(now=asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self._pool.prune(now=now)
+            self._pool.probe_silent(now=now, note_dark=self._placing.note_dark)
             self.fleet.sweep()
             self._placing.forget_parts()
+            if now >= next_look:
+                # The file may change without any signal.
+                self.reload()
+                next_look = now + SETTINGS_SECONDS
             self._placing.take_news(self._news.heard)
 
     def _make_followers(self) -> tuple[Follower, ...]:
@@ -457,3 +489,8 @@
                     continue
                 case _:
                     log.warning("gateway: a configuration can't be read: {}", plan)
+
+
+def find_seeds(settings: GatewaySettings) -> tuple[str, ...]:
+    """Return the IP numbers of the gateways to begin with."""
+    return tuple(seed.rsplit(":", 1)[0] for seed in settings.seeds)
--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -27,9 +27,24 @@
 
 
 class Connection:
-    """A connection to one endpoint, used for one request at a time."""
+    """A connection to one endpoint, used for one request at a time.
 
-    __slots__ = ("_machine", "_stream", "_written", "idle_until", "is_kept", "uses")
+    `heard_at` is when bytes last came on it, or when a request was sent.
+    `is_kept` says that it is with the pool again, `is_repeatable` that the
+    request under way may run elsewhere too.
+    """
+
+    __slots__ = (
+        "_is_given_up",
+        "_machine",
+        "_stream",
+        "_written",
+        "heard_at",
+        "idle_until",
+        "is_kept",
+        "is_repeatable",
+        "uses",
+    )
 
     def __init__(self, *, stream: IOStream) -> None:
         self._stream = stream
@@ -39,6 +54,9 @@
         self._written: asyncio.Future | None = None
         self.idle_until = 0.0
         self.is_kept = False
+        self.is_repeatable = False
+        self.heard_at = 0.0
+        self._is_given_up = False
         self.uses = 0
 
     @property
@@ -63,6 +81,7 @@
         Raise `BrokenError` if it can't be a request.
         """
         self.uses += 1
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             data = self._machine.send(
                 h11.Request(method=method, target=target, headers=headers)
@@ -130,13 +149,25 @@
         # An answer that comes late would be taken for the next request's.
         return self._stream._read_buffer_size > 0
 
+    def give_up(self) -> None:
+        """Close because the endpoint is out of reach.
+
+        An answer without a length would look complete if this counted as the
+        endpoint's own close.
+        """
+        self._is_given_up = True
+        self._stream.close()
+
     async def _receive(self) -> None:
         try:
             data = await self._stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as error:
+            if self._is_given_up:
+                raise BrokenError("the endpoint is out of reach") from error
             if self._stream.error is not None:
                 raise BrokenError(f"reset: {self._stream.error}") from error
             data = b""
+        self.heard_at = asyncio.get_running_loop().time()
         self._machine.receive_data(data)
 
 
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -111,7 +111,8 @@
         self.lifetime = secrets.token_hex(4)
         self._name = name
         self._address = address
-        self._seeds = [(seed, address[1]) for seed in seeds if seed != address[0]]
+        self._seeds: list[tuple[str, int]] = []
+        self.take_seeds(seeds)
         self._make_news = make_news
         self._take_news = take_news
         self._peers: dict[str, tuple[str, int]] = {}
@@ -121,6 +122,11 @@
         self._started_at = asyncio.get_running_loop().time()
         self._listed_at: dict[str, float] = {}
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take over the IP numbers of gateways to begin with."""
+        host, port = self._address
+        self._seeds = [(seed, port) for seed in seeds if seed != host]
+
     async def open(self) -> None:
         """Listen."""
         loop = asyncio.get_running_loop()
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -81,6 +81,10 @@
         self._pace = Pace()
         self._loop = asyncio.get_running_loop()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed settings."""
+        self._settings = settings
+
     @property
     def entries(self) -> int:
         """Return how many gateways share the common limits."""
@@ -201,6 +205,13 @@
         crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
         self._poison.note_loss(crash=crash, now=self._loop.time())
 
+    def note_dark(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint with requests under way is out of reach."""
+        flight = self._find(endpoint)
+        if flight is not None:
+            flight.badness = max(flight.badness, OFTEN_BAD)
+            self._shun(flight)
+
     def note_gone(self, lifetime: tuple[str, int]) -> None:
         """Note that a lifetime ended without a word."""
         name, born = lifetime
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -5,37 +5,120 @@
 and one of the few connections that it takes from all callers.
 """
 
+import asyncio
+from collections.abc import Callable
+
+import logbook
+
 from ..decisions.idle import choose_idle_seconds
 from .endpoints import Endpoint
+from .errors import ConnectError
 from .exchange import Connection, open_connection
 from .messages import Head
 
+log = logbook.Logger("pool")
+
 # One round trip is 2 ms and a first packet that was lost comes again after a
 # second.  Waiting for that second costs more than another endpoint does.
 CONNECT_SECONDS = 0.6
 
+# An endpoint with requests under way that is silent for so long is asked for
+# a new connection; the usual pause between events is far shorter.
+SILENT_SECONDS = 0.4
+
+# How long a connection may take that only shows whether the endpoint is there.
+PROBE_SECONDS = 0.3
+
+# The next such connection to the same endpoint is tried so much later.
+NEXT_PROBE_SECONDS = 1.0
+
+# The connection itself is used for the next request that comes soon.
+PROBED_IDLE_SECONDS = 2.0
+
 
 class Pool:
     """Connections by endpoint, of which each lifetime has its own."""
 
-    __slots__ = ("_idle", "opened")
+    __slots__ = ("_busy", "_idle", "_probing", "opened")
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[Connection]] = {}
+        self._busy: dict[Endpoint, set[Connection]] = {}
+        self._probing: set[asyncio.Task] = set()
         self.opened = 0
 
     async def take(
         self, *, endpoint: Endpoint, now: float, needs_new: bool = False
     ) -> Connection:
         """Return a kept connection or a new one; raise `ConnectError`."""
+        connection = self._take_kept(endpoint, now, needs_new)
+        if connection is None:
+            self.opened += 1
+            connection = await open_connection(
+                address=endpoint.address, timeout=CONNECT_SECONDS
+            )
+        connection.heard_at = now
+        self._busy.setdefault(endpoint, set()).add(connection)
+        return connection
+
+    def release(self, *, endpoint: Endpoint, connection: Connection) -> None:
+        """Count a connection as no longer under way, and close it unless kept."""
+        busy = self._busy.get(endpoint, set())
+        busy.discard(connection)
+        if not busy:
+            self._busy.pop(endpoint, None)
+        if not connection.is_kept:
+            connection.close()
+
+    def probe_silent(
+        self, *, now: float, note_dark: Callable[[Endpoint], None]
+    ) -> None:
+        """Connect anew to endpoints that have been silent under way.
+
+        An endpoint without power, or behind a cut, answers nothing: requests
+        to it would wait for seconds.  One that is only busy still takes a
+        connection at once.
+        """
+        for endpoint, busy in tuple(self._busy.items()):
+            heard = max(one.heard_at for one in busy)
+            if now < heard + SILENT_SECONDS:
+                continue
+            for one in busy:
+                one.heard_at = now + NEXT_PROBE_SECONDS - SILENT_SECONDS
+            task = asyncio.ensure_future(self._probe(endpoint, note_dark))
+            self._probing.add(task)
+            task.add_done_callback(self._probing.discard)
+
+    async def _probe(
+        self, endpoint: Endpoint, note_dark: Callable[[Endpoint], None]
+    ) -> None:
+        self.opened += 1
+        try:
+            connection = await open_connection(
+                address=endpoint.address, timeout=PROBE_SECONDS
+            )
+        except ConnectError as error:
+            log.info("pool: {} is out of reach: {}", endpoint.name, error)
+            note_dark(endpoint)
+            self.forget(lifetime=endpoint.lifetime)
+            for one in self._busy.get(endpoint, ()):
+                if one.is_repeatable:
+                    one.give_up()
+            return
+        connection.idle_until = asyncio.get_running_loop().time() + PROBED_IDLE_SECONDS
+        connection.watch_idle()
+        self._idle.setdefault(endpoint.lifetime, []).append(connection)
+
+    def _take_kept(
+        self, endpoint: Endpoint, now: float, needs_new: bool
+    ) -> Connection | None:
         kept = self._idle.get(endpoint.lifetime, [])
         while kept and not needs_new:
             connection = kept.pop()
             if _is_usable(connection, now):
                 return connection
             connection.close()
-        self.opened += 1
-        return await open_connection(address=endpoint.address, timeout=CONNECT_SECONDS)
+        return None
 
     def give_back(
         self, *, endpoint: Endpoint, connection: Connection, head: Head, now: float
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -21,6 +21,7 @@
 from .fleet import ANY_VERSION, Fleet, VersionChoice
 from .follower import Contact
 from .news import News, Pin, TrialNews
+from .settings import GatewaySettings
 
 log = logbook.Logger("rollout")
 
@@ -150,6 +151,10 @@
                 case _:
                     log.warning("rollout: order {} can't be read: {}", name, found)
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed settings."""
+        self._session_seconds = settings.session_seconds
+
     @property
     def orders(self) -> tuple[RolloutOrder, ...]:
         """Return all orders."""
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -182,6 +182,10 @@
         self._sends: dict[str, RecentSends] = {}
         self._loop = asyncio.get_running_loop()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed settings."""
+        self._settings = settings
+
     async def serve(self, *, arrival: Arrival, reply: Reply) -> None:
         """Answer one request."""
         self._metrics.arrived()
@@ -281,13 +285,14 @@
             return Lost(reason=str(error))
         finally:
             self._placing.end(job, endpoint)
-            if connection is not None and not connection.is_kept:
-                connection.close()
+            if connection is not None:
+                self._pool.release(endpoint=endpoint, connection=connection)
         return outcome
 
     def _send(self, job: Job, endpoint: Endpoint, connection: Connection) -> None:
         arrival = job.arrival
         connection.is_kept = False
+        connection.is_repeatable = job.is_repeatable
         headers = self._translation.encode_request(
             arrival=arrival,
             endpoint=endpoint.name,
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -118,6 +118,10 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def refuse(self) -> None:
+        """Take no new connections; those that are open stay as they are."""
+        self._server.close()
+
     async def stop(self) -> None:
         """Listen no more and reset all connections."""
         self._server.close()
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -443,3 +443,59 @@
             assert b'gateway_ends_total{end="answered"} 1.0' in got.body
 
     run(main())
+
+
+def test_an_endpoint_that_fell_silent_doesnt_hold_its_requests():
+    """An endpoint loses power with a lookup under way: nothing comes back.
+
+    Its caller would wait until its connection times out after seconds.
+    """
+
+    async def main():
+        async with make_world() as world:
+            dark = await world.add_engine("e1", Hang(), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1")
+            await wait_for(lambda: dark.runs)
+            dark.refuse()
+            got = await asyncio.wait_for(caller.read(), 1.2)
+            assert got.status == 200
+            caller.close()
+
+    run(main())
+
+
+def test_a_slow_endpoint_that_takes_connections_is_waited_for():
+    """An engine reads a long prompt and says nothing for a second."""
+
+    async def main():
+        async with make_world() as world:
+            slow = await world.add_engine("e1", Reply(delay=1.5), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call()).status == 200
+            assert len(slow.runs) == 1
+
+    run(main())
+
+
+def test_what_may_not_be_repeated_waits_for_a_silent_endpoint():
+    """An issue's endpoint is out of reach for a moment and then answers."""
+
+    async def main():
+        async with make_world() as world:
+            silent = await world.add_engine("e1", Reply(delay=1.2))
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/issue/1")
+            await wait_for(lambda: silent.runs)
+            silent.refuse()
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
