--- a/eelgrassrack/decisions/modelchoice.py
+++ b/eelgrassrack/decisions/modelchoice.py
@@ -12,8 +12,11 @@
 since each further run costs time and the reading of the prompt.
 
 Under overload the better models give way first.  A run of the best one takes
-an engine's time from ten others, so it is asked only where it answers in time,
-or where the engine had nothing else to do.
+an engine's time from ten others, so it is asked only where an engine has next
+to nothing else to read.  Asked as long as it answers in time, it was found to
+fill engines up to the most patient route's objective, and all others were late.
+Nor is it asked where its answer, which takes three times as long, wouldn't be
+whole in the time that the caller has left, as after a fault that held callers up.
 """
 
 from collections.abc import Callable, Sequence
@@ -37,19 +40,25 @@
 # no time to ask another one first.
 LONG_SHARE = 0.45
 
-# What is estimated to be late by no more than this factor is still tried.
-LATE_FACTOR = 1.15
+# An engine whose queue takes no more than this part of the objective has room
+# for a better model.
+IDLE_SHARE = 0.2
 
-# An engine whose queue takes less than this part of the objective counts as
-# idle: a late answer of the best model then takes little from others.
-IDLE_SHARE = 0.15
+
+# A caller that gives up in the middle has nothing of its answer, so an answer
+# must be expected to be whole with this part of its time to spare.
+SPARE_FACTOR = 1.3
 
 
 class Estimate(msgspec.Struct, frozen=True):
-    """Seconds until the first token of a model, and of that the queue's part."""
+    """Seconds until the first token of a model, and of that the queue's part.
+
+    `whole` is the seconds until the last token.
+    """
 
     seconds: float
     wait: float
+    whole: float = 0.0
 
 
 Estimator = Callable[[str], Estimate]
@@ -61,15 +70,21 @@
     attempts: int,
     is_repeatable: bool,
     objective: float,
+    left: float,
     estimate: Estimator,
 ) -> str:
-    """Return the model to begin with; `models` come smallest first."""
+    """Return the model to begin with; `models` come smallest first.
+
+    `left` is the seconds until the caller gives up.
+    """
     best = models[-1]
     if not is_repeatable or attempts < LEAST_ATTEMPTS:
         return best
     expected = estimate(best)
     is_long = expected.seconds - expected.wait > objective * LONG_SHARE
-    return best if is_long and expected.seconds <= objective else models[0]
+    has_room = expected.wait <= objective * IDLE_SHARE
+    in_time = expected.seconds <= objective and expected.whole * SPARE_FACTOR <= left
+    return best if is_long and in_time and has_room else models[0]
 
 
 def choose_next(
@@ -77,13 +92,13 @@
     models: Sequence[str],
     model: str,
     confidence: int | None,
-    left: float,
     objective: float,
+    left: float,
     estimate: Estimator,
 ) -> str | None:
     """Return the model to ask instead, or None to take the answer.
 
-    `left` is what is left of the objective, in seconds.
+    `left` is the seconds until the caller gives up.
     """
     if confidence is None or confidence >= ACCEPTED_CONFIDENCE:
         return None
@@ -91,14 +106,10 @@
     missing = ACCEPTED_CONFIDENCE - confidence
     if missing > STEP_CONFIDENCE:
         better = better[-1:]
+    expected = ((one, estimate(one)) for one in better)
     fitting = (
         one
-        for one in better
-        if _is_worth(estimate(one), left=left, objective=objective)
+        for one, time in expected
+        if time.wait <= objective * IDLE_SHARE and time.whole * SPARE_FACTOR <= left
     )
     return next(fitting, None)
-
-
-def _is_worth(expected: Estimate, *, left: float, objective: float) -> bool:
-    in_time = expected.seconds <= left * LATE_FACTOR
-    return in_time or expected.wait <= objective * IDLE_SHARE
--- a/eelgrassrack/decisions/pace.py
+++ b/eelgrassrack/decisions/pace.py
@@ -31,13 +31,19 @@
 MOST_FACTOR = 3.0
 
 
+# Seconds to generate a token before any answer was seen: what an engine takes
+# with a dozen requests beside.
+FIRST_STREAM_PACE = 0.005
+
+
 class Pace:
-    """Seconds to read a prompt, by model."""
+    """Seconds to read a prompt and to generate an answer, by model."""
 
-    __slots__ = ("_paces",)
+    __slots__ = ("_paces", "_streams")
 
     def __init__(self) -> None:
         self._paces: dict[str, float] = {}
+        self._streams: dict[str, float] = {}
 
     def note(self, *, model: str, cost: float, tokens: int, seconds: float) -> None:
         """Learn from an answer of an endpoint that was idle.
@@ -56,6 +62,17 @@
         """Return the seconds that an engine is busy with reading a prompt."""
         return self._find(model, cost) * tokens
 
+    def note_stream(self, *, model: str, tokens: int, seconds: float) -> None:
+        """Learn from a whole stream how long its tokens took after the first."""
+        if not tokens:
+            return
+        known = self._streams.setdefault(model, seconds / tokens)
+        self._streams[model] = known + (seconds / tokens - known) * WEIGHT
+
+    def estimate_stream(self, *, model: str, tokens: int) -> float:
+        """Return the seconds from the first token of an answer to the last."""
+        return self._streams.get(model, FIRST_STREAM_PACE) * tokens
+
     def _find(self, model: str, cost: float) -> float:
         known = self._paces.get(model)
         if known is not None:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -149,9 +149,10 @@
         """Return how soon the first token of a model would come."""
         flights = self._select(job, passed_over=frozenset())
         if not flights:
-            return Estimate(float("inf"), float("inf"))
+            return Estimate(float("inf"), float("inf"), float("inf"))
         choice = self._weigh(job, model, flights)
-        return Estimate(choice.seconds, choice.wait)
+        stream = self._pace.estimate_stream(model=model, tokens=_find_generated(job))
+        return Estimate(choice.seconds, choice.wait, choice.seconds + stream)
 
     def note_head(self, job: "Job", endpoint: Endpoint, head: Head) -> None:
         """Take over what an answer says of its endpoint."""
@@ -180,6 +181,15 @@
         if failed:
             self._shun(flight)
 
+    def note_whole(self, job: "Job") -> None:
+        """Learn from a whole answer how long its tokens took."""
+        if job.first_at is not None and job.arrival.tokens_out:
+            self._pace.note_stream(
+                model=job.model,
+                tokens=_find_generated(job),
+                seconds=self._loop.time() - job.first_at,
+            )
+
     def note_not_run(self, job: "Job", endpoint: Endpoint, *, is_down: bool) -> None:
         """Learn from an attempt that didn't run."""
         now = self._loop.time()
@@ -341,6 +351,12 @@
     return costs.get(model, least) / least if least else 1.0
 
 
+def _find_generated(job: "Job") -> int:
+    """Return how many tokens the answer will most likely have."""
+    arrival = job.arrival
+    return min(arrival.length_hint or arrival.tokens_out, arrival.tokens_out)
+
+
 def _find_affinity(job: "Job", model: str) -> str:
     shared = job.arrival.parts[:-1]
     if not shared:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -217,6 +217,7 @@
             attempts=route.attempts,
             is_repeatable=route.is_repeatable and not job.resume_after,
             objective=route.objective,
+            left=job.deadline - self._loop.time(),
             estimate=lambda one: self._placing.estimate(job, one),
         )
 
@@ -358,8 +359,8 @@
             models=job.permit.route.models,
             model=job.model,
             confidence=head.confidence,
-            left=job.arrival.arrived + objective - self._loop.time(),
             objective=objective,
+            left=job.deadline - self._loop.time(),
             estimate=lambda one: self._placing.estimate(job, one),
         )
         if model is None or not self._has_budget(job):
@@ -441,6 +442,7 @@
         match outcome:
             case Delivered():
                 self._note_answer(job, endpoint, failed=False)
+                self._placing.note_whole(job)
                 self._note_end(job, "answered")
                 return
             case Unsure(confidence=confidence):
--- a/test/decisions/test_modelchoice.py
+++ b/test/decisions/test_modelchoice.py
@@ -20,17 +20,18 @@
         attempts=attempts,
         is_repeatable=is_repeatable,
         objective=objective,
+        left=19.0,
         estimate=estimate,
     )
 
 
-def following(confidence, model="small", left=1.9, estimate=idle):
+def following(confidence, model="small", estimate=idle, left=19.0):
     return choose_next(
         models=MODELS,
         model=model,
         confidence=confidence,
-        left=left,
         objective=2.0,
+        left=left,
         estimate=estimate,
     )
 
@@ -75,4 +76,18 @@
 
 def test_an_idle_engine_answers_though_late():
     """A very long prompt is late anyway; a wrong answer would be worth nothing."""
-    assert following(20, left=0.1) == "large"
+    assert following(20, estimate=lambda _: Estimate(9.0, 0.0)) == "large"
+
+
+def test_a_better_answer_must_become_whole_in_time():
+    """A caller was held up by a fault and comes back with five seconds left.
+
+    The best model would be cut off in the middle of its answer.
+    """
+
+    def slow(model):
+        return Estimate(SECONDS[model], 0.0, {"large": 6.0}.get(model, 2.0))
+
+    assert following(20, estimate=slow) == "large"
+    assert following(20, estimate=slow, left=5.0) is None
+    assert following(50, estimate=slow, left=5.0) == "middle"
