--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -119,7 +119,6 @@
             fleet=self.fleet,
             store=store,
             session_seconds=settings.session_seconds,
-            heard=lambda: self._news.heard,
             rank=self._find_rank,
             contact=self._contact,
         )
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -1,6 +1,7 @@
 """Roll-outs: which version a request goes to, and what is written of it."""
 
 import asyncio
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -36,9 +37,14 @@
 # Usual times are averaged over about this many answers.
 USUAL_WEIGHT = 1 / 16
 
-# Pins are told to peers for this long after the last request of a session.
-PIN_NEWS_SECONDS = 1.0
-MOST_PINS_TOLD = 100
+# A pin is told to peers for this long after it was set, in two or three news.
+PIN_NEWS_SECONDS = 0.7
+MOST_PINS_TOLD = 40
+
+# Tallies are told with each so many-th news only.  They are most of the bytes
+# during a roll-out, and with 30 gateways on links of 5 Mbit/s news with all of
+# them each time left little of the links for callers.
+TALLY_NEWS = 4
 
 
 class StatusWriter(Protocol):
@@ -51,22 +57,27 @@
 
 
 class Seen(msgspec.Struct):
-    """When a session was last here, and on which side of a trial."""
+    """When a session was last here, and on which side of a trial.
+
+    `set_at` is when that side was chosen here, or last told by a peer.
+    """
 
     at: float
     is_new: bool
+    set_at: float
 
 
 class Trial:
     """One roll-out as this gateway sees it."""
 
-    __slots__ = ("is_bad", "order", "pins", "since", "tallies", "writing_from")
+    __slots__ = ("is_bad", "order", "pins", "since", "tallies", "told", "writing_from")
 
     def __init__(self, *, order: RolloutOrder, since: float) -> None:
         self.order = order
         self.since = since
         self.is_bad = False
         self.tallies: dict[tuple[str, str, str], list[int]] = {}
+        self.told: dict[str, tuple[Tally, ...]] = {}
         self.pins: dict[int, Seen] = {}
         self.writing_from: float | None = None
 
@@ -105,8 +116,8 @@
     __slots__ = (
         "_contact",
         "_fleet",
-        "_heard",
         "_loop",
+        "_news_count",
         "_rank",
         "_session_seconds",
         "_store",
@@ -120,7 +131,6 @@
         fleet: Fleet,
         store: StatusWriter,
         session_seconds: float,
-        heard: Callable[[], tuple[News, ...]],
         rank: Callable[[], int],
         contact: Contact,
     ) -> None:
@@ -128,11 +138,11 @@
         self._fleet = fleet
         self._store = store
         self._session_seconds = session_seconds
-        self._heard = heard
         self._rank = rank
         self._loop = asyncio.get_running_loop()
         self._trials: dict[str, Trial] = {}
         self._usual: dict[tuple[str, str], float] = {}
+        self._news_count = 0
 
     def take_list(self, objects: dict[str, object]) -> None:
         """Take over all orders."""
@@ -217,22 +227,31 @@
             if told.is_bad and not trial.is_bad:
                 log.notice("rollout: {} says {} is bad", news.name, told.version)
                 trial.is_bad = True
+            if told.tallies:
+                trial.told[f"{news.name}.{news.lifetime}"] = told.tallies
             for pin in news.pins:
-                trial.pins[pin.session] = Seen(now, pin.is_new)
+                trial.pins[pin.session] = Seen(now, pin.is_new, float("-inf"))
 
     def tell(self) -> tuple[tuple[TrialNews, ...], tuple[Pin, ...]]:
         """Return the trials and pins for peers."""
         now = self._loop.time()
         running = [one for one in self._trials.values() if not one.is_over]
+        self._news_count += 1
+        has_tallies = self._news_count % TALLY_NEWS == 0
         trials = tuple(
-            TrialNews(*one.key, now - one.since, one.is_bad, one.list_tallies())
+            TrialNews(
+                *one.key,
+                now - one.since,
+                one.is_bad,
+                one.list_tallies() if has_tallies else (),
+            )
             for one in running
         )
         pins = [
             Pin(session, seen.is_new)
             for one in running
             for session, seen in one.pins.items()
-            if now < seen.at + PIN_NEWS_SECONDS
+            if now < seen.set_at + PIN_NEWS_SECONDS
         ]
         return trials, tuple(pins[-MOST_PINS_TOLD:])
 
@@ -264,13 +283,7 @@
         if trial.is_bad:
             return
         tallies = [*trial.list_tallies()]
-        for news in self._heard():
-            tallies += [
-                row
-                for told in news.trials
-                if (told.service, told.version, told.created) == trial.key
-                for row in told.tallies
-            ]
+        tallies += itertools.chain.from_iterable(trial.told.values())
         if is_bad(tallies=tallies, version=trial.order.version):
             trial.is_bad = True
             bad = sum(row.bad for row in tallies if row.version)
@@ -336,14 +349,15 @@
             return is_new
         # A session that was on the old version a moment ago stays there in
         # the first half: its caller would see answers of two versions.
-        key = xxhash.xxh3_64_intdigest(session.encode())
+        if point >= find_share(elapsed=0.0, limit=limit):
+            return is_new
+        key = xxhash.xxh32_intdigest(session.encode())
         seen = trial.pins.get(key)
         if seen is not None and now < seen.at + self._session_seconds:
-            is_new = seen.is_new
-        elif elapsed < self._session_seconds:
-            is_new = False
-        if point < find_share(elapsed=0.0, limit=limit):
-            trial.pins[key] = Seen(now, is_new)
+            seen.at = now
+            return seen.is_new
+        is_new = is_new and elapsed >= self._session_seconds
+        trial.pins[key] = Seen(now, is_new, now)
         return is_new
 
     def _take(self, order: RolloutOrder) -> None:
