--- a/eelgrassrack/decisions/poison.py
+++ b/eelgrassrack/decisions/poison.py
@@ -20,6 +20,12 @@
 # Crashes of different lifetimes that make a request guilty.
 MOST_CRASHES = 3
 
+# A crash is told to other entries for this long, in several news: when a dozen
+# endpoints crash at once, hundreds of requests are suspected, and news that
+# named them all for two minutes filled the links.
+TOLD_SECONDS = 1.5
+MOST_TOLD = 60
+
 # A crash is forgotten after this long; its callers gave up long before.
 MEMORY_SECONDS = 120.0
 
@@ -35,16 +41,18 @@
 class Poison:
     """Find the requests that crash endpoints."""
 
-    __slots__ = ("_crashes", "_losses")
+    __slots__ = ("_crashes", "_found", "_losses")
 
     def __init__(self) -> None:
+        self._found: collections.deque[tuple[float, Crash]] = collections.deque(
+            maxlen=MOST_TOLD
+        )
         self._losses: collections.deque[tuple[float, Crash]] = collections.deque()
         self._crashes: dict[Crash, float] = {}
 
-    @property
-    def crashes(self) -> tuple[Crash, ...]:
-        """Return the crashes that are remembered."""
-        return tuple(self._crashes)
+    def tell(self, *, now: float) -> tuple[Crash, ...]:
+        """Return the crashes that were found here just now."""
+        return tuple(crash for at, crash in self._found if now < at + TOLD_SECONDS)
 
     def note_loss(self, *, crash: Crash, now: float) -> None:
         """Note a lost answer, which may have been a crash."""
@@ -55,8 +63,11 @@
         """Note that a lifetime was found down."""
         self._forget(now)
         for _, crash in self._losses:
-            if crash.endpoint == endpoint and crash.born == born:
-                self._crashes[crash] = now
+            if crash.endpoint != endpoint or crash.born != born:
+                continue
+            if crash not in self._crashes:
+                self._found.append((now, crash))
+            self._crashes[crash] = now
 
     def merge(self, *, crashes: tuple[Crash, ...], now: float) -> None:
         """Take over what another entry found."""
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -247,7 +247,7 @@
 
     def tell_crashes(self) -> tuple[Crash, ...]:
         """Return the crashes that were found, for peers."""
-        return self._poison.crashes
+        return self._poison.tell(now=self._loop.time())
 
     def take_news(self, heard: tuple[News, ...]) -> None:
         """Take over what all peers have under way."""
--- a/test/decisions/test_poison.py
+++ b/test/decisions/test_poison.py
@@ -1,6 +1,6 @@
 """Tests of requests that crash endpoints."""
 
-from eelgrassrack.decisions.poison import MOST_CRASHES, Crash, Poison
+from eelgrassrack.decisions.poison import MOST_CRASHES, MOST_TOLD, Crash, Poison
 
 
 def crash(poison, fingerprint, endpoint, now, *, is_down=True):
@@ -53,3 +53,15 @@
     for number in range(MOST_CRASHES):
         crash(poison, "bad", f"e{number}", 0.0)
     assert not poison.is_guilty(fingerprint="bad", now=200.0)
+
+
+def test_a_crash_of_many_is_told_for_a_moment_and_not_whole():
+    """An endpoint crashes with hundreds of requests; the news must stay short."""
+    poison = Poison()
+    for number in range(500):
+        poison.note_loss(crash=Crash(f"r{number}", "e0", 1), now=0.0)
+    poison.note_down(endpoint="e0", born=1, now=0.1)
+    assert len(poison.tell(now=0.2)) == MOST_TOLD
+    assert not poison.tell(now=2.0)
+    poison.merge(crashes=(Crash("other", "e1", 1),), now=2.0)
+    assert not poison.tell(now=2.0)
