--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -212,7 +212,10 @@
         self._is_closing = True
         last = began + self._settings.grace_seconds - LAST_SECONDS
         await asyncio.sleep(ROTATION_SECONDS)
-        self._server.stop()
+        # The balancer still sends callers here if too few others are ready.
+        # They are served as long as that fits: a closed port would cost them
+        # their try.
+        self._serving.stop_at(last)
         self.ingress.close_idle()
         while self.ingress.open_requests and loop.time() < last:
             await asyncio.sleep(0.05)
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -14,7 +14,7 @@
 import msgspec
 import xxhash
 
-from ..decisions.modelchoice import choose_first, choose_next
+from ..decisions.modelchoice import SPARE_FACTOR, choose_first, choose_next
 from ..decisions.sharedbudget import allow_retry
 from .endpoints import Endpoint
 from .errors import BrokenError, ConnectError
@@ -49,6 +49,10 @@
 FAILURES = range(500, 600)
 
 
+# Another entry takes what comes to one that ends.
+STOPPING = Refusal(status=503, reason="stopping", retry_after=0.3)
+
+
 class Standing(enum.IntEnum):
     """What is known of whether a request has run, weakest first."""
 
@@ -153,6 +157,7 @@
     """Serve requests."""
 
     __slots__ = (
+        "_ends_at",
         "_loop",
         "_metrics",
         "_placing",
@@ -181,6 +186,7 @@
         self._settings = settings
         self._sends: dict[str, RecentSends] = {}
         self._loop = asyncio.get_running_loop()
+        self._ends_at: float | None = None
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take over changed settings."""
@@ -201,6 +207,9 @@
         self._find_sends(verdict.service.name).note_request(self._loop.time())
         if job.has_choice:
             job.model = self._choose_model(job)
+        if self._is_too_long(job):
+            await self._refuse(arrival, reply, STOPPING)
+            return
         try:
             async with asyncio.timeout_at(job.deadline):
                 await self._run(job, reply)
@@ -210,6 +219,17 @@
             self._note_end(job, "caller_gone")
             raise
 
+    def stop_at(self, time: float) -> None:
+        """Refuse from now on what wouldn't end by a time of the loop."""
+        self._ends_at = time
+
+    def _is_too_long(self, job: Job) -> bool:
+        """Tell whether a request would be cut by the end of this process."""
+        if self._ends_at is None:
+            return False
+        expected = self._placing.estimate(job, job.model).whole
+        return self._loop.time() + expected * SPARE_FACTOR > self._ends_at
+
     def _choose_model(self, job: Job) -> str:
         route = job.permit.route
         return choose_first(
@@ -410,8 +430,13 @@
                 data = skip_known(data, last=job.resume_after)
             await self._pass_events(job, reply, head, data)
             job.resume_after = events.last
-        if splitter.rest or not reply.is_begun:
+        if splitter.rest:
             return Lost(reason="a stream that ended within an event")
+        if not reply.is_begun:
+            if not job.resume_after:
+                return Lost(reason="a stream without any event")
+            # The caller had all events already, but not the end.
+            await self._pass_events(job, reply, head, b"")
         reply.finish()
         self._keep(endpoint, connection, head)
         return Delivered()
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -234,6 +234,23 @@
     run(main())
 
 
+def test_a_caller_that_has_all_events_gets_the_end():
+    """A caller's connection broke after the last event and before the end.
+
+    It comes back with the last event's id, and the endpoint has no more events.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Events(count=3), service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=[("Last-Event-Id", "3")])
+            assert (got.status, got.body, got.is_whole) == (200, b"", True)
+
+    run(main())
+
+
 def test_a_broken_stream_that_may_not_go_on_never_looks_whole():
     """An endpoint crashes in a stream that may run once only."""
 
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -96,3 +96,24 @@
             caller.close()
 
     run(main())
+
+
+def test_callers_are_served_until_the_process_ends():
+    """Too few others are ready, so the balancer goes on sending callers here."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Reply(delay=0.1))
+            await world.add_engine("e2", Events(count=90, gap=0.05), service="models")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            streaming = await connect(world.settings[0].listen)
+            streaming.send("/chat/1")
+            await asyncio.sleep(0.1)
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(3.2)
+            assert (await world.call(attempt="late")).status == 200
+            assert (await streaming.read()).is_whole
+            await stopping
+
+    run(main())
