--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -277,6 +277,7 @@
 
     def _choose(self, job: "Job", flights: list[Flight]) -> Endpoint:
         choice = self._weigh(job, job.model, flights)
+        job.expected = choice.seconds
         by_name = {one.endpoint.name: one for one in flights}
         return by_name[choice.name].endpoint
 
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -16,6 +16,7 @@
 
 from ..decisions.modelchoice import SPARE_FACTOR, choose_first, choose_next
 from ..decisions.sharedbudget import allow_retry
+from ..decisions.silence import limit_first, limit_gap
 from .endpoints import Endpoint
 from .errors import BrokenError, ConnectError
 from .events import EventSplitter, skip_known
@@ -102,6 +103,7 @@
         "arrival",
         "attempts",
         "deadline",
+        "expected",
         "failure",
         "fingerprint",
         "first_at",
@@ -130,6 +132,7 @@
         self.passed_over: set[str] = set()
         self.fingerprint = make_fingerprint(arrival, permit)
         self.model = arrival.model
+        self.expected = 0.0
         self.reading = 0.0
         self.was_idle = False
 
@@ -299,7 +302,7 @@
         try:
             connection = await self._pool.take(endpoint=endpoint, now=self._loop.time())
             self._send(job, endpoint, connection)
-            outcome = await self._relay(job, endpoint, connection, reply)
+            outcome = await self._listen(job, endpoint, connection, reply)
         except ConnectError as error:
             return NotRun(reason=str(error), is_down=True)
         except BrokenError as error:
@@ -330,8 +333,30 @@
             body=arrival.body,
         )
 
-    async def _relay(
+    async def _listen(
         self, job: Job, endpoint: Endpoint, connection: Connection, reply: Reply
+    ) -> Outcome:
+        """Relay an answer, and give up an endpoint that stays silent."""
+        limit = None
+        if job.is_repeatable and job.attempts_left:
+            limit = limit_first(
+                expected=job.expected, has_prompt=bool(job.arrival.tokens_in)
+            )
+        try:
+            async with asyncio.timeout(limit) as patience:
+                return await self._relay(job, endpoint, connection, reply, patience)
+        except TimeoutError:
+            if not patience.expired():
+                raise
+            return Lost(reason="silent for too long")
+
+    async def _relay(
+        self,
+        job: Job,
+        endpoint: Endpoint,
+        connection: Connection,
+        reply: Reply,
+        patience: asyncio.Timeout,
     ) -> Outcome:
         response = await connection.read()
         head = self._translation.decode_head(
@@ -356,7 +381,9 @@
         if unsure is not None:
             return unsure
         if head.status in GOOD and head.is_event_stream:
-            return await self._relay_events(job, endpoint, connection, head, reply)
+            return await self._relay_events(
+                job, endpoint, connection, head, reply, patience
+            )
         body = await self._read_body(connection)
         self._keep(endpoint, connection, head)
         if head.status in FAILURES:
@@ -413,10 +440,14 @@
         connection: Connection,
         head: Head,
         reply: Reply,
+        patience: asyncio.Timeout,
     ) -> Outcome:
+        gap = limit_gap(wanted=job.permit.route.gap)
         splitter = EventSplitter(last=job.resume_after)
         resumed = reply.is_begun
         while True:
+            if patience.when() is not None:
+                patience.reschedule(self._loop.time() + gap)
             piece = await connection.read()
             match piece:
                 case End():
