--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -230,7 +230,7 @@
         """Tell whether a request would be cut by the end of this process."""
         if self._ends_at is None:
             return False
-        expected = self._placing.estimate(job, job.model).whole
+        expected = self._placing.estimate_longest(job)
         return self._loop.time() + expected * SPARE_FACTOR > self._ends_at
 
     def _choose_model(self, job: Job) -> str:
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -117,3 +117,35 @@
             await stopping
 
     run(main())
+
+
+def test_a_stream_that_may_outlast_the_process_isnt_begun():
+    """A caller comes to an entry that ends in four seconds.
+
+    Its stream would most likely be cut; told that it hasn't run, the caller
+    goes to another entry at once.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=50, gap=0.1), Events(count=3), service="models"
+            )
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/once/1")
+            await wait_for(lambda: gateway.ingress.open_requests)
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(2.9)
+            long = [("X-Token-Usage", "1000,1000"), ("X-Length-Hint", "5")]
+            got = await world.call("/chat/1", headers=long)
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            short = [("X-Token-Usage", "1000,20")]
+            assert (await world.call("/chat/2", headers=short)).status == 200
+            assert [one.target for one in engine.runs] == ["/once/1", "/chat/2"]
+            await stopping
+            caller.close()
+
+    run(main())
