--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint bench soak install
+.PHONY: demo test lint bench soak gateway-soak install
 
 install: $(VENV)/.installed
 
@@ -28,3 +28,6 @@
 MINUTES ?= 5
 soak: install
 	$(BIN)/python -m bench.soak --seed $(SEED) --minutes $(MINUTES)
+
+gateway-soak: install
+	$(BIN)/python -m bench.gatewaysoak --seed $(SEED) --minutes $(MINUTES)
--- /dev/null
+++ b/bench/gatewaysoak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomised soak of real gateway processes, with faults from outside."""
--- /dev/null
+++ b/bench/gatewaysoak/__main__.py
@@ -0,0 +1,51 @@
+"""`python -m bench.gatewaysoak --seed N --minutes M`: seeds from N on.
+
+Each seed starts real gateway processes on loopback and disturbs them for some
+seconds.  A seed that fails is printed with what was broken, its logs are kept
+in the folder that `--logs` names, and the exit code is 1.
+"""
+
+import argparse
+import itertools
+import sys
+import time
+from pathlib import Path
+
+from .play import play
+
+SECONDS_A_MINUTE = 60.0
+
+
+def main() -> int:
+    """Play seeds until the time is over."""
+    parser = argparse.ArgumentParser(prog="python -m bench.gatewaysoak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--minutes", type=float, default=5.0)
+    parser.add_argument("--seconds", type=float, default=10.0, help="faults a seed")
+    parser.add_argument("--logs", default="", help="a folder for the logs")
+    options = parser.parse_args()
+    ends_at = time.monotonic() + options.minutes * SECONDS_A_MINUTE
+    failed = []
+    count = 0
+    for seed in itertools.count(options.seed):
+        folder = None
+        if options.logs:
+            folder = str(Path(options.logs, f"seed-{seed}"))
+            Path(folder).mkdir(parents=True, exist_ok=True)
+        verdict = play(seed, options.seconds, folder)
+        count += 1
+        print(
+            f"seed {seed}: {verdict.served} of {verdict.asked} served, {verdict.hits}",
+            flush=True,
+        )
+        if verdict.faults:
+            failed.append(seed)
+            print("\n".join(f"  {fault}" for fault in verdict.faults[:20]), flush=True)
+        if time.monotonic() >= ends_at:
+            break
+    print(f"gateway soak: {count} seeds, failed: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -37,6 +37,12 @@
     attempt: str = ""
 
 
+class Echo(msgspec.Struct, kw_only=True, frozen=True):
+    """Answer with the request's own id, `delay` seconds later."""
+
+    delay: float = 0.0
+
+
 class Events(msgspec.Struct, kw_only=True, frozen=True):
     """Answer with a stream of `count` events, `gap` seconds apart.
 
@@ -74,7 +80,7 @@
     """Run the request and say nothing."""
 
 
-Step = Reply | Events | Refuse | Unframed | Break | Garbage | Hang
+Step = Reply | Echo | Events | Refuse | Unframed | Break | Garbage | Hang
 
 
 class Run(msgspec.Struct, kw_only=True, frozen=True):
@@ -186,6 +192,11 @@
                 headers = {STAMP: STAMP_VALUE, ATTEMPT: step.attempt or run.attempt}
                 await self._send(writer, machine, step.status, headers, step.body)
                 writer.write(step.extra)
+            case Echo(delay=delay):
+                await asyncio.sleep(delay)
+                headers = {STAMP: STAMP_VALUE, ATTEMPT: run.attempt}
+                body = run.attempt.encode()
+                await self._send(writer, machine, 200, headers, body)
             case Refuse(status=status):
                 await self._send(writer, machine, status, {NOT_RUN: "1"}, b"")
             case Events():
