--- a/eelgrassrack/pages.py
+++ b/eelgrassrack/pages.py
@@ -10,6 +10,7 @@
 from .document.checks import describe_check
 from .document.fields import Key, SectionKind, format_default
 from .document.tables import DOCUMENT
+from .gateway.settings import GATEWAY
 from .metrics import format_page as format_metrics
 from .settings import AGENT, ENTRY, LOG, METRICS
 
@@ -42,8 +43,9 @@
 SETTINGS_HEADING = """\
 ## Settings of the daemons
 
-A file for one daemon holds its `[entry]` or `[agent]` section, and may hold `[log]`
-and `[metrics]`.
+A file for one daemon holds its `[entry]`, `[agent]` or `[gateway]` section, and may
+hold `[log]` and `[metrics]`. The platform makes a gateway's file from its own fields
+by `eelgrassrack/platform/entry.ini`.
 """
 
 
@@ -54,7 +56,7 @@
         DOCUMENT_HEADING,
         *map(_format_kind, DOCUMENT),
         SETTINGS_HEADING,
-        *map(_format_kind, (ENTRY, AGENT, LOG, METRICS)),
+        *map(_format_kind, (ENTRY, AGENT, GATEWAY, LOG, METRICS)),
     ]
     return "\n".join(parts)
 
--- a/eelgrassrack/ui/__init__.py
+++ b/eelgrassrack/ui/__init__.py
@@ -17,6 +17,7 @@
 from .commands.domain import Domain
 from .commands.drain import Drain
 from .commands.entry import Entry
+from .commands.gateway import Gateway
 from .commands.load import Load
 from .commands.show import Show
 from .commands.status import Status
@@ -51,6 +52,7 @@
         | Drain
         | Entry
         | Agent
+        | Gateway
         | Demo
         | Load
     ]
