--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -2,30 +2,28 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable
 
 import logbook
 from tornado.httpserver import HTTPServer
 
-from ..decisions.watchers import Watch, find_watch
-from ..decisions.watchturns import find_wait
 from ..errors import UserError
 from ..supervisor import Supervisor
 from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
-from .follower import Contact, Follower, Store, TakeChanges, TakeList
+from .follower import Contact, Store
 from .ingress import Ingress
+from .knowledge import Kinds, Knowledge
 from .metrics import GatewayMetrics
 from .news import News, NewsExchange
 from .placing import Placing
-from .plan import Plan, Router
+from .plan import Router
 from .pool import Pool
 from .rollouts import Rollouts
 from .serving import Serving
 from .settings import GatewaySettings
-from .sharing import PATH, Beliefs, Need, Sharing, encode_beliefs
+from .sharing import PATH, Need, Sharing, encode_beliefs
 from .translation import Translation
 
 log = logbook.Logger("gateway")
@@ -43,8 +41,6 @@
 # The balancer's health check of an entry and operators' reads are short.
 BACKLOG = 1_024
 
-MILLISECONDS = 1000.0
-
 # A call to the store beside the watches.
 CALL_SECONDS = 1.5
 
@@ -59,11 +55,10 @@
     """All parts of one gateway."""
 
     __slots__ = (
-        "_adopted",
         "_contact",
         "_doors",
         "fleet",
-        "_followers",
+        "_knowledge",
         "ingress",
         "_is_closing",
         "_kinds",
@@ -80,7 +75,6 @@
         "_sharing",
         "_store",
         "_supervisor",
-        "_translation",
     )
 
     def __init__(
@@ -88,7 +82,7 @@
         *,
         settings: GatewaySettings,
         store: Store,
-        kinds: type,
+        kinds: Kinds,
         translation: Translation,
         read_settings: Callable[[], GatewaySettings] | None = None,
     ) -> None:
@@ -98,7 +92,6 @@
         self._store = store
         self._kinds = kinds
         self._is_closing = False
-        self._adopted: tuple[int, ...] = (0, 0, 0, 0)
         self._metrics = GatewayMetrics()
         self._contact = Contact()
         self.router = Router()
@@ -128,9 +121,17 @@
             settings=settings,
             count_entries=lambda: self._news.entries,
         )
-        self._translation = translation
         self._supervisor = Supervisor(name="gateway")
-        self._followers = self._make_followers()
+        self._knowledge = Knowledge(
+            settings=settings,
+            store=store,
+            kinds=kinds,
+            contact=self._contact,
+            router=self.router,
+            fleet=self.fleet,
+            rollouts=self.rollouts,
+            list_heard=lambda: self._news.heard,
+        )
         self._serving = Serving(
             router=self.router,
             placing=self._placing,
@@ -139,6 +140,15 @@
             metrics=self._metrics,
             settings=settings,
         )
+        self._sharing = Sharing(
+            find_url=self._find_url,
+            find_need=self._knowledge.find_need,
+            take=self._knowledge.take_beliefs,
+        )
+        self._make_doors(translation)
+
+    def _make_doors(self, translation: Translation) -> None:
+        settings = self._settings
         self.ingress = Ingress(
             service=self._serving,
             decode=translation.decode_arrival,
@@ -157,11 +167,6 @@
                 answer=self._answer_inside,
             ),
         )
-        self._sharing = Sharing(
-            find_url=self._find_url,
-            find_need=self._find_need,
-            take=self._take_beliefs,
-        )
 
     async def run(self) -> None:
         """Serve until told to stop, then stop gracefully."""
@@ -174,19 +179,14 @@
         await stopping.wait()
         await self.stop()
 
-    @property
-    def is_informed(self) -> bool:
-        """Tell whether a configuration and the endpoints are known."""
-        return self.router.plan is not None and self.fleet.is_known
-
     @property
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
-        return self.is_informed and not self._is_closing
+        return self._knowledge.is_informed and not self._is_closing
 
     async def start(self) -> None:
         """Open all doors and begin to follow the store."""
-        for follower in self._followers:
+        for follower in self._knowledge.followers:
             self._supervisor.start(name=follower.kind, job=follower.run)
         await self._news.open()
         self._supervisor.start(name="chores", job=self._do_chores)
@@ -272,64 +272,6 @@
                 next_look = now + SETTINGS_SECONDS
             self._placing.take_news(self._news.heard)
 
-    def _make_followers(self) -> tuple[Follower, ...]:
-        kinds = self._kinds
-        settings = self._settings
-        fleet = self.fleet
-        rollouts = self.rollouts
-        return (
-            self._follow(
-                kind=kinds.CONFIGURATION,
-                take_list=self._take_plans,
-                take_changes=self._take_plans,
-                bound_ms=settings.configuration_ms,
-            ),
-            self._follow(
-                kind=kinds.ENDPOINTS,
-                take_list=fleet.take_list,
-                take_changes=fleet.take_changes,
-                bound_ms=settings.drain_ms,
-            ),
-            self._follow(
-                kind=kinds.ROLLOUTS,
-                take_list=rollouts.take_list,
-                take_changes=rollouts.take_changes,
-                bound_ms=settings.rollback_ms,
-            ),
-            self._follow(
-                kind=kinds.EVACUATIONS,
-                take_list=fleet.take_evacuations,
-                take_changes=fleet.change_evacuations,
-                bound_ms=settings.evacuation_ms,
-            ),
-        )
-
-    def _follow(
-        self,
-        *,
-        kind: str,
-        take_list: TakeList,
-        take_changes: TakeChanges,
-        bound_ms: float,
-    ) -> Follower:
-        follower = Follower(
-            store=self._store,
-            kind=kind,
-            contact=self._contact,
-            take_list=take_list,
-            take_changes=take_changes,
-            find_wait=lambda: self._find_wait(bound_ms / MILLISECONDS),
-            is_active=self._is_watcher,
-        )
-        follower.on_gap = lambda: self._distrust_others(follower)
-        return follower
-
-    def _distrust_others(self, cause: Follower) -> None:
-        """Have the others list too, since one has found out that it was deaf."""
-        for follower in self._followers:
-            if follower is not cause:
-                follower.distrust()
-
     async def _follow_peers(self) -> None:
         """Say where this gateway is, and look for others now and then.
 
@@ -363,111 +305,29 @@
             port=port,
             number=number,
             configuration=self.router.version,
-            knows_store=self._knows_store,
-            revisions=self._revisions,
+            knows_store=self._knowledge.knows_store,
+            revisions=self._knowledge.revisions,
             flights=self._placing.tell_flights(),
             trials=trials,
             pins=pins,
             crashes=self._placing.tell_crashes(),
         )
 
-    @property
-    def _knows_store(self) -> bool:
-        """Tell whether what this gateway tells is fresh from the store."""
-        has_read = all(one.event_revision for one in self._followers)
-        return has_read and self._is_watcher() and self._contact.lost_at is None
-
-    @property
-    def _revisions(self) -> tuple[int, ...]:
-        return tuple(one.event_revision for one in self._followers)
-
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
         """Answer a peer, or an operator who reads metrics."""
         if path != PATH:
+            self._metrics.version.set(self.router.version)
             return (200, self._metrics.render())
-        beliefs = Beliefs(
-            plan=self.router.plan,
-            endpoints=tuple(
-                flight.endpoint for flight in self.fleet if flight.missing_since is None
-            ),
-            evacuated=tuple(sorted(self.fleet.evacuated)),
-            orders=self.rollouts.orders,
-            knows_store=self._knows_store,
-            revisions=self._revisions,
-        )
-        return (200, encode_beliefs(beliefs))
-
-    def _find_need(self) -> Need:
-        """Tell whether peers know what the store doesn't tell here."""
-        heard = self._news.heard
-        if not self.is_informed:
-            is_known = any(news.configuration for news in heard)
-            return Need.URGENT if is_known else Need.NONE
-        informed = [news for news in heard if news.knows_store]
-        if not self._is_watcher():
-            is_behind = any(
-                mine < theirs
-                for news in informed
-                for mine, theirs in zip(self._adopted, news.revisions, strict=False)
-            )
-            return Need.URGENT if is_behind else Need.NONE
-        if self._contact.lost_at is not None:
-            return Need.PATIENT if informed else Need.NONE
-        is_newer = any(news.configuration > self.router.version for news in heard)
-        return Need.PATIENT if is_newer else Need.NONE
-
-    def _find_watch(self) -> Watch:
-        """Return this gateway's place among those that watch the store."""
-        heard = self._news.heard
-        return find_watch(
-            name=self._settings.name,
-            others=(news.name for news in heard),
-            is_store_heard=any(news.knows_store for news in heard),
-        )
-
-    def _is_watcher(self) -> bool:
-        return self._find_watch().rank is not None
-
-    def _find_wait(self, bound: float) -> float:
-        watch = self._find_watch()
-        return find_wait(
-            bound=bound,
-            entries=watch.watchers,
-            rank=watch.rank or 0,
-            time_of_day=time.time(),
-        )
-
-    def _take_beliefs(self, beliefs: Beliefs, name: str) -> None:
-        """Take over what a peer has read, as far as it is newer."""
-        log.info(
-            "gateway: beliefs of {}, store {}, revisions {}",
-            name,
-            "known" if beliefs.knows_store else "lost",
-            beliefs.revisions,
-        )
-        if beliefs.plan is not None:
-            self._take_plans({name: beliefs.plan})
-        is_served = self._is_watcher() and self._contact.lost_at is None
-        if is_served and self.fleet.is_known:
-            return
-        if beliefs.knows_store or not self.fleet.is_known:
-            self._adopted = beliefs.revisions
-            self.fleet.adopt(beliefs.endpoints)
-            self.fleet.take_evacuations(beliefs.evacuated)
-            orders = {order.service: order for order in beliefs.orders}
-            self.rollouts.take_list(orders)
+        return (200, encode_beliefs(self._knowledge.describe()))
 
     def _find_url(self, name: str) -> str | None:
         address = self._news.find_address(name)
         return f"http://{address}:{self._settings.metrics_port}" if address else None
 
     def _take_news(self, news: News) -> None:
-        if self._is_watcher():
-            for follower, revision in zip(
-                self._followers, news.revisions, strict=False
-            ):
-                follower.catch_up(revision)
-        elif self._find_need() is not Need.NONE:
+        if self._knowledge.is_watcher():
+            self._knowledge.catch_up(news)
+        elif self._knowledge.find_need() is not Need.NONE:
             self._sharing.wake.set()
         self.rollouts.take_news(news)
         self._placing.take_news(self._news.heard)
@@ -481,17 +341,6 @@
         self._pool.forget(lifetime=lifetime)
         self._placing.note_gone(lifetime)
 
-    def _take_plans(self, objects: dict[str, object | None]) -> None:
-        for plan in objects.values():
-            match plan:
-                case Plan() if self.router.take(plan):
-                    self._metrics.version.set(plan.version)
-                    log.info("gateway: configuration {} in force", plan.version)
-                case Plan() | None:
-                    continue
-                case _:
-                    log.warning("gateway: a configuration can't be read: {}", plan)
-
 
 def find_seeds(settings: GatewaySettings) -> tuple[str, ...]:
     """Return the IP numbers of the gateways to begin with."""
--- /dev/null
+++ b/eelgrassrack/gateway/job.py
@@ -0,0 +1,123 @@
+"""A request under way, and what its attempts came to."""
+
+import enum
+
+import msgspec
+import xxhash
+
+from .messages import Arrival, Head
+from .plan import Permit
+
+# A caller that leaves the choice of the model to the router names this one.
+ANY_MODEL = "*"
+
+
+class Standing(enum.IntEnum):
+    """What is known of whether a request has run, weakest first."""
+
+    NOT_RUN = 0
+    UNKNOWN = 1
+    RAN = 2
+
+
+class Delivered(msgspec.Struct, frozen=True):
+    """The answer is with the caller, whole."""
+
+
+class NotRun(msgspec.Struct, kw_only=True, frozen=True):
+    """The attempt surely didn't run and never will."""
+
+    reason: str
+    is_down: bool = False
+
+
+class Lost(msgspec.Struct, kw_only=True, frozen=True):
+    """The attempt may have run; its answer can't be had."""
+
+    reason: str
+
+
+class Failed(msgspec.Struct, kw_only=True, frozen=True):
+    """The endpoint answered with a failure of its own."""
+
+    head: Head
+    body: bytes
+
+
+class Unsure(msgspec.Struct, kw_only=True, frozen=True):
+    """The model holds little of its own answer; another is asked."""
+
+    model: str
+    confidence: int
+
+
+Outcome = Delivered | NotRun | Lost | Failed | Unsure
+
+
+class Job:
+    """One request under way."""
+
+    __slots__ = (
+        "arrival",
+        "attempts",
+        "deadline",
+        "expected",
+        "failure",
+        "fingerprint",
+        "first_at",
+        "model",
+        "passed_over",
+        "permit",
+        "reading",
+        "sent_at",
+        "resume_after",
+        "standing",
+        "tried",
+        "was_idle",
+    )
+
+    def __init__(self, *, arrival: Arrival, permit: Permit, deadline: float) -> None:
+        self.arrival = arrival
+        self.permit = permit
+        self.deadline = deadline
+        self.attempts = 0
+        self.tried: list[str] = []
+        self.standing = Standing.NOT_RUN
+        self.failure: Failed | None = None
+        self.resume_after = arrival.resume_after
+        self.first_at: float | None = None
+        self.sent_at = 0.0
+        self.passed_over: set[str] = set()
+        self.fingerprint = make_fingerprint(arrival, permit)
+        self.model = arrival.model
+        self.expected = 0.0
+        self.reading = 0.0
+        self.was_idle = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether it may run more than once."""
+        return self.permit.route.is_repeatable
+
+    @property
+    def attempts_left(self) -> int:
+        """Return to how many more endpoints it may be sent."""
+        return self.permit.route.attempts - self.attempts
+
+    def note(self, standing: Standing) -> None:
+        """Take over what an attempt showed."""
+        self.standing = max(self.standing, standing)
+
+    @property
+    def has_choice(self) -> bool:
+        """Tell whether the router chooses the model."""
+        return self.arrival.model == ANY_MODEL and bool(self.permit.route.models)
+
+
+def make_fingerprint(arrival: Arrival, permit: Permit) -> str:
+    """Return what the same request has in common each time it comes."""
+    digest = xxhash.xxh3_64()
+    for text in (arrival.method, arrival.target, permit.organisation_name):
+        digest.update(text.encode() + b"\0")
+    digest.update(arrival.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/eelgrassrack/gateway/knowledge.py
@@ -0,0 +1,236 @@
+"""What a gateway knows of the platform, from the store and from its peers."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import logbook
+
+from ..decisions.watchers import Watch, find_watch
+from ..decisions.watchturns import find_wait
+from .fleet import Fleet
+from .follower import Contact, Follower, Store, TakeChanges, TakeList
+from .news import News
+from .plan import Plan, Router
+from .rollouts import Rollouts
+from .settings import GatewaySettings
+from .sharing import Beliefs, Need
+
+log = logbook.Logger("gateway")
+
+MILLISECONDS = 1000.0
+
+
+class Kinds(Protocol):
+    """The store's names of what is followed."""
+
+    CONFIGURATION: str
+    ENDPOINTS: str
+    ROLLOUTS: str
+    EVACUATIONS: str
+    PEERS: str
+
+
+class Knowledge:
+    """Follow the store, or learn from peers what it doesn't tell here."""
+
+    __slots__ = (
+        "_adopted",
+        "_contact",
+        "_fleet",
+        "_kinds",
+        "_list_heard",
+        "_rollouts",
+        "_router",
+        "_settings",
+        "_store",
+        "followers",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        store: Store,
+        kinds: Kinds,
+        contact: Contact,
+        router: Router,
+        fleet: Fleet,
+        rollouts: Rollouts,
+        list_heard: Callable[[], tuple[News, ...]],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._kinds = kinds
+        self._contact = contact
+        self._router = router
+        self._fleet = fleet
+        self._rollouts = rollouts
+        self._list_heard = list_heard
+        self._adopted: tuple[int, ...] = (0, 0, 0, 0)
+        self.followers = self._make_followers()
+
+    @property
+    def is_informed(self) -> bool:
+        """Tell whether a configuration and the endpoints are known."""
+        return self._router.plan is not None and self._fleet.is_known
+
+    def describe(self) -> Beliefs:
+        """Return all that was read, for a peer."""
+        return Beliefs(
+            plan=self._router.plan,
+            endpoints=tuple(
+                flight.endpoint
+                for flight in self._fleet
+                if flight.missing_since is None
+            ),
+            evacuated=tuple(sorted(self._fleet.evacuated)),
+            orders=self._rollouts.orders,
+            knows_store=self.knows_store,
+            revisions=self.revisions,
+        )
+
+    def catch_up(self, news: News) -> None:
+        """List what a peer has seen newer changes of."""
+        for follower, revision in zip(self.followers, news.revisions, strict=False):
+            follower.catch_up(revision)
+
+    @property
+    def knows_store(self) -> bool:
+        """Tell whether what this gateway tells is fresh from the store."""
+        has_read = all(one.event_revision for one in self.followers)
+        return has_read and self.is_watcher() and self._contact.lost_at is None
+
+    @property
+    def revisions(self) -> tuple[int, ...]:
+        """Return the revisions of the last changes, in the order of the kinds."""
+        return tuple(one.event_revision for one in self.followers)
+
+    def find_need(self) -> Need:
+        """Tell whether peers know what the store doesn't tell here."""
+        heard = self._list_heard()
+        if not self.is_informed:
+            is_known = any(news.configuration for news in heard)
+            return Need.URGENT if is_known else Need.NONE
+        informed = [news for news in heard if news.knows_store]
+        if not self.is_watcher():
+            is_behind = any(
+                mine < theirs
+                for news in informed
+                for mine, theirs in zip(self._adopted, news.revisions, strict=False)
+            )
+            return Need.URGENT if is_behind else Need.NONE
+        if self._contact.lost_at is not None:
+            return Need.PATIENT if informed else Need.NONE
+        is_newer = any(news.configuration > self._router.version for news in heard)
+        return Need.PATIENT if is_newer else Need.NONE
+
+    def _find_watch(self) -> Watch:
+        """Return this gateway's place among those that watch the store."""
+        heard = self._list_heard()
+        return find_watch(
+            name=self._settings.name,
+            others=(news.name for news in heard),
+            is_store_heard=any(news.knows_store for news in heard),
+        )
+
+    def is_watcher(self) -> bool:
+        """Tell whether this gateway watches the store itself."""
+        return self._find_watch().rank is not None
+
+    def _find_wait(self, bound: float) -> float:
+        watch = self._find_watch()
+        return find_wait(
+            bound=bound,
+            entries=watch.watchers,
+            rank=watch.rank or 0,
+            time_of_day=time.time(),
+        )
+
+    def take_beliefs(self, beliefs: Beliefs, name: str) -> None:
+        """Take over what a peer has read, as far as it is newer."""
+        log.info(
+            "gateway: beliefs of {}, store {}, revisions {}",
+            name,
+            "known" if beliefs.knows_store else "lost",
+            beliefs.revisions,
+        )
+        if beliefs.plan is not None:
+            self._take_plans({name: beliefs.plan})
+        is_served = self.is_watcher() and self._contact.lost_at is None
+        if is_served and self._fleet.is_known:
+            return
+        if beliefs.knows_store or not self._fleet.is_known:
+            self._adopted = beliefs.revisions
+            self._fleet.adopt(beliefs.endpoints)
+            self._fleet.take_evacuations(beliefs.evacuated)
+            orders = {order.service: order for order in beliefs.orders}
+            self._rollouts.take_list(orders)
+
+    def _make_followers(self) -> tuple[Follower, ...]:
+        kinds = self._kinds
+        settings = self._settings
+        fleet = self._fleet
+        rollouts = self._rollouts
+        return (
+            self._follow(
+                kind=kinds.CONFIGURATION,
+                take_list=self._take_plans,
+                take_changes=self._take_plans,
+                bound_ms=settings.configuration_ms,
+            ),
+            self._follow(
+                kind=kinds.ENDPOINTS,
+                take_list=fleet.take_list,
+                take_changes=fleet.take_changes,
+                bound_ms=settings.drain_ms,
+            ),
+            self._follow(
+                kind=kinds.ROLLOUTS,
+                take_list=rollouts.take_list,
+                take_changes=rollouts.take_changes,
+                bound_ms=settings.rollback_ms,
+            ),
+            self._follow(
+                kind=kinds.EVACUATIONS,
+                take_list=fleet.take_evacuations,
+                take_changes=fleet.change_evacuations,
+                bound_ms=settings.evacuation_ms,
+            ),
+        )
+
+    def _follow(
+        self,
+        *,
+        kind: str,
+        take_list: TakeList,
+        take_changes: TakeChanges,
+        bound_ms: float,
+    ) -> Follower:
+        follower = Follower(
+            store=self._store,
+            kind=kind,
+            contact=self._contact,
+            take_list=take_list,
+            take_changes=take_changes,
+            find_wait=lambda: self._find_wait(bound_ms / MILLISECONDS),
+            is_active=self.is_watcher,
+        )
+        follower.on_gap = lambda: self._distrust_others(follower)
+        return follower
+
+    def _distrust_others(self, cause: Follower) -> None:
+        """Have the others list too, since one has found out that it was deaf."""
+        for follower in self.followers:
+            if follower is not cause:
+                follower.distrust()
+
+    def _take_plans(self, objects: dict[str, object | None]) -> None:
+        for plan in objects.values():
+            match plan:
+                case Plan() if self._router.take(plan):
+                    log.info("gateway: configuration {} in force", plan.version)
+                case Plan() | None:
+                    continue
+                case _:
+                    log.warning("gateway: a configuration can't be read: {}", plan)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -25,7 +25,7 @@
 from .settings import GatewaySettings
 
 if TYPE_CHECKING:
-    from .serving import Job
+    from .job import Job
 
 log = logbook.Logger("placing")
 
