Remove state that nothing reads, and count an endpoint's failures in one place

Found in reading the whole change again: loads taken from answers' heads, a set of leaving lifetimes, counters of connections and events, fields of news that were never filled; a prompt's reading was worked out twice for each attempt, and the share of failures updated in three copies.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -115,7 +115,6 @@
                 for name, value in response.headers.raw_items()
             ],
         )
-        self._placing.note_head(job, endpoint, head)
         self._placing.note_first(job, endpoint)
         if head.not_run:
             await self._read_body(connection)
--- a/eelgrassrack/gateway/events.py
+++ b/eelgrassrack/gateway/events.py
@@ -11,7 +11,6 @@
 
     data: bytes
     last: str
-    count: int
 
 
 class EventSplitter:
@@ -43,11 +42,7 @@
         whole = buffered[: end + len(END)]
         self._rest = buffered[end + len(END) :]
         self.last = _find_last_id(whole) or self.last
-        return Events(whole, self.last, whole.count(END))
-
-    def restart(self) -> None:
-        """Drop a part of an event that will never be whole."""
-        self._rest = b""
+        return Events(whole, self.last)
 
 
 def skip_known(data: bytes, *, last: str) -> bytes:
--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -43,7 +43,6 @@
         "idle_until",
         "is_kept",
         "is_repeatable",
-        "uses",
     )
 
     def __init__(self, *, stream: IOStream) -> None:
@@ -57,7 +56,6 @@
         self.is_repeatable = False
         self.heard_at = 0.0
         self._is_given_up = False
-        self.uses = 0
 
     @property
     def is_closed(self) -> bool:
@@ -80,7 +78,6 @@
 
         Raise `BrokenError` if it can't be a request.
         """
-        self.uses += 1
         self.heard_at = asyncio.get_running_loop().time()
         try:
             data = self._machine.send(
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -9,7 +9,6 @@
 
 from .endpoints import Endpoint
 from .follower import Contact
-from .messages import Load
 
 log = logbook.Logger("fleet")
 
@@ -17,6 +16,9 @@
 # its return, less the time that the way to here takes.
 LAPSE_SECONDS = 1.8
 
+# The weight of one answer in the share of failures among the last ones.
+BADNESS_WEIGHT = 0.2
+
 
 class Flight:
     """What this gateway knows of one lifetime of an endpoint.
@@ -37,15 +39,12 @@
         "cold_until",
         "endpoint",
         "key",
-        "load",
-        "load_at",
         "missing_since",
         "own",
         "own_backlog",
         "parts",
         "peers",
         "peers_backlog",
-        "seen_at",
         "shunned_until",
     )
 
@@ -53,7 +52,6 @@
         self.endpoint = endpoint
         name, born = endpoint.lifetime
         self.key = xxhash.xxh32_intdigest(f"{name}.{born}".encode())
-        self.seen_at = now
         self.cold_until = now + endpoint.cold
         self.own = 0
         self.own_backlog = 0.0
@@ -62,8 +60,6 @@
         self.parts: dict[str, float] = {}
         self.badness = 0.0
         self.cold_sends: collections.deque[float] = collections.deque()
-        self.load: Load | None = None
-        self.load_at = float("-inf")
         self.missing_since: float | None = None
         self.shunned_until = float("-inf")
 
@@ -77,6 +73,10 @@
         """Return the seconds that it needs to read all prompts."""
         return max(self.own_backlog, 0.0) + self.peers_backlog
 
+    def note_end(self, *, failed: bool) -> None:
+        """Learn from one end of an attempt how often the endpoint fails."""
+        self.badness += (failed - self.badness) * BADNESS_WEIGHT
+
     def forget_parts(self, *, before: float) -> None:
         """Forget shared parts that were used before a time."""
         self.parts = {name: at for name, at in self.parts.items() if at >= before}
@@ -114,7 +114,6 @@
         "_forget",
         "evacuated",
         "is_known",
-        "leaving",
     )
 
     def __init__(
@@ -129,7 +128,6 @@
         self._forget = forget
         self._flights: dict[str, Flight] = {}
         self.evacuated: frozenset[str] = frozenset()
-        self.leaving: set[tuple[str, int]] = set()
         self.is_known = False
 
     def __iter__(self) -> Iterable[Flight]:
@@ -205,19 +203,10 @@
             if flight.endpoint.service == service
             and not flight.endpoint.is_draining
             and flight.endpoint.domain not in self.evacuated
-            and flight.endpoint.lifetime not in self.leaving
         ]
         chosen = [one for one in usable if versions.allows(one.endpoint.version)]
         return chosen if chosen or versions.is_strict else usable
 
-    def is_usable(self, endpoint: Endpoint) -> bool:
-        """Tell whether a lifetime may still get a request."""
-        flight = self._flights.get(endpoint.name)
-        if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
-            return False
-        current = flight.endpoint
-        return not current.is_draining and current.domain not in self.evacuated
-
     def _take(self, endpoint: Endpoint) -> None:
         now = self._clock()
         flight = self._flights.get(endpoint.name)
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -37,7 +37,7 @@
 class Reply:
     """The answer to one request."""
 
-    __slots__ = ("_connection", "_is_closing", "is_begun", "is_over", "status")
+    __slots__ = ("_connection", "_is_closing", "is_begun", "is_over")
 
     def __init__(
         self, *, connection: HTTPConnection, is_closing: Callable[[], bool]
@@ -46,7 +46,6 @@
         self._is_closing = is_closing
         self.is_begun = False
         self.is_over = False
-        self.status = 0
 
     async def begin(
         self,
@@ -65,7 +64,6 @@
             fields["Connection"] = "close"
             self._connection._disconnect_on_finish = True
         self.is_begun = True
-        self.status = status
         line = ResponseStartLine("HTTP/1.1", status, reason)
         await self._await(self._connection.write_headers(line, fields, data or None))
 
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -32,9 +32,6 @@
 # A peer that wasn't heard for so long has no share of the common limits.
 SHARE_SECONDS = 20.0
 
-# The longest datagram that is read.
-MOST_BYTES = 60_000
-
 
 class FlightNews(msgspec.Struct, frozen=True, array_like=True):
     """What one gateway has under way at a lifetime of an endpoint.
@@ -81,8 +78,6 @@
     knows_store: bool
     revisions: tuple[int, ...] = ()
     flights: tuple[FlightNews, ...] = ()
-    leaving: tuple[tuple[str, int], ...] = ()
-    evacuated: tuple[str, ...] = ()
     trials: tuple[TrialNews, ...] = ()
     pins: tuple[Pin, ...] = ()
     crashes: tuple[Crash, ...] = ()
@@ -92,7 +87,6 @@
     """The newest news of a peer, and when it came."""
 
     news: News
-    address: tuple[str, int]
     at: float
 
 
@@ -119,7 +113,6 @@
         self._heard: dict[str, Heard] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
-        self._started_at = asyncio.get_running_loop().time()
         self._listed_at: dict[str, float] = {}
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -213,7 +206,7 @@
                 return
         elif known is None or now > known.at + HEARD_SECONDS:
             log.info("news: {} is heard", news.name)
-        self._heard[news.name] = Heard(news, (addr[0], news.port), now)
+        self._heard[news.name] = Heard(news, now)
         self._take_news(news)
 
     def error_received(self, exc: Exception) -> None:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -19,7 +19,7 @@
 from ..decisions.sharedbudget import share_cold_rate
 from .endpoints import Endpoint
 from .fleet import Fleet, Flight
-from .messages import Head, Refusal
+from .messages import Refusal
 from .news import FlightNews, News
 from .rollouts import Rollouts
 from .settings import GatewaySettings
@@ -34,10 +34,8 @@
 SHORT_SHUN_SECONDS = 0.3
 LONG_SHUN_SECONDS = 3.0
 
-# The share of failures among the last answers from which one fails often,
-# and the weight of one answer in it.
+# The share of failures among the last answers from which one fails often.
 OFTEN_BAD = 0.3
-BADNESS_WEIGHT = 0.2
 
 # An endpoint with less than this to read is as good as idle, and shows the
 # pace of its model.
@@ -110,11 +108,12 @@
         if flight is None:
             return
         now = self._loop.time()
-        job.reading = self._find_reading(job, job.model).whole
+        reading = self._find_reading(job, job.model)
+        job.reading = reading.whole
         affinity = _find_affinity(job, job.model)
         if affinity:
             if self._holds(flight, affinity, now):
-                job.reading -= self._find_reading(job, job.model).shared
+                job.reading -= reading.shared
             flight.parts[affinity] = now
         job.was_idle = flight.backlog < IDLE_SECONDS
         flight.own += 1
@@ -154,13 +153,6 @@
         stream = self._pace.estimate_stream(model=model, tokens=_find_generated(job))
         return Estimate(choice.seconds, choice.wait, choice.seconds + stream)
 
-    def note_head(self, job: "Job", endpoint: Endpoint, head: Head) -> None:
-        """Take over what an answer says of its endpoint."""
-        flight = self._find(endpoint)
-        if flight is not None and head.load is not None:
-            flight.load = head.load
-            flight.load_at = self._loop.time()
-
     def note_answer(
         self, job: "Job", endpoint: Endpoint, *, failed: bool, seconds: float
     ) -> None:
@@ -177,7 +169,7 @@
         flight = self._find(endpoint)
         if flight is None:
             return
-        flight.badness += (failed - flight.badness) * BADNESS_WEIGHT
+        flight.note_end(failed=failed)
         if failed:
             self._shun(flight)
 
@@ -210,7 +202,7 @@
         if flight is None:
             return
         if is_down:
-            flight.badness += (1 - flight.badness) * BADNESS_WEIGHT
+            flight.note_end(failed=True)
         self._shun(flight)
 
     def note_lost(self, job: "Job", endpoint: Endpoint) -> None:
@@ -221,7 +213,7 @@
         """
         flight = self._find(endpoint)
         if flight is not None:
-            flight.badness += (1 - flight.badness) * BADNESS_WEIGHT
+            flight.note_end(failed=True)
             self._shun(flight)
         crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
         self._poison.note_loss(crash=crash, now=self._loop.time())
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -39,21 +39,17 @@
 class Pool:
     """Connections by endpoint, of which each lifetime has its own."""
 
-    __slots__ = ("_busy", "_idle", "_probing", "opened")
+    __slots__ = ("_busy", "_idle", "_probing")
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[Endpoint, set[Connection]] = {}
         self._probing: set[asyncio.Task] = set()
-        self.opened = 0
 
-    async def take(
-        self, *, endpoint: Endpoint, now: float, needs_new: bool = False
-    ) -> Connection:
+    async def take(self, *, endpoint: Endpoint, now: float) -> Connection:
         """Return a kept connection or a new one; raise `ConnectError`."""
-        connection = self._take_kept(endpoint, now, needs_new)
+        connection = self._take_kept(endpoint, now)
         if connection is None:
-            self.opened += 1
             connection = await open_connection(
                 address=endpoint.address, timeout=CONNECT_SECONDS
             )
@@ -92,7 +88,6 @@
     async def _probe(
         self, endpoint: Endpoint, note_dark: Callable[[Endpoint], None]
     ) -> None:
-        self.opened += 1
         try:
             connection = await open_connection(
                 address=endpoint.address, timeout=PROBE_SECONDS
@@ -109,11 +104,9 @@
         connection.watch_idle()
         self._idle.setdefault(endpoint.lifetime, []).append(connection)
 
-    def _take_kept(
-        self, endpoint: Endpoint, now: float, needs_new: bool
-    ) -> Connection | None:
+    def _take_kept(self, endpoint: Endpoint, now: float) -> Connection | None:
         kept = self._idle.get(endpoint.lifetime, [])
-        while kept and not needs_new:
+        while kept:
             connection = kept.pop()
             if _is_usable(connection, now):
                 return connection
