Follow the configuration of then with each later attempt

A retry asked the router whether it was still permitted, but kept the service, attempts and limits of the first permit: a request whose route had moved went back to the old service's endpoints. The test failed before the change.

--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -150,11 +150,23 @@
             if refusal is not None:
                 await self._conclude(job, reply, refusal)
                 return
-            self._find_sends(job.permit.service.name).note_repeat(self._loop.time())
             again = self.router.permit(job.arrival)
             if isinstance(again, Refusal):
                 await self._conclude(job, reply, again)
                 return
+            if not reply.is_begun:
+                self._move(job, again)
+            self._find_sends(job.permit.service.name).note_repeat(self._loop.time())
+
+    def _move(self, job: Job, permit: Permit) -> None:
+        """Go on by the configuration of now, which may name another service.
+
+        Only while the caller has nothing of its answer: a stream goes on where
+        it began.
+        """
+        job.permit = permit
+        if job.has_choice and job.model not in permit.route.models:
+            job.model = self._choose_model(job)
 
     def _find_end(self, job: Job, outcome: Outcome) -> Refusal | None:
         """Return why the request isn't sent again, or None if it is."""
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -56,9 +56,10 @@
 
 
 class Refuse(msgspec.Struct, kw_only=True, frozen=True):
-    """Say that the request hasn't run."""
+    """Say that the request hasn't run, `delay` seconds after it came."""
 
     status: int = 503
+    delay: float = 0.0
 
 
 class Unframed(msgspec.Struct, kw_only=True, frozen=True):
@@ -198,6 +199,7 @@
                 body = run.attempt.encode()
                 await self._send(writer, machine, 200, headers, body)
             case Refuse(status=status):
+                await asyncio.sleep(step.delay)
                 await self._send(writer, machine, status, {NOT_RUN: "1"}, b"")
             case Events():
                 return await self._stream(run, step, reader, writer, machine)
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -15,7 +15,7 @@
 )
 from eelgrassrack.standins.metadatastore import Fault
 
-from .world import KEY, call, connect, make_world, run, wait_for
+from .world import KEY, call, connect, make_route, make_world, run, wait_for
 
 ASK = (
     ("X-Model", "*"),
@@ -124,6 +124,31 @@
     run(main())
 
 
+def test_a_later_attempt_follows_the_configuration_of_then():
+    """Operators move a route to another service while a request is under way.
+
+    Its first endpoint sends it back.  On the service of before it would run
+    where the route no longer leads.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Refuse(delay=0.6), slots=100)
+            left = await world.add_engine("e2", slots=1)
+            other = await world.add_engine("e3", service="other")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/look/1"))
+            await wait_for(lambda: gateway.ingress.open_requests)
+            moved = make_route("look", "/look/", service="other")
+            world.configure(version=2, routes=[moved])
+            assert (await calling).status == 200
+            assert len(other.runs) == 1
+            assert not left.runs
+
+    run(main())
+
+
 def test_a_request_that_no_endpoint_took_is_said_not_to_have_run():
     async def main():
         async with make_world() as world:
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -72,6 +72,7 @@
         "routes": list(routes),
         "services": [
             {"name": "plain", "maxConnections": 50},
+            {"name": "other", "maxConnections": 50},
             {
                 "name": "models",
                 "coldS": 3.0,
