--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -5,6 +5,7 @@
 
 from ..decisions.modelchoice import choose_next
 from ..decisions.silence import limit_first, limit_gap
+from ..decisions.urgency import find_urgency
 from .endpoints import Endpoint
 from .errors import BrokenError, ConnectError
 from .events import EventSplitter, skip_known
@@ -72,7 +73,7 @@
             left=job.deadline - self._loop.time(),
             resume_after=job.resume_after,
             model=job.model,
-            priority=None,
+            priority=_find_priority(job),
         )
         connection.send(
             method=arrival.method,
@@ -240,3 +241,10 @@
 
     def _note_first(self, job: Job) -> None:
         job.first_at = self._loop.time()
+
+
+def _find_priority(job: Job) -> int | None:
+    """Return the rank for an engine; others know none."""
+    if not job.arrival.tokens_in:
+        return None
+    return find_urgency(rank=job.permit.priority, reading=job.reading)
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -313,6 +313,27 @@
     run(main())
 
 
+def test_engines_are_told_to_read_short_prompts_first():
+    """Engines are full, and a question waits behind long documents.
+
+    What a caller says of its own rank is not passed on.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Events(), service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            for tokens in (50_000, 300):
+                usage = ("X-Token-Usage", f"{tokens},50")
+                headers = [("X-Model", "*"), usage, ("X-Request-Priority", "0")]
+                assert (await world.call("/chat/1", headers=headers)).status == 200
+            ranks = [int(run.headers["x-request-priority"]) for run in engine.runs]
+            assert ranks[0] > ranks[1]
+
+    run(main())
+
+
 def test_a_caller_that_names_its_model_gets_it():
     async def main():
         async with make_world() as world:
