--- /dev/null
+++ b/test/decisions/test_pace.py
@@ -0,0 +1,54 @@
+"""Tests of how fast models are taken to read and to write."""
+
+import random
+
+import pytest
+
+from eelgrassrack.decisions.pace import Pace
+
+# What an engine takes before the first token, and per token read, by model.
+BASE = 0.048
+TRUE_PACES = {"small": 0.0065e-3, "large": 0.028e-3}
+COSTS = {"small": 1.0, "large": 14.4}
+
+PROMPTS = (800, 2_400, 11_500, 25_000, 50_000)
+
+
+def teach(pace, model, *, count, prompts=PROMPTS, seed=1, queue=0.0):
+    """Show answers of idle engines, a few of them held up by unseen work."""
+    luck = random.Random(seed)
+    for _ in range(count):
+        tokens = int(luck.choice(prompts) * luck.uniform(0.7, 1.3))
+        held_up = luck.expovariate(1 / queue) if queue and luck.random() < 0.2 else 0.0
+        seconds = BASE + TRUE_PACES[model] * tokens + held_up
+        pace.note(model=model, cost=COSTS[model], tokens=tokens, seconds=seconds)
+
+
+def estimate(pace, model, tokens):
+    return pace.estimate(model=model, cost=COSTS[model], tokens=tokens)
+
+
+def test_a_slowed_engine_is_noticed():
+    pace = Pace()
+    teach(pace, "small", count=50)
+    for _ in range(60):
+        pace.note(model="small", cost=1.0, tokens=20_000, seconds=0.4)
+    assert estimate(pace, "small", 20_000) == pytest.approx(0.35, rel=0.25)
+
+
+def test_a_pace_is_never_negative():
+    """Short prompts were held up, long ones weren't."""
+    pace = Pace()
+    for _ in range(100):
+        pace.note(model="small", cost=1.0, tokens=500, seconds=1.0)
+        pace.note(model="small", cost=1.0, tokens=30_000, seconds=0.05)
+    assert estimate(pace, "small", 30_000) > 0
+
+
+def test_streams_are_learned_by_model():
+    pace = Pace()
+    for _ in range(50):
+        pace.note_stream(model="small", tokens=300, seconds=1.5)
+        pace.note_stream(model="large", tokens=300, seconds=6.0)
+    assert pace.estimate_stream(model="small", tokens=100) == pytest.approx(0.5)
+    assert pace.estimate_stream(model="large", tokens=100) == pytest.approx(2.0)
