--- a/eelgrassrack/ui/__init__.py
+++ b/eelgrassrack/ui/__init__.py
@@ -21,6 +21,7 @@
 from .commands.load import Load
 from .commands.show import Show
 from .commands.status import Status
+from .commands.trace import TraceCommand
 from .commands.withdraw import Withdraw
 from .tools import Tools, make_tools
 
@@ -53,6 +54,7 @@
         | Entry
         | Agent
         | Gateway
+        | TraceCommand
         | Demo
         | Load
     ]
--- /dev/null
+++ b/eelgrassrack/ui/commands/trace.py
@@ -0,0 +1,52 @@
+"""`eelgrassrack trace`: what gateways' logs say of one request."""
+
+import pathlib
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from ...requesttrace import LogLine, Trace, read_lines, trace_request
+from ...settings import read_text
+from ..errors import OK, REFUSED
+from ..options import AsJson
+from ..output import print_json
+
+
+@cappa.command(
+    name="trace", help="Show what gateways' logs say of a request and beside it."
+)
+@dataclass(kw_only=True, slots=True)
+class TraceCommand:
+    """Arguments of `trace`."""
+
+    request: Annotated[str, cappa.Arg(help="The request's id.")]
+    files: Annotated[list[str], cappa.Arg(help="Logs of one or more gateways.")]
+    as_json: AsJson = False
+
+    def __call__(self) -> int:
+        """Read the logs and print the lines."""
+        lines: list[LogLine] = []
+        unread = 0
+        for file in self.files:
+            path = pathlib.Path(file)
+            found, skipped = read_lines(read_text(path), file=path.name)
+            lines += found
+            unread += skipped
+        trace = trace_request(self.request, lines=lines, unread=unread)
+        if self.as_json:
+            print_json(trace)
+        else:
+            _print(trace)
+        return OK if trace.own else REFUSED
+
+
+def _print(trace: Trace) -> None:
+    """Print one line each, a request's own ones with a mark."""
+    if not trace.own:
+        print(f"{trace.request}: not in these logs")
+    for line in trace.list_all():
+        mark = "*" if line in trace.own else " "
+        print(f"{mark} {line.time:.3f} {line.file} {line.message}")
+    if trace.unread:
+        print(f"{trace.unread} lines couldn't be read")
