--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -192,6 +192,11 @@
         """Tell whether the store answered the last call to it."""
         return self._contact.lost_at is None
 
+    @property
+    def entries(self) -> int:
+        """Return how many gateways share the common limits, this one among them."""
+        return self._news.entries
+
     async def start(self) -> None:
         """Open all doors and begin to follow the store."""
         for follower in self._knowledge.followers:
@@ -320,6 +325,7 @@
             trials=trials,
             pins=pins,
             crashes=self._placing.tell_crashes(),
+            doubted=self._placing.tell_doubted(),
         )
 
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
@@ -327,6 +333,7 @@
         if path != PATH:
             self._metrics.version.set(self.router.version)
             self._metrics.store.set(self.has_store)
+            self._metrics.entries.set(self.entries)
             self._metrics.dropped_lines.set(self._count_dropped())
             return (200, self._metrics.render())
         return (200, encode_beliefs(self._knowledge.describe()))
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -37,7 +37,9 @@
         "badness",
         "cold_sends",
         "cold_until",
+        "doubted_until",
         "endpoint",
+        "is_doubted_by_peers",
         "key",
         "missing_since",
         "own",
@@ -62,6 +64,8 @@
         self.cold_sends: collections.deque[float] = collections.deque()
         self.missing_since: float | None = None
         self.shunned_until = float("-inf")
+        self.doubted_until = float("-inf")
+        self.is_doubted_by_peers = False
 
     @property
     def running(self) -> int:
@@ -81,6 +85,10 @@
         """Forget shared parts that were used before a time."""
         self.parts = {name: at for name, at in self.parts.items() if at >= before}
 
+    def is_doubted(self, now: float) -> bool:
+        """Tell whether an answer was lost there lately, here or at a peer."""
+        return self.is_doubted_by_peers or now < self.doubted_until
+
     def is_cold(self, now: float) -> bool:
         """Tell whether the endpoint bears only a few requests a second."""
         return now < self.cold_until
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -15,6 +15,7 @@
         "_ended",
         "_took",
         "dropped_lines",
+        "entries",
         "registry",
         "store",
         "version",
@@ -43,6 +44,11 @@
             "Configuration in force.",
             registry=self.registry,
         )
+        self.entries = Gauge(
+            "gateway_entries",
+            "Gateways that share the common limits, this one among them.",
+            registry=self.registry,
+        )
         self.store = Gauge(
             "gateway_store_answers",
             "1 while the platform's store answers, 0 while it doesn't.",
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -67,7 +67,8 @@
     """The state of one gateway, as it tells its peers.
 
     `revisions` are those of the store at the last changes of each kind that
-    were seen, in the order in which all gateways follow the kinds.
+    were seen, in the order in which all gateways follow the kinds.  `doubted`
+    are lifetimes of endpoints, by their hash, that lost an answer lately.
     """
 
     name: str
@@ -81,6 +82,7 @@
     trials: tuple[TrialNews, ...] = ()
     pins: tuple[Pin, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    doubted: tuple[int, ...] = ()
 
 
 class Heard(msgspec.Struct):
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -1,11 +1,13 @@
 """Place requests on endpoints by what this gateway knows of them."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import logbook
 
+from ..decisions.doubt import DOUBT_SECONDS, avoid_doubtful
 from ..decisions.engines import (
     PLAIN_SECONDS,
     Candidate,
@@ -94,7 +96,7 @@
             now = self._loop.time()
             if self._poison.is_guilty(fingerprint=job.fingerprint, now=now):
                 return POISON
-            flights = self._select(job, passed_over=job.passed_over)
+            flights = self._select_trusted(job, now)
             if not flights:
                 return NONE_LEFT
             free = [one for one in flights if self._has_cold_room(one, job, now)]
@@ -214,6 +216,7 @@
         flight = self._find(endpoint)
         if flight is not None:
             flight.note_end(failed=True)
+            flight.doubted_until = self._loop.time() + DOUBT_SECONDS
             self._shun(flight)
         crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
         self._poison.note_loss(crash=crash, now=self._loop.time())
@@ -252,6 +255,11 @@
         """Return the crashes that were found, for peers."""
         return self._poison.tell(now=self._loop.time())
 
+    def tell_doubted(self) -> tuple[int, ...]:
+        """Return the lifetimes that lost an answer here lately, for peers."""
+        now = self._loop.time()
+        return tuple(one.key for one in self._fleet if now < one.doubted_until)
+
     def take_news(self, heard: tuple[News, ...]) -> None:
         """Take over what all peers have under way."""
         totals: dict[int, list[int]] = {}
@@ -260,10 +268,12 @@
                 total = totals.setdefault(told.lifetime, [0, 0])
                 total[0] += told.running
                 total[1] += told.backlog_ms
+        doubted = set(itertools.chain.from_iterable(one.doubted for one in heard))
         for flight in self._fleet:
             total = totals.get(flight.key, (0, 0))
             flight.peers = total[0]
             flight.peers_backlog = total[1] / MILLISECONDS
+            flight.is_doubted_by_peers = flight.key in doubted
         now = self._loop.time()
         for news in heard:
             if news.crashes:
@@ -278,6 +288,13 @@
         flights = self._fleet.select(service=job.permit.service.name, versions=versions)
         return [one for one in flights if one.endpoint.name not in passed_over]
 
+    def _select_trusted(self, job: "Job", now: float) -> list[Flight]:
+        return avoid_doubtful(
+            self._select(job, passed_over=job.passed_over),
+            is_doubted=lambda one: one.is_doubted(now),
+            is_repeatable=job.is_repeatable,
+        )
+
     def _choose(self, job: "Job", flights: list[Flight]) -> Endpoint:
         choice = self._weigh(job, job.model, flights)
         job.expected = choice.seconds
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -107,6 +107,36 @@
     run(main())
 
 
+def test_one_lost_answer_is_a_warning_to_all():
+    """An endpoint that looks sound resets each connection for some seconds.
+
+    Each entry would lose a request that may not be repeated, and another when
+    it tries again, before it stays away.
+    """
+
+    async def main():
+        async with make_world() as world:
+            bad = await world.add_engine("bad", Break(), slots=100)
+            for name in ("e1", "e2"):
+                await world.add_engine(name, slots=1)
+            first = await world.start_gateway(number=1)
+            second = await world.start_gateway(number=2)
+            await world.wait_ready(0)
+            await world.wait_ready(1)
+            await wait_for(lambda: first.entries == second.entries == 2)
+            got = await world.call("/issue/1")
+            assert got.status == 502
+            await asyncio.sleep(0.6)
+            for number in range(20):
+                got = await world.call(
+                    "/issue/2", number=number % 2, attempt=f"b{number}"
+                )
+                assert got.status == 200
+            assert len(bad.runs) == 1
+
+    run(main())
+
+
 @pytest.mark.parametrize("path", ["/issue/1", "/look/1"])
 def test_what_surely_hasnt_run_goes_to_another_endpoint(path):
     """A full endpoint sends a request back; its caller notices nothing."""
