--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -77,11 +77,17 @@
     """Send bytes that are no answer."""
 
 
+class Raw(msgspec.Struct, kw_only=True, frozen=True):
+    """Send pieces of bytes as they are, one after the other, and close in order."""
+
+    pieces: tuple[bytes, ...]
+
+
 class Hang(msgspec.Struct, kw_only=True, frozen=True):
     """Run the request and say nothing."""
 
 
-Step = Reply | Echo | Events | Refuse | Unframed | Break | Garbage | Hang
+Step = Reply | Echo | Events | Refuse | Unframed | Break | Garbage | Raw | Hang
 
 
 class Run(msgspec.Struct, kw_only=True, frozen=True):
@@ -129,6 +135,10 @@
         """Take no new connections; those that are open stay as they are."""
         self._server.close()
 
+    def play(self, step: Step) -> None:
+        """Do this with all requests from now on."""
+        self._steps = itertools.repeat(step)
+
     async def stop(self) -> None:
         """Listen no more and reset all connections."""
         self._server.close()
@@ -218,6 +228,12 @@
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
                 await writer.drain()
                 return False
+            case Raw(pieces=pieces):
+                for piece in pieces:
+                    writer.write(piece)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                return False
             case Hang():
                 await reader.read(1)
                 self.cancelled.append(run.attempt)
