Forget connections that their callers closed, and take over changed bounds

Each connection that a caller closed while idle stayed in the table of idle ones, since the HTTP library tells nobody: memory grew with every caller, and now also the look at overdue ones. Bounds that operators change (SIGHUP) reached all parts but the one that follows the store.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -276,6 +276,7 @@
             return
         log.notice("gateway: settings changed")
         self._settings = settings
+        self._knowledge.take_settings(settings)
         self._placing.take_settings(settings)
         self._serving.take_settings(settings)
         self.rollouts.take_settings(settings)
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -190,7 +191,7 @@
         self._is_closing = is_closing
         self._find_limits = find_limits
         self._loop = asyncio.get_running_loop()
-        self._connections: set[object] = set()
+        self._known: weakref.WeakSet[object] = weakref.WeakSet()
         self._idle: dict[HTTPConnection, Pause] = {}
         self.open_requests = 0
 
@@ -198,8 +199,8 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Begin to read a request."""
-        if server_conn not in self._connections:
-            self._connections.add(server_conn)
+        if server_conn not in self._known:
+            self._known.add(server_conn)
             set_probes(request_conn.stream.socket)
         self._idle[request_conn] = Pause(since=self._loop.time())
         limits = self._find_limits()
@@ -207,9 +208,10 @@
         request_conn.set_max_body_size(ANY_BYTES)
         return _Message(ingress=self, connection=request_conn)
 
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection."""
-        self._connections.discard(server_conn)
+    @property
+    def idle_connections(self) -> int:
+        """Return on how many connections no request is under way."""
+        return len(self._idle)
 
     def close_idle(self) -> None:
         """Close connections on which no request is under way or has come in.
@@ -222,12 +224,19 @@
                 connection.close()
 
     def close_overdue(self) -> None:
-        """Close what was idle for too long, or takes too long over a head."""
+        """Close what was idle for too long, or takes too long over a head.
+
+        What its caller closed is forgotten.
+        """
         now = self._loop.time()
         limits = self._find_limits()
         for connection, pause in tuple(self._idle.items()):
             stream = connection.stream
-            if not stream.closed() and stream._read_buffer_size:
+            if stream.closed():
+                # The library tells nobody that an idle connection has ended;
+                # kept, each caller that comes and goes would cost memory.
+                self._leave_idle(connection)
+            elif stream._read_buffer_size:
                 self._check_head(connection, pause, now, limits)
             elif now > pause.since + limits.idle_seconds and not has_unread(stream):
                 connection.close()
--- a/eelgrassrack/gateway/knowledge.py
+++ b/eelgrassrack/gateway/knowledge.py
@@ -70,6 +70,10 @@
         self._adopted: tuple[int, ...] = (0, 0, 0, 0)
         self.followers = self._make_followers()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed bounds, from the next watch on."""
+        self._settings = settings
+
     @property
     def is_informed(self) -> bool:
         """Tell whether a configuration and the endpoints are known."""
@@ -169,7 +173,6 @@
 
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
-        settings = self._settings
         fleet = self._fleet
         rollouts = self._rollouts
         return (
@@ -177,25 +180,25 @@
                 kind=kinds.CONFIGURATION,
                 take_list=self._take_plans,
                 take_changes=self._take_plans,
-                bound_ms=settings.configuration_ms,
+                find_bound_ms=lambda: self._settings.configuration_ms,
             ),
             self._follow(
                 kind=kinds.ENDPOINTS,
                 take_list=fleet.take_list,
                 take_changes=fleet.take_changes,
-                bound_ms=settings.drain_ms,
+                find_bound_ms=lambda: self._settings.drain_ms,
             ),
             self._follow(
                 kind=kinds.ROLLOUTS,
                 take_list=rollouts.take_list,
                 take_changes=rollouts.take_changes,
-                bound_ms=settings.rollback_ms,
+                find_bound_ms=lambda: self._settings.rollback_ms,
             ),
             self._follow(
                 kind=kinds.EVACUATIONS,
                 take_list=fleet.take_evacuations,
                 take_changes=fleet.change_evacuations,
-                bound_ms=settings.evacuation_ms,
+                find_bound_ms=lambda: self._settings.evacuation_ms,
             ),
         )
 
@@ -205,7 +208,7 @@
         kind: str,
         take_list: TakeList,
         take_changes: TakeChanges,
-        bound_ms: float,
+        find_bound_ms: Callable[[], float],
     ) -> Follower:
         follower = Follower(
             store=self._store,
@@ -213,7 +216,7 @@
             contact=self._contact,
             take_list=take_list,
             take_changes=take_changes,
-            find_wait=lambda: self._find_wait(bound_ms / MILLISECONDS),
+            find_wait=lambda: self._find_wait(find_bound_ms() / MILLISECONDS),
             is_active=self.is_watcher,
             is_standby=lambda: self._find_watch().is_standby,
         )
--- a/eelgrassrack/standins/metadatastore.py
+++ b/eelgrassrack/standins/metadatastore.py
@@ -54,6 +54,7 @@
         "delay",
         "fault",
         "revision",
+        "waits",
     )
 
     def __init__(self) -> None:
@@ -65,6 +66,8 @@
         self.delay = 0.0
         self.fault = Fault.NONE
         self.revision = 1
+        # The seconds that the last watch of each kind asked to wait.
+        self.waits: dict[str, float] = {}
         app = tornado.web.Application([(PATH, _Handler, {"store": self})])
         self._server = StandinServer(app=app)
 
@@ -215,7 +218,9 @@
 
     async def _watch(self, kind: str, after: int) -> None:
         loop = asyncio.get_running_loop()
-        last = loop.time() + int(self.get_query_argument(WAIT_QUERY, "0")) / 1000
+        wait = int(self.get_query_argument(WAIT_QUERY, "0")) / 1000
+        self.store.waits[kind] = wait
+        last = loop.time() + wait
         while True:
             if self.store.fault is Fault.DEAF:
                 await asyncio.Event().wait()
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -276,3 +276,17 @@
             await wait_for(lambda: first.entries == second.entries == 2, seconds=2.5)
 
     run(main())
+
+
+def test_a_changed_bound_holds_from_the_next_watch_on():
+    """Operators want leaving endpoints noticed sooner, and send SIGHUP."""
+
+    async def main():
+        async with make_world() as world:
+            gateway = await world.start_gateway(drain_ms=9_000.0)
+            await world.wait_ready()
+            world.change_settings(drain_ms=1_000.0)
+            gateway.reload()
+            await wait_for(lambda: 0 < world.store.waits.get(Kinds.ENDPOINTS, 9) < 0.8)
+
+    run(main())
--- a/test/gateway/test_limits.py
+++ b/test/gateway/test_limits.py
@@ -169,3 +169,25 @@
             assert (await caller.read()).status == 413
 
     run(main())
+
+
+def test_connections_that_callers_close_are_forgotten():
+    """Callers open connections, use them or not, and close them, all day long.
+
+    If each were kept, memory and the work of looking through them would grow.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await start(world)
+            gateway = world.gateways[0]
+            callers = [await connect(world.settings[0].listen) for _ in range(20)]
+            for number, caller in enumerate(callers[:10]):
+                caller.send("/look/1", attempt=f"a{number}")
+                assert (await caller.read()).status == 200
+            await wait_for(lambda: gateway.ingress.idle_connections == 20)
+            for caller in callers:
+                caller.close()
+            await wait_for(lambda: gateway.ingress.idle_connections == 0, seconds=1.0)
+
+    run(main())
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -157,18 +157,25 @@
             grace_seconds=6.0,
             **rest,
         )
+        index = len(self.settings)
         gateway = Gateway(
             settings=settings,
             store=PlatformStore(url=settings.objects_url),
             kinds=Kinds,
             translation=headers,
+            read_settings=lambda: self.settings[index],
             count_dropped=lambda: self.dropped_lines,
         )
-        await gateway.start()
         self.gateways.append(gateway)
         self.settings.append(settings)
+        await gateway.start()
         return gateway
 
+    def change_settings(self, number=0, **changes):
+        """Change the file of a gateway's settings."""
+        changed = msgspec.structs.replace(self.settings[number], **changes)
+        self.settings[number] = changed
+
     async def wait_ready(self, number=0):
         await wait_for(lambda: self.gateways[number].is_ready)
 
