Reset connections of requests that are given up

A zone was cut while a request was on its way to an endpoint there; it was given up after 0.7 s and its connection closed in order. The kernel kept its bytes and sent them when the cut healed, 6.3 s after the send, 2.5 s after that endpoint had said that it leaves. The test failed first.

--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 
 import h11
 from tornado.iostream import IOStream, StreamClosedError
@@ -22,6 +23,9 @@
 PROBE_SECONDS = 1
 PROBES = 2
 
+# Not to linger at a close: the kernel discards what it holds, and resets.
+NO_LINGER = struct.pack("ii", 1, 0)
+
 # An answer's head takes a few hundred bytes; more than this is none.
 MOST_HEAD_BYTES = 65_536
 
@@ -63,7 +67,21 @@
         return self._stream.closed()
 
     def close(self) -> None:
-        """Close at once; a request under way is dropped by its endpoint."""
+        """Close in order; for connections without a request under way."""
+        self._stream.close()
+
+    def abort(self) -> None:
+        """Reset the connection, and with it the request under way.
+
+        On a path that is cut the kernel keeps the request's bytes, and after an
+        orderly close would still send them when the path is whole again: a
+        request given up long ago would reach an endpoint that is leaving, or
+        run a second time.  A reset discards them.
+        """
+        if not self._stream.closed():
+            self._stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
         self._stream.close()
 
     def send(
@@ -153,7 +171,7 @@
         endpoint's own close.
         """
         self._is_given_up = True
-        self._stream.close()
+        self.abort()
 
     async def _receive(self) -> None:
         try:
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -64,7 +64,7 @@
         if not busy:
             self._busy.pop(endpoint, None)
         if not connection.is_kept:
-            connection.close()
+            connection.abort()
 
     def probe_silent(
         self, *, now: float, note_dark: Callable[[Endpoint], None]
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -112,13 +112,17 @@
         "cancelled",
         "connections",
         "name",
+        "resets",
         "runs",
     )
 
     def __init__(self, *, name: str, script: Sequence[Step]) -> None:
         self.name = name
         self.runs: list[Run] = []
+        # Requests that the router gave up, and those of them whose connection
+        # it reset.
         self.cancelled: list[str] = []
+        self.resets: list[str] = []
         self.connections = 0
         self.address = ""
         self._steps = itertools.chain(script, itertools.repeat(script[-1]))
@@ -235,11 +239,18 @@
                     await asyncio.sleep(0)
                 return False
             case Hang():
-                await reader.read(1)
-                self.cancelled.append(run.attempt)
+                await self._wait_for_end(run, reader)
                 return False
         return True
 
+    async def _wait_for_end(self, run: Run, reader: asyncio.StreamReader) -> None:
+        """Wait until the router gives the request up, and note how."""
+        try:
+            await reader.read(1)
+        except ConnectionResetError:
+            self.resets.append(run.attempt)
+        self.cancelled.append(run.attempt)
+
     async def _stream(
         self,
         run: Run,
@@ -268,9 +279,12 @@
                 return False
             writer.write(machine.send(h11.Data(data=event)))
             await writer.drain()
-            if await _has_left(reader, step.gap):
-                self.cancelled.append(run.attempt)
+            try:
+                async with asyncio.timeout(step.gap):
+                    await self._wait_for_end(run, reader)
                 return False
+            except TimeoutError:
+                continue
         writer.write(machine.send(h11.EndOfMessage()))
         await writer.drain()
         return True
@@ -294,7 +308,7 @@
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Reset a connection, as a process that crashes does."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and not writer.transport.is_closing():
         # Without lingering the kernel sends a reset instead of an orderly end.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
@@ -320,17 +334,3 @@
         headers=headers,
         body=body,
     )
-
-
-async def _has_left(reader: asyncio.StreamReader, seconds: float) -> bool:
-    """Wait, and tell whether the caller closed its connection meanwhile."""
-    if not seconds:
-        await asyncio.sleep(0)
-        return False
-    try:
-        async with asyncio.timeout(seconds):
-            return await reader.read(1) == b""
-    except TimeoutError:
-        return False
-    except ConnectionError:
-        return True
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -587,6 +587,25 @@
     run(main())
 
 
+def test_a_request_that_is_given_up_never_arrives_late():
+    """The path to an endpoint is cut with a request on it, which is given up.
+
+    Closed in order, its bytes would still be sent when the path is whole again,
+    seconds later, to an endpoint that is leaving by then.
+    """
+
+    async def main():
+        async with make_world() as world:
+            mute = await world.add_engine("e1", Hang(), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call(attempt="a1")).status == 200
+            await wait_for(lambda: mute.resets == ["a1"], seconds=0.5)
+
+    run(main())
+
+
 def test_a_slow_endpoint_that_takes_connections_is_waited_for():
     """An engine reads a long prompt and says nothing for most of a second."""
 
