Give up an endpoint only after two unanswered connects, and never on a last attempt

Three ways led there, each with a test that failed first: one lost first packet of a probe made an endpoint look dark, and all its streams were cut; that was done also to streams on their last attempt; and a begun stream was ended when its key had been taken away while it moved to another endpoint.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -65,7 +65,8 @@
     def _send(self, job: Job, endpoint: Endpoint, connection: Connection) -> None:
         arrival = job.arrival
         connection.is_kept = False
-        connection.is_repeatable = job.is_repeatable
+        # With no attempt left a silent endpoint is better than none.
+        connection.is_repeatable = job.is_repeatable and bool(job.attempts_left)
         headers = self._translation.encode_request(
             arrival=arrival,
             endpoint=endpoint.name,
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -89,9 +89,7 @@
         self, endpoint: Endpoint, note_dark: Callable[[Endpoint], None]
     ) -> None:
         try:
-            connection = await open_connection(
-                address=endpoint.address, timeout=PROBE_SECONDS
-            )
+            connection = await _connect_twice(endpoint.address)
         except ConnectError as error:
             log.info("pool: {} is out of reach: {}", endpoint.name, error)
             note_dark(endpoint)
@@ -149,3 +147,17 @@
     if connection.is_closed or connection.has_stray_bytes:
         return False
     return now < connection.idle_until
+
+
+async def _connect_twice(address: tuple[str, int]) -> Connection:
+    """Connect, again if nothing comes back; raise `ConnectError`.
+
+    The first packet of a connection may be lost, and the kernel sends it again
+    only after a second.  Taken for silence, that would end all streams of an
+    endpoint that is up.
+    """
+    try:
+        return await open_connection(address=address, timeout=PROBE_SECONDS)
+    except ConnectError as error:
+        log.debug("pool: first try of {}: {}", address, error)
+    return await open_connection(address=address, timeout=PROBE_SECONDS)
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -150,11 +150,14 @@
             if refusal is not None:
                 await self._conclude(job, reply, refusal)
                 return
-            again = self.router.permit(job.arrival)
-            if isinstance(again, Refusal):
-                await self._conclude(job, reply, again)
-                return
+            # A caller that has a part of its stream was permitted when it came:
+            # ended now, by a key that was taken away, the stream would break
+            # off for a fault of its endpoint.
             if not reply.is_begun:
+                again = self.router.permit(job.arrival)
+                if isinstance(again, Refusal):
+                    await self._conclude(job, reply, again)
+                    return
                 self._move(job, again)
             self._find_sends(job.permit.service.name).note_repeat(self._loop.time())
 
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.errors import ConnectError
+from eelgrassrack.gateway.exchange import open_connection
 from eelgrassrack.standins.directengine import (
     Break,
     Events,
@@ -676,3 +679,82 @@
             caller.close()
 
     run(main())
+
+
+def test_a_begun_stream_goes_on_though_its_key_was_taken_away():
+    """An endpoint breaks off, and meanwhile the caller's key was taken away.
+
+    The caller was permitted when it came and has half of its stream.
+    """
+
+    async def main():
+        async with make_world() as world:
+            broken = Events(count=6, gap=0.2, breaks_after=3)
+            await world.add_engine("e1", broken, service="models", slots=100)
+            await world.add_engine("e2", Events(count=6), service="models", slots=1)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: gateway.ingress.open_requests)
+            world.configure(version=2, keys=("another",))
+            await wait_for(lambda: gateway.router.version == 2)
+            got = await calling
+            assert got.is_whole
+            assert got.body.count(b"id: ") == 6
+
+    run(main())
+
+
+def test_the_last_attempt_waits_for_an_endpoint_that_looks_dark(monkeypatch):
+    """A stream runs by its last attempt, and no new connection gets through.
+
+    Given up, it would break off for certain; the endpoint may only be full.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, gap=1.2), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/final/1"))
+            await wait_for(lambda: engine.runs)
+            monkeypatch.setattr(pool, "open_connection", fail_to_connect)
+            assert (await calling).is_whole
+
+    run(main())
+
+
+async def fail_to_connect(*, address, timeout):
+    raise ConnectError(f"{address}: no answer")
+
+
+def test_one_lost_packet_doesn_t_make_an_endpoint_dark(monkeypatch):
+    """A stream pauses, and the first packet of the probe is lost on its way.
+
+    The endpoint is up; its streams would all be cut and begun anew.
+    """
+    tries = []
+
+    async def lose_first(*, address, timeout):
+        tries.append(address)
+        if len(tries) == 1:
+            raise ConnectError(f"{address}: no answer")
+        return await open_connection(address=address, timeout=timeout)
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, gap=0.9), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: engine.runs)
+            monkeypatch.setattr(pool, "open_connection", lose_first)
+            assert (await calling).is_whole
+            assert len(tries) > 1
+            assert len(engine.runs) == 1
+
+    run(main())
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -78,6 +78,15 @@
         timeoutMs=8_000,
         sizes=list(MODELS),
     ),
+    make_route(
+        "final",
+        "/final/",
+        "streaming",
+        service="models",
+        resumable=True,
+        timeoutMs=8_000,
+        maxAttempts=1,
+    ),
     make_route("once", "/once/", "streaming", service="models", timeoutMs=8_000),
 )
 
