Call one piece where the change had two

Ports for started daemons: the gateway's tests and the live bench each had a finder beside that of the process tests; one module serves all, with the stricter way of each (below the kernel's own ports, none twice). The pool kept an idle connection in two places, the option that makes a close reset was packed twice, and whether the store is heard here was worked out twice. Limits on callers were looked up a second time for each request. Gone: three names that nothing read. Behaviour and assertions are as before.

--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -16,7 +16,8 @@
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import DirectEngine, Echo, Events
 from eelgrassrack.standins.metadatastore import Fault, MetadataStore
-from test.gateway.world import find_port, make_manifest
+from test.gateway.world import make_manifest
+from test.ports import find_port
 
 from .callers import EVENTS, Callers
 from .links import Link, Trouble
--- a/bench/live/fleet.py
+++ b/bench/live/fleet.py
@@ -4,7 +4,6 @@
 """
 
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -14,6 +13,7 @@
 import msgspec
 
 from eelgrassrack.statuses import EntryStatus
+from test.ports import find_port
 
 ADDRESS = "127.0.0.1"
 READY_SECONDS = 30.0
@@ -197,10 +197,3 @@
             return False
         current = [one for one in status.endpoints if one.revision]
         return len(current) == len(self.engine_urls)
-
-
-def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
--- a/eelgrassrack/gateway/beliefs.py
+++ b/eelgrassrack/gateway/beliefs.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-from .endpoints import Endpoint
-
 
 class RolloutState(enum.Enum):
     """How far a roll-out has come, as written for operators."""
@@ -71,6 +69,3 @@
 
     name: str
     address: tuple[str, int]
-
-
-Believed = Endpoint | RolloutOrder | Peer
--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -79,9 +79,7 @@
         run a second time.  A reset discards them.
         """
         if not self._stream.closed():
-            self._stream.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-            )
+            discard_unsent(self._stream.socket)
         self._stream.close()
 
     def send(
@@ -221,5 +219,10 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
 
 
+def discard_unsent(sock: socket.socket) -> None:
+    """Have the next close discard what isn't sent yet, and reset the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
 def _ignore() -> None:
     """Do nothing: a close callback is what makes tornado listen."""
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -297,7 +297,7 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._refused: Reply | None = None
-        self._limits = ingress._find_limits()
+        self._limits: Limits | None = None
         self._task: asyncio.Task | None = None
 
     def headers_received(
--- a/eelgrassrack/gateway/knowledge.py
+++ b/eelgrassrack/gateway/knowledge.py
@@ -103,7 +103,7 @@
     def knows_store(self) -> bool:
         """Tell whether what this gateway tells is fresh from the store."""
         has_read = all(one.event_revision for one in self.followers)
-        return has_read and self.is_watcher() and self._contact.lost_at is None
+        return has_read and self._hears_store
 
     @property
     def revisions(self) -> tuple[int, ...]:
@@ -142,6 +142,10 @@
         """Tell whether this gateway watches the store itself."""
         return self._find_watch().rank is not None
 
+    @property
+    def _hears_store(self) -> bool:
+        return self.is_watcher() and self._contact.lost_at is None
+
     def _find_wait(self, bound: float) -> float:
         watch = self._find_watch()
         return find_wait(
@@ -161,8 +165,7 @@
         )
         if beliefs.plan is not None:
             self._take_plans({name: beliefs.plan})
-        is_served = self.is_watcher() and self._contact.lost_at is None
-        if is_served and self._fleet.is_known:
+        if self._hears_store and self._fleet.is_known:
             return
         if beliefs.knows_store or not self._fleet.is_known:
             self._adopted = beliefs.revisions
--- a/eelgrassrack/gateway/messages.py
+++ b/eelgrassrack/gateway/messages.py
@@ -75,7 +75,6 @@
     load: Load | None = None
     keep_alive: float | None = None
     will_close: bool = False
-    misdirected: bool = False
     confidence: int | None = None
 
 
--- a/eelgrassrack/gateway/plan.py
+++ b/eelgrassrack/gateway/plan.py
@@ -102,7 +102,6 @@
 class Permit(msgspec.Struct, kw_only=True, frozen=True):
     """What the configuration allows one request."""
 
-    version: int
     route: Route
     service: Service
     organisation: Organisation | None
@@ -167,7 +166,6 @@
         if service is None:
             return NO_ROUTE
         return Permit(
-            version=plan.version,
             route=route,
             service=service,
             organisation=organisation,
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -98,9 +98,8 @@
                 if one.is_repeatable:
                     one.give_up()
             return
-        connection.idle_until = asyncio.get_running_loop().time() + PROBED_IDLE_SECONDS
-        connection.watch_idle()
-        self._idle.setdefault(endpoint.lifetime, []).append(connection)
+        now = asyncio.get_running_loop().time()
+        self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
 
     def _take_kept(self, endpoint: Endpoint, now: float) -> Connection | None:
         kept = self._idle.get(endpoint.lifetime, [])
@@ -118,7 +117,13 @@
         if head.will_close or not connection.release():
             connection.close()
             return
-        connection.idle_until = now + choose_idle_seconds(head.keep_alive)
+        until = now + choose_idle_seconds(head.keep_alive)
+        self._keep(endpoint, connection, until=until)
+
+    def _keep(
+        self, endpoint: Endpoint, connection: Connection, *, until: float
+    ) -> None:
+        connection.idle_until = until
         connection.watch_idle()
         self._idle.setdefault(endpoint.lifetime, []).append(connection)
 
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -138,7 +138,6 @@
         load=_decode_load(named.get("x-instance-load", "")),
         keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
         will_close="close" in listed,
-        misdirected=status == MISDIRECTED,
         confidence=_decode_count(named.get("x-confidence", "")),
     )
 
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -6,13 +6,12 @@
 
 import asyncio
 import itertools
-import socket
-import struct
 from collections.abc import Sequence
 
 import h11
 import msgspec
 
+from ..gateway.exchange import discard_unsent
 from ..platform.headers import (
     ATTEMPT,
     CONFIDENCE,
@@ -309,8 +308,7 @@
     """Reset a connection, as a process that crashes does."""
     sock = writer.get_extra_info("socket")
     if sock is not None and not writer.transport.is_closing():
-        # Without lingering the kernel sends a reset instead of an orderly end.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        discard_unsent(sock)
     writer.transport.abort()
 
 
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import secrets
-import socket
 
 import msgspec
 
@@ -14,9 +12,10 @@
 from eelgrassrack.standins.directengine import DirectEngine, Reply
 from eelgrassrack.standins.metadatastore import MetadataStore
 
+from ..ports import find_port
+
 HOST = "api.example"
 KEY = "key-of-first"
-ADDRESS = "127.0.0.1"
 
 MODELS = ("small", "middle", "large")
 
@@ -26,29 +25,6 @@
     return asyncio.run(asyncio.wait_for(coroutine, 30))
 
 
-# Below the range that the kernel takes ports of outgoing connections from:
-# a port that was free a moment ago may be taken by one of these.
-PORTS = range(12_000, 30_000)
-
-_found = set()
-
-
-def find_port():
-    """Return a port that is free and that no other call returned."""
-    while True:
-        port = secrets.choice(PORTS)
-        if port in _found:
-            continue
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind((ADDRESS, port))
-            except OSError:
-                continue
-        _found.add(port)
-        return port
-
-
 def make_route(name, prefix, kind="idempotent", **rest):
     return {
         "name": name,
--- a/test/processes/fleet.py
+++ b/test/processes/fleet.py
@@ -1,9 +1,7 @@
 """Daemons and stand-ins as separate processes, for tests."""
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,9 +11,9 @@
 
 from eelgrassrack.standins.caller import CallAnswer, Text, read_plain, read_stream
 
+from ..ports import find_port
+
 PATIENCE = 30.0
-PORTS = (15_000, 30_000)
-PORT_TRIES = 100
 DOCUMENT = """\
 [team operations]
 sections = *
@@ -71,23 +69,6 @@
         self.popen.communicate(timeout=PATIENCE)
 
 
-def find_port():
-    """Return a port that a daemon started next can listen on.
-
-    It lies below the ports that connections are given by themselves: one of
-    those could be taken by any connection before the daemon listens.
-    """
-    for _ in range(PORT_TRIES):
-        port = random.randint(*PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-    raise AssertionError("no port is free")
-
-
 def fetch(url, *, method="GET", body=None, headers=None, timeout=PATIENCE):
     """Return the status, headers and body of any answer."""
     request = urllib.request.Request(
