Open the socket for callers before anything is loaded

Callers whose one retry falls into that time are refused by the kernel and lost. Ruled out: the store's calls (50 ms).

--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -4,15 +4,9 @@
 that is restarted often on a small instance should.
 """
 
-import asyncio
 import sys
 
-from ..errors import UserError
-from ..logs import BoundedHandler, install_bounded
-from ..platform import headers
-from ..platform.store import Kinds, PlatformStore
-from .daemon import Gateway
-from .settings import GatewaySettings, read_gateway_settings
+from .listener import open_early
 
 USAGE = 2
 
@@ -22,27 +16,12 @@
     if len(argv) != 1:
         print("usage: python -m eelgrassrack.gateway SETTINGS", file=sys.stderr)
         return USAGE
-    try:
-        settings = read_gateway_settings(argv[0])
-    except UserError as error:
-        print(f"eelgrassrack: {error}", file=sys.stderr)
-        return error.exit_code
-    handler = install_bounded(settings.log)
-    asyncio.run(run(settings, path=argv[0], handler=handler))
-    return 0
-
-
-async def run(settings: GatewaySettings, *, path: str, handler: BoundedHandler) -> None:
-    """Run a gateway on the platform's store, with its settings' file at `path`."""
-    gateway = Gateway(
-        settings=settings,
-        store=PlatformStore(url=settings.objects_url),
-        kinds=Kinds,
-        translation=headers,
-        count_dropped=lambda: handler.dropped,
-        read_settings=lambda: read_gateway_settings(path),
-    )
-    await gateway.run()
+    (path,) = argv
+    listener = open_early(path)
+    # Only now, with the socket open, what takes long to load.
+    from .process import run_process
+
+    return run_process(path, listener)
 
 
 if __name__ == "__main__":
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 from collections.abc import Callable
 
 import logbook
@@ -15,6 +16,7 @@
 from .follower import Contact, Store
 from .ingress import Ingress
 from .knowledge import Kinds, Knowledge
+from .listener import open_listener
 from .metrics import GatewayMetrics
 from .news import News, NewsExchange
 from .placing import Placing
@@ -38,9 +40,6 @@
 # What is left of the grace for the last bytes to leave.
 LAST_SECONDS = 0.7
 
-# The balancer's health check of an entry and operators' reads are short.
-BACKLOG = 1_024
-
 # A call to the store beside the watches.
 CALL_SECONDS = 1.5
 
@@ -71,6 +70,7 @@
         "ingress",
         "_is_closing",
         "_kinds",
+        "_listener",
         "_metrics",
         "_news",
         "_placing",
@@ -95,8 +95,10 @@
         translation: Translation,
         count_dropped: Callable[[], int],
         read_settings: Callable[[], GatewaySettings] | None = None,
+        listener: socket.socket | None = None,
     ) -> None:
         self._settings = settings
+        self._listener = listener
         self._read_settings = read_settings
         self._count_dropped = count_dropped
         self._store = store
@@ -169,6 +171,7 @@
             translation=translation,
             metrics=self._metrics,
             settings=settings,
+            is_learning=lambda: self.has_store and not self._knowledge.is_informed,
         )
         self.ingress = Ingress(
             service=self._serving,
@@ -223,8 +226,7 @@
         self._supervisor.start(
             name="sharing", job=lambda: self._sharing.run(lambda: self._news.heard)
         )
-        host, port = self._settings.listen.rsplit(":", 1)
-        self._server.listen(int(port), host, backlog=BACKLOG)
+        self._server.add_socket(self._listener or open_listener(self._settings.listen))
         for door in self._doors:
             door.open()
         log.notice(
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import logbook
 
@@ -38,6 +39,12 @@
 
 USUAL_LIMIT_SECONDS = 30.0
 
+# A gateway that has just started knows the configuration after two calls to the
+# store, within 50 ms.  Refused meanwhile, callers of all gateways that were killed
+# at once would have spent their last try.
+LEARN_SECONDS = 0.4
+LEARN_LOOK_SECONDS = 0.02
+
 # Another entry takes what comes to one that ends.
 STOPPING = Refusal(status=503, reason="stopping", retry_after=0.3)
 
@@ -48,6 +55,7 @@
     __slots__ = (
         "_attempts",
         "_ends_at",
+        "_is_learning",
         "_loop",
         "_metrics",
         "_placing",
@@ -65,8 +73,10 @@
         translation: Translation,
         metrics: GatewayMetrics,
         settings: GatewaySettings,
+        is_learning: Callable[[], bool],
     ) -> None:
         self.router = router
+        self._is_learning = is_learning
         self._placing = placing
         self._attempts = Attempts(
             placing=placing,
@@ -87,6 +97,7 @@
     async def serve(self, *, arrival: Arrival, reply: Reply) -> None:
         """Answer one request."""
         self._metrics.arrived()
+        await self._wait_learned(arrival)
         verdict = self.router.permit(arrival)
         if isinstance(verdict, Refusal):
             await self.refuse(arrival, reply, verdict)
@@ -111,6 +122,12 @@
             self._note_end(job, "caller_gone")
             raise
 
+    async def _wait_learned(self, arrival: Arrival) -> None:
+        """Wait until what the store tells at a start has come, for a moment."""
+        last = arrival.arrived + LEARN_SECONDS
+        while self._is_learning() and self._loop.time() < last:
+            await asyncio.sleep(LEARN_LOOK_SECONDS)
+
     def stop_at(self, time: float) -> None:
         """Refuse from now on what wouldn't end by a time of the loop."""
         self._ends_at = time
