--- a/bench/gatewayslopes.py
+++ b/bench/gatewayslopes.py
@@ -13,7 +13,7 @@
 from eelgrassrack.decisions.engines import Candidate, Reading, choose_engine
 from eelgrassrack.gateway.endpoints import Endpoint
 from eelgrassrack.gateway.fleet import Flight
-from eelgrassrack.gateway.news import FlightNews, News
+from eelgrassrack.gateway.news import BacklogNews, FlightNews, News
 
 SIZES = (9, 29, 580)
 ROUNDS = 300
@@ -47,7 +47,8 @@
     candidates = [
         Candidate(
             name=f"i-{number:010x}",
-            backlog=number % 7 * 0.01,
+            wait=number % 7 * 0.01,
+            burden=number % 7 * 0.01,
             running=number % 5,
             slots=48,
             is_near=True,
@@ -71,7 +72,9 @@
         configuration=80,
         knows_store=True,
         revisions=(4_000, 4_100, 4_200, 4_300),
-        flights=tuple(FlightNews(2**31 + n, 3, 120) for n in range(8)),
+        flights=tuple(
+            FlightNews(2**31 + n, 3, (BacklogNews(4, 120),)) for n in range(8)
+        ),
     )
 
 
--- a/eelgrassrack/decisions/engines.py
+++ b/eelgrassrack/decisions/engines.py
@@ -32,16 +32,20 @@
 class Candidate(msgspec.Struct, kw_only=True, frozen=True):
     """An endpoint that may get the request.
 
-    `backlog` is the seconds that it is busy with reading what all entries
-    sent, `running` their requests there, `slots` how many it runs at once.
+    `wait` is the seconds before it would read the request, `burden` the seconds
+    that it is compared by (`Backlog`), `running` the requests of all entries
+    there, `slots` how many it runs at once.
+    `slowness` is how many times as long as others it takes for the same work.
     `holds_parts` says that it most likely has the shared parts cached.
     """
 
     name: str
-    backlog: float
+    wait: float
+    burden: float
     running: int
     slots: int
     is_near: bool
+    slowness: float = 1.0
     holds_parts: bool = False
     is_shunned: bool = False
 
@@ -79,15 +83,16 @@
         ),
     )
     own = reading.whole - (reading.shared if best.holds_parts else 0.0)
-    wait = best.backlog + _find_queue(best)
-    return Choice(best.name, wait + own, wait)
+    wait = (best.wait + _find_queue(best)) * best.slowness
+    return Choice(best.name, wait + own * best.slowness, wait)
 
 
 def _weigh(one: Candidate, reading: Reading, *, is_home: bool) -> float:
     saved = reading.shared if one.holds_parts or is_home else 0.0
     far = 0.0 if one.is_near else FAR_SECONDS
     beside = BESIDE_SECONDS * one.running / one.slots
-    return one.backlog + _find_queue(one) + beside + far + reading.whole - saved
+    work = one.burden + _find_queue(one) + beside + reading.whole - saved
+    return work * one.slowness + far
 
 
 def _find_queue(one: Candidate) -> float:
--- a/eelgrassrack/decisions/urgency.py
+++ b/eelgrassrack/decisions/urgency.py
@@ -21,7 +21,8 @@
 SIZES = len(SIZE_SECONDS) + 1
 
 # Engines know ten ranks.
-LAST = 9
+RANKS = 10
+LAST = RANKS - 1
 
 
 def find_urgency(*, rank: int, reading: float) -> int:
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -5,7 +5,6 @@
 
 from ..decisions.modelchoice import choose_next
 from ..decisions.silence import limit_first, limit_gap
-from ..decisions.urgency import find_urgency
 from .endpoints import Endpoint
 from .errors import BrokenError, ConnectError
 from .events import EventSplitter, skip_known
@@ -53,6 +52,9 @@
             self._send(job, endpoint, connection)
             outcome = await self._listen(job, endpoint, connection, reply)
         except ConnectError as error:
+            # Nothing reached the endpoint.  Counted, a request that meets three
+            # crashed endpoints would be refused though others are idle.
+            job.attempts -= 1
             return NotRun(reason=str(error), is_down=True)
         except BrokenError as error:
             return Lost(reason=str(error))
@@ -74,7 +76,7 @@
             left=job.deadline - self._loop.time(),
             resume_after=job.resume_after,
             model=job.model,
-            priority=_find_priority(job),
+            priority=job.urgency if arrival.tokens_in else None,
         )
         connection.send(
             method=arrival.method,
@@ -242,10 +244,3 @@
 
     def _note_first(self, job: Job) -> None:
         job.first_at = self._loop.time()
-
-
-def _find_priority(job: Job) -> int | None:
-    """Return the rank for an engine; others know none."""
-    if not job.arrival.tokens_in:
-        return None
-    return find_urgency(rank=job.permit.priority, reading=job.reading)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -297,6 +297,7 @@
             self.fleet.sweep()
             self.ingress.close_overdue()
             self._placing.forget_parts()
+            self._placing.judge_slow()
             if now >= next_look:
                 # The file may change without any signal.
                 self.reload()
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -5,6 +5,7 @@
 import msgspec
 import xxhash
 
+from ..decisions.urgency import LAST
 from .messages import Arrival, Head
 from .plan import Permit
 
@@ -25,7 +26,10 @@
 
 
 class NotRun(msgspec.Struct, kw_only=True, frozen=True):
-    """The attempt surely didn't run and never will."""
+    """The attempt surely didn't run and never will.
+
+    `is_down` says that the endpoint couldn't even be connected to.
+    """
 
     reason: str
     is_down: bool = False
@@ -55,7 +59,11 @@
 
 
 class Job:
-    """One request under way."""
+    """One request under way.
+
+    `expected` is the seconds to the first piece that placing reckons with,
+    `usual` the same if the endpoint is as fast as others.
+    """
 
     __slots__ = (
         "arrival",
@@ -73,6 +81,8 @@
         "resume_after",
         "standing",
         "tried",
+        "urgency",
+        "usual",
         "was_idle",
     )
 
@@ -91,7 +101,9 @@
         self.fingerprint = make_fingerprint(arrival, permit)
         self.model = arrival.model
         self.expected = 0.0
+        self.usual = 0.0
         self.reading = 0.0
+        self.urgency = LAST
         self.was_idle = False
 
     @property
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -8,11 +8,13 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from typing import Annotated
 
 import logbook
 import msgspec
 
 from ..decisions.poison import Crash
+from ..decisions.urgency import LAST
 from ..decisions.versiontrial import Tally
 from .beliefs import Peer
 
@@ -33,16 +35,25 @@
 SHARE_SECONDS = 20.0
 
 
+class BacklogNews(msgspec.Struct, frozen=True, array_like=True):
+    """The time that an endpoint needs to read its prompts of one urgency."""
+
+    urgency: Annotated[int, msgspec.Meta(ge=0, le=LAST)]
+    milliseconds: int
+
+
 class FlightNews(msgspec.Struct, frozen=True, array_like=True):
     """What one gateway has under way at a lifetime of an endpoint.
 
     `lifetime` is a short hash, since most bytes of the news would be names.
-    `backlog_ms` is the time that the endpoint needs to read its prompts.
+    `answers` and `slowness` are a `Timing` in hundredths.
     """
 
     lifetime: int
     running: int
-    backlog_ms: int
+    backlog: tuple[BacklogNews, ...] = ()
+    answers: int = 0
+    slowness: int = 0
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -1,12 +1,14 @@
 """Place requests on endpoints by what this gateway knows of them."""
 
 import asyncio
+import collections
 import itertools
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import logbook
 
+from ..decisions.backlog import Backlog
 from ..decisions.doubt import DOUBT_SECONDS, avoid_doubtful
 from ..decisions.engines import (
     Candidate,
@@ -14,14 +16,21 @@
     choose_engine,
 )
 from ..decisions.modelchoice import Estimate
-from ..decisions.pace import Pace
+from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.poison import Crash, Poison
 from ..decisions.sharedbudget import share_cold_rate
+from ..decisions.slowness import Timing, find_slow
 from .endpoints import Endpoint
 from .fleet import Fleet, Flight
 from .messages import Refusal
-from .news import FlightNews, News
-from .prompts import find_affinity, find_cost, find_generated, find_reading
+from .news import BacklogNews, FlightNews, News
+from .prompts import (
+    find_affinity,
+    find_cost,
+    find_generated,
+    find_reading,
+    rank_reading,
+)
 from .rollouts import Rollouts
 from .settings import GatewaySettings
 
@@ -43,6 +52,7 @@
 IDLE_SECONDS = 0.01
 
 MILLISECONDS = 1000.0
+HUNDREDTHS = 100.0
 
 # While every endpoint is at the limit of its cold start, look again so often.
 COLD_PAUSE_SECONDS = 0.05
@@ -122,16 +132,21 @@
             if self._holds(flight, affinity, now):
                 job.reading -= reading.shared
             flight.parts[affinity] = now
+        job.urgency = rank_reading(job, job.reading)
         job.was_idle = flight.backlog < IDLE_SECONDS
         flight.own += 1
-        flight.own_backlog += job.reading
+        flight.own_backlog.add(job.urgency, job.reading)
         flight.cold_sends.append(now)
 
     def note_first(self, job: "Job", endpoint: Endpoint) -> None:
         """Note the first piece of an answer: its prompt has been read."""
         flight = self._find(endpoint)
+        now = self._loop.time()
         if flight is not None:
-            flight.own_backlog -= job.reading
+            flight.own_backlog.add(job.urgency, -job.reading)
+            flight.note_first(
+                seen=now - job.sent_at, expected=job.usual + BASE_SECONDS, now=now
+            )
         if job.was_idle and job.reading:
             paced = find_reading(job, job.model, self._pace).whole
             share = job.reading / paced if paced else 0.0
@@ -139,7 +154,7 @@
                 model=job.model,
                 cost=find_cost(job, job.model),
                 tokens=int(job.arrival.tokens_in * share),
-                seconds=self._loop.time() - job.sent_at,
+                seconds=now - job.sent_at,
             )
         job.reading = 0.0
 
@@ -148,7 +163,7 @@
         flight = self._find(endpoint)
         if flight is not None:
             flight.own -= 1
-            flight.own_backlog -= job.reading
+            flight.own_backlog.add(job.urgency, -job.reading)
         job.reading = 0.0
 
     def estimate(self, job: "Job", model: str) -> Estimate:
@@ -247,15 +262,9 @@
 
     def tell_flights(self) -> tuple[FlightNews, ...]:
         """Return what is under way, for peers."""
-        return tuple(
-            FlightNews(
-                flight.key,
-                flight.own,
-                int(flight.own_backlog * MILLISECONDS),
-            )
-            for flight in self._fleet
-            if flight.own
-        )
+        now = self._loop.time()
+        told = (_tell(flight, now) for flight in self._fleet)
+        return tuple(one for one in told if one.running or one.answers)
 
     def tell_crashes(self) -> tuple[Crash, ...]:
         """Return the crashes that were found, for peers."""
@@ -280,23 +289,47 @@
             return
         self._has_news = False
         heard = self._list_heard()
-        totals: dict[int, list[int]] = {}
-        for news in heard:
-            for told in news.flights:
-                total = totals.setdefault(told.lifetime, [0, 0])
-                total[0] += told.running
-                total[1] += told.backlog_ms
+        running: collections.Counter[int] = collections.Counter()
+        backlogs: dict[int, Backlog] = {}
+        timings: dict[int, Timing] = {}
+        for told in itertools.chain.from_iterable(one.flights for one in heard):
+            running[told.lifetime] += told.running
+            timing = Timing(told.answers / HUNDREDTHS, told.slowness / HUNDREDTHS)
+            timings[told.lifetime] = timings.get(told.lifetime, Timing()) + timing
+            backlog = backlogs.setdefault(told.lifetime, Backlog())
+            for part in told.backlog:
+                backlog.add(part.urgency, part.milliseconds / MILLISECONDS)
         doubted = set(itertools.chain.from_iterable(one.doubted for one in heard))
         for flight in self._fleet:
-            total = totals.get(flight.key, (0, 0))
-            flight.peers = total[0]
-            flight.peers_backlog = total[1] / MILLISECONDS
+            flight.peers = running[flight.key]
+            flight.peers_backlog = backlogs.get(flight.key) or Backlog()
+            flight.timing_of_peers = timings.get(flight.key, Timing())
             flight.is_doubted_by_peers = flight.key in doubted
         now = self._loop.time()
         for news in heard:
             if news.crashes:
                 self._poison.merge(crashes=news.crashes, now=now)
 
+    def judge_slow(self) -> None:
+        """Find out which endpoints take far longer than others of their service."""
+        self._add_up_news()
+        now = self._loop.time()
+        by_service: dict[str, dict[str, Timing]] = {}
+        for flight in self._fleet:
+            timing = flight.find_timing(now) + flight.timing_of_peers
+            service = by_service.setdefault(flight.endpoint.service, {})
+            service[flight.endpoint.name] = timing
+        slow = collections.ChainMap(*map(find_slow, by_service.values()))
+        for flight in self._fleet:
+            factor = slow.get(flight.endpoint.name, 1.0)
+            if (factor > 1.0) != (flight.slowness > 1.0):
+                log.info(
+                    "placing: {} takes {:.1f} times as long as others",
+                    flight.endpoint.name,
+                    factor,
+                )
+            flight.slowness = factor
+
     def _select(self, job: "Job", passed_over: Collection[str]) -> list[Flight]:
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
@@ -315,16 +348,19 @@
 
     def _choose(self, job: "Job", flights: list[Flight]) -> Endpoint:
         choice = self._weigh(job, job.model, flights)
+        chosen = next(one for one in flights if one.endpoint.name == choice.name)
         job.expected = choice.seconds
-        by_name = {one.endpoint.name: one for one in flights}
-        return by_name[choice.name].endpoint
+        job.usual = choice.seconds / chosen.slowness
+        return chosen.endpoint
 
     def _weigh(self, job: "Job", model: str, flights: list[Flight]) -> Choice:
         now = self._loop.time()
         affinity = find_affinity(job, model)
+        reading = find_reading(job, model, self._pace)
+        urgency = rank_reading(job, reading.whole)
         return choose_engine(
-            candidates=[self._describe(one, affinity, now) for one in flights],
-            reading=find_reading(job, model, self._pace),
+            candidates=[self._describe(one, urgency, affinity, now) for one in flights],
+            reading=reading,
             affinity=affinity,
             spread=self._settings.name,
         )
@@ -353,10 +389,15 @@
         seconds = LONG_SHUN_SECONDS if often else SHORT_SHUN_SECONDS
         flight.shunned_until = self._loop.time() + seconds
 
-    def _describe(self, flight: Flight, affinity: str, now: float) -> Candidate:
+    def _describe(
+        self, flight: Flight, urgency: int, affinity: str, now: float
+    ) -> Candidate:
+        split = flight.split_backlog(urgency)
         return Candidate(
             name=flight.endpoint.name,
-            backlog=flight.backlog,
+            wait=split.wait,
+            burden=split.burden,
+            slowness=flight.slowness,
             running=flight.running,
             slots=flight.endpoint.slots,
             is_near=flight.endpoint.domain == self._settings.domain,
@@ -370,3 +411,19 @@
         if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
             return None
         return flight
+
+
+def _tell(flight: Flight, now: float) -> FlightNews:
+    """Return what is under way at an endpoint, for peers."""
+    timing = flight.find_timing(now)
+    backlog = tuple(
+        BacklogNews(urgency, int(seconds * MILLISECONDS))
+        for urgency, seconds in flight.own_backlog.list_parts()
+    )
+    return FlightNews(
+        flight.key,
+        flight.own,
+        backlog,
+        int(timing.answers * HUNDREDTHS),
+        int(timing.total * HUNDREDTHS),
+    )
--- a/eelgrassrack/gateway/prompts.py
+++ b/eelgrassrack/gateway/prompts.py
@@ -4,6 +4,7 @@
 
 from ..decisions.engines import PLAIN_SECONDS, Reading
 from ..decisions.pace import Pace
+from ..decisions.urgency import LAST, find_urgency
 
 if TYPE_CHECKING:
     from .job import Job
@@ -22,6 +23,13 @@
     )
 
 
+def rank_reading(job: "Job", reading: float) -> int:
+    """Return how urgent a prompt of so many seconds is; others wait for all."""
+    if not job.arrival.tokens_in:
+        return LAST
+    return find_urgency(rank=job.permit.priority, reading=reading)
+
+
 def find_cost(job: "Job", model: str) -> float:
     """Return how many times a model costs what the cheapest does."""
     costs = dict(job.permit.service.costs)
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -176,7 +176,8 @@
                     await self._conclude(job, reply, again)
                     return
                 self._move(job, again)
-            self._find_sends(job.permit.service.name).note_repeat(self._loop.time())
+            if job.attempts:
+                self._find_sends(job.permit.service.name).note_repeat(self._loop.time())
 
     def _move(self, job: Job, permit: Permit) -> None:
         """Go on by the configuration of now, which may name another service.
@@ -199,7 +200,7 @@
         now = self._loop.time()
         if job.deadline - now < LEAST_LEFT_SECONDS:
             return _refuse_unserved("no time left")
-        if not self._has_budget(job):
+        if job.attempts and not self._has_budget(job):
             return _refuse_unserved("retry budget spent")
         return None
 
@@ -302,10 +303,13 @@
             self._metrics.took(job.first_at - job.arrival.arrived, "first")
         self._metrics.took(now - job.arrival.arrived, "whole")
         log.info(
-            "serving: {} {} by {} after {:.3f} s, first {:.3f} s, attempts {} {}",
+            "serving: {} {} on {} with {} by {} after {:.3f} s, first {:.3f} s, "
+            "attempts {} {}",
             job.arrival.id,
             end,
-            ",".join(job.tried),
+            job.permit.route.name,
+            job.model or "no model",
+            ",".join(job.tried) or "none",
             now - job.arrival.arrived,
             (job.first_at or now) - job.arrival.arrived,
             job.attempts,
--- a/test/decisions/test_engines.py
+++ b/test/decisions/test_engines.py
@@ -7,8 +7,20 @@
 
 
 def make(count, **rest):
-    rest = {"backlog": 0.0, "running": 0, "slots": 48, "is_near": True, **rest}
-    return [Candidate(name=f"e{number}", **rest) for number in range(count)]
+    return [make_one(name=f"e{number}", **rest) for number in range(count)]
+
+
+def make_one(*, name, backlog=0.0, running=0, slots=48, is_near=True, **rest):
+    """Return an engine whose whole backlog is as urgent as the request."""
+    return Candidate(
+        name=name,
+        wait=backlog,
+        burden=backlog,
+        running=running,
+        slots=slots,
+        is_near=is_near,
+        **rest,
+    )
 
 
 def choose(candidates, *, reading=0.05, shared=0.02, affinity="part", spread="one"):
@@ -33,9 +45,9 @@
         name = choose(list(candidates.values())).name
         counts[name] += 1
         one = candidates[name]
-        candidates[name] = Candidate(
+        candidates[name] = make_one(
             name=name,
-            backlog=one.backlog + 0.03,
+            backlog=one.wait + 0.03,
             running=one.running + 1,
             slots=48,
             is_near=True,
@@ -55,11 +67,11 @@
 
 
 def test_an_engine_that_holds_the_parts_is_taken_up_to_what_they_save():
-    holder = Candidate(
+    holder = make_one(
         name="holder", backlog=0.01, running=1, slots=48, is_near=True, holds_parts=True
     )
     assert choose([holder, *make(1, backlog=0.02)], shared=0.03).name == "holder"
-    late = Candidate(
+    late = make_one(
         name="holder", backlog=0.2, running=1, slots=48, is_near=True, holds_parts=True
     )
     assert choose([late, *make(8)], shared=0.03).name != "holder"
@@ -81,7 +93,7 @@
     counts = collections.Counter()
     for _ in range(600):
         candidates = [
-            Candidate(
+            make_one(
                 name=name,
                 backlog=running[name] * 0.05,
                 running=running[name],
@@ -100,7 +112,7 @@
 
 
 def test_a_shunned_endpoint_is_the_last_resort():
-    bad = Candidate(
+    bad = make_one(
         name="bad", backlog=0.0, running=0, slots=48, is_near=True, is_shunned=True
     )
     assert choose([bad, *make(1, backlog=3.0)], affinity="").name == "e0"
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -1,6 +1,7 @@
 """Requests from callers through a gateway to endpoints and back."""
 
 import asyncio
+import itertools
 
 import pytest
 
@@ -9,6 +10,7 @@
 from eelgrassrack.gateway.exchange import open_connection
 from eelgrassrack.standins.directengine import (
     Break,
+    Echo,
     Events,
     Garbage,
     Hang,
@@ -196,6 +198,57 @@
     run(main())
 
 
+@pytest.mark.parametrize("alive", range(5))
+def test_endpoints_that_are_down_use_up_no_attempt(alive):
+    """Four endpoints have crashed and are still listed; a fifth is idle.
+
+    A request may be sent to three endpoints.  It was sent to none of the four, so
+    its caller is served, whichever is tried first.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(5):
+                await world.add_engine(f"e{number}")
+            await world.start_gateway()
+            await world.wait_ready()
+            for number in set(range(5)) - {alive}:
+                await world.engines[f"e{number}"].stop()
+            assert (await world.call("/look/1")).status == 200
+            assert (await world.call("/issue/1")).status == 200
+
+    run(main())
+
+
+def test_all_gateways_learn_which_endpoint_is_slow():
+    """One of five endpoints answers everything well, twenty times as late.
+
+    No probe tells of it.  Callers of one gateway meet it, and the others' callers
+    are spared.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(4):
+                await world.add_engine(f"e{number}", Echo(delay=0.02))
+            await world.add_engine("slow", Echo(delay=0.4))
+            for number in (1, 2):
+                await world.start_gateway(number=number)
+                await world.wait_ready(number - 1)
+            other = world.gateways[1].fleet
+            names = itertools.count()
+
+            async def ask():
+                while other.find("slow").slowness < 1.8:
+                    await world.call(attempt=f"a{next(names)}")
+
+            async with asyncio.timeout(8.0):
+                await asyncio.gather(*(ask() for _ in range(10)))
+            assert all(other.find(f"e{n}").slowness == 1.0 for n in range(4))
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     "broken", [Break(), Garbage(), Unframed(is_reset=True), Reply(attempt="other")]
 )
