--- a/bench/gatewayslopes.py
+++ b/bench/gatewayslopes.py
@@ -12,7 +12,7 @@
 
 from eelgrassrack.decisions.engines import Candidate, Reading, choose_engine
 from eelgrassrack.gateway.endpoints import Endpoint
-from eelgrassrack.gateway.fleet import Flight
+from eelgrassrack.gateway.flight import Flight
 from eelgrassrack.gateway.news import BacklogNews, FlightNews, News
 
 SIZES = (9, 29, 580)
--- a/bench/gatewaysoak/links.py
+++ b/bench/gatewaysoak/links.py
@@ -57,10 +57,12 @@
             writer.transport.abort()
             return
         self._writers |= {writer, back}
-        await asyncio.gather(
-            self._pass(reader, back, {Trouble.SILENT}),
-            self._pass(there, writer, {Trouble.SILENT, Trouble.DEAF}),
-        )
+        # Cancelled only at the end of a seed, when nobody waits for this.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pass(reader, back, {Trouble.SILENT}),
+                self._pass(there, writer, {Trouble.SILENT, Trouble.DEAF}),
+            )
         self._writers -= {writer, back}
 
     async def _pass(
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -9,6 +9,8 @@
 import subprocess
 import sys
 import tempfile
+import time
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -20,11 +22,13 @@
 from test.ports import find_port
 
 from .callers import EVENTS, Callers
+from .leavers import DRAIN_SECONDS, SLACK_SECONDS, Leavers, Outage
 from .links import Link, Trouble
 
 GATEWAYS = 3
 CALLERS = 8
 RECOVERY_SECONDS = 12.0
+CALM_SECONDS = 1.0
 START_SECONDS = 10.0
 SETTINGS = """\
 [gateway]
@@ -42,6 +46,11 @@
 """
 
 
+# Endpoints' services and what they do, by the first letter of their names.
+SERVICES = {"p": "plain", "m": "models"}
+STEPS = {"p": Echo(delay=0.02), "m": Events(count=EVENTS, gap=0.03)}
+
+
 class Verdict(msgspec.Struct, kw_only=True):
     """What a seed came to."""
 
@@ -105,8 +114,11 @@
         self._dice = random.Random(f"faults of {seed}")
         self._store = MetadataStore()
         self._engines: dict[str, DirectEngine] = {}
+        self._addresses: dict[str, str] = {}
         self._links: list[Link] = []
         self._gates: list[Gate] = []
+        self._leavers = Leavers()
+        self._numbers = itertools.count(3)
         self._later: set[asyncio.Task] = set()
         self._versions = itertools.count(2)
         self._hits: collections.Counter[str] = collections.Counter()
@@ -124,6 +136,8 @@
             await self._disturb()
             await self._heal()
             recovered = await self._wait_served(callers)
+            # Calm for as long as the bounds, so that what holds only then shows.
+            await asyncio.sleep(DRAIN_SECONDS + SLACK_SECONDS + CALM_SECONDS)
         finally:
             callers.is_over = True
             await asyncio.gather(*tasks)
@@ -146,10 +160,8 @@
             kind=Kinds.CONFIGURATION, name="main", spec=make_manifest(version=1)
         )
         for number in range(3):
-            await self._add_engine(f"p{number}", "plain", Echo(delay=0.02))
-            await self._add_engine(
-                f"m{number}", "models", Events(count=EVENTS, gap=0.03)
-            )
+            await self._add_engine(f"p{number}")
+            await self._add_engine(f"m{number}")
         store = Link(target=self._store.url.removeprefix("http://"))
         await store.start()
         self._links.append(store)
@@ -166,20 +178,24 @@
         for gate in self._gates:
             gate.start()
 
-    async def _add_engine(self, name: str, service: str, step: object) -> None:
-        engine = DirectEngine(name=name, script=[step])
+    async def _add_engine(self, name: str) -> None:
+        engine = DirectEngine(name=name, script=[STEPS[name[0]]])
         await engine.start()
         link = Link(target=engine.address)
         await link.start()
         self._links.append(link)
         self._engines[name] = engine
+        self._addresses[name] = link.address
+        self._list_engine(name, state="ready")
+
+    def _list_engine(self, name: str, *, state: str) -> None:
         entry = {
-            "service": service,
-            "address": link.address,
+            "service": SERVICES[name[0]],
+            "address": self._addresses[name],
             "zone": "north",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": state,
             "born": 1,
         }
         self._store.put(kind=Kinds.ENDPOINTS, name=name, spec=entry)
@@ -189,8 +205,14 @@
         ends_at = loop.time() + self._seconds
         while loop.time() < ends_at:
             (hit,) = self._dice.choices(
-                [self._hit_gate, self._hit_link, self._hit_store, self._configure],
-                weights=[4, 4, 2, 1],
+                [
+                    self._hit_gate,
+                    self._hit_link,
+                    self._hit_store,
+                    self._configure,
+                    self._replace,
+                ],
+                weights=[4, 4, 2, 1, 2],
             )
             self._hits[hit.__name__] += 1
             hit()
@@ -198,29 +220,34 @@
 
     def _hit_gate(self) -> None:
         gate = self._dice.choice(self._gates)
+        outage = self._leavers.begin_outage()
         match self._dice.choice(["kill", "stop", "pause"]):
             case "kill":
                 gate.send(signal.SIGKILL)
-                self._after(self._dice.uniform(0.2, 1.5), gate.start)
+                self._after(self._dice.uniform(0.2, 1.5), gate.start, outage)
             case "stop":
                 gate.send(signal.SIGTERM)
-                self._after(6.0, gate.start)
+                self._after(6.0, gate.start, outage)
             case "pause":
                 gate.send(signal.SIGSTOP)
                 self._after(
-                    self._dice.uniform(0.2, 2.5), lambda: gate.send(signal.SIGCONT)
+                    self._dice.uniform(0.2, 2.5),
+                    lambda: gate.send(signal.SIGCONT),
+                    outage,
                 )
 
     def _hit_link(self) -> None:
         link = self._dice.choice(self._links)
-        trouble = self._dice.choice([*Trouble, "reset"])
-        if trouble == "reset":
+        kind = self._dice.choice([*Trouble, "reset"])
+        if kind == "reset":
             link.reset()
             return
-        link.trouble = trouble
+        link.trouble = kind
+        # Also a link to an endpoint: what it holds up arrives when it heals.
         self._after(
             self._dice.uniform(0.2, 2.5),
             lambda: setattr(link, "trouble", Trouble.NONE),
+            self._leavers.begin_outage(),
         )
 
     def _hit_store(self) -> None:
@@ -230,18 +257,37 @@
         self._after(
             self._dice.uniform(0.3, 2.5),
             lambda: setattr(self._store, "fault", Fault.NONE),
+            self._leavers.begin_outage(),
         )
 
+    def _replace(self) -> None:
+        """Have an endpoint leave, and bring in another of its service."""
+        staying = sorted(self._engines.keys() - self._leavers.names)
+        name = self._dice.choice(staying)
+        number = next(self._numbers)
+        self._list_engine(name, state="draining")
+        self._leavers.note_left(name)
+        adding = self._add_engine(f"{name[0]}{number}")
+        self._keep(asyncio.ensure_future(adding))
+
     def _configure(self) -> None:
         manifest = make_manifest(version=next(self._versions))
         self._store.put(kind=Kinds.CONFIGURATION, name="main", spec=manifest)
 
-    def _after(self, seconds: float, do: object) -> None:
+    def _after(
+        self, seconds: float, do: Callable[[], None], outage: Outage | None = None
+    ) -> None:
+        """Do something later; then the outage, if any, is over."""
+
         async def wait() -> None:
             await asyncio.sleep(seconds)
             do()
+            if outage is not None:
+                outage.ended = time.monotonic()
 
-        task = asyncio.ensure_future(wait())
+        self._keep(asyncio.ensure_future(wait()))
+
+    def _keep(self, task: asyncio.Future) -> None:
         self._later.add(task)
         task.add_done_callback(self._later.discard)
 
@@ -295,6 +341,11 @@
                 faults.append(f"{told.attempt} ran {count} times")
             if count and told.status in {408, 421, 429, 503}:
                 faults.append(f"{told.attempt} was refused with {told.status} and ran")
+        times = {
+            name: [run.at for run in engine.runs]
+            for name, engine in self._engines.items()
+        }
+        faults += self._leavers.list_late(times)
         asked = {told.attempt for told in callers.told}
         faults += [f"{one} was asked by nobody" for one in runs.keys() - asked]
         return faults
--- /dev/null
+++ b/eelgrassrack/gateway/flightnews.py
@@ -0,0 +1,91 @@
+"""What gateways tell each other of endpoints, and what they make of it."""
+
+import collections
+import itertools
+from collections.abc import Iterable
+
+import logbook
+
+from ..decisions.backlog import Backlog
+from ..decisions.slowness import Timing, find_slow
+from .fleet import Fleet
+from .flight import Flight
+from .news import BacklogNews, FlightNews, News
+
+log = logbook.Logger("placing")
+
+# News hold whole numbers, which are shorter than fractions.
+MILLISECONDS = 1000.0
+HUNDREDTHS = 100.0
+
+
+def tell_flights(fleet: Fleet, now: float) -> tuple[FlightNews, ...]:
+    """Return what is under way here, and how slow answers were."""
+    told = (_tell(flight, now) for flight in fleet)
+    return tuple(one for one in told if one.running or one.answers)
+
+
+def _tell(flight: Flight, now: float) -> FlightNews:
+    timing = flight.find_timing(now)
+    backlog = tuple(
+        BacklogNews(urgency, int(seconds * MILLISECONDS))
+        for urgency, seconds in flight.own_backlog.list_parts()
+    )
+    return FlightNews(
+        flight.key,
+        flight.own,
+        backlog,
+        int(timing.answers * HUNDREDTHS),
+        int(timing.total * HUNDREDTHS),
+    )
+
+
+def take_flights(fleet: Fleet, heard: Iterable[News]) -> None:
+    """Take over what all peers have under way."""
+    heard = tuple(heard)
+    sums: dict[int, Sum] = collections.defaultdict(Sum)
+    for told in itertools.chain.from_iterable(one.flights for one in heard):
+        sums[told.lifetime].add(told)
+    doubted = set(itertools.chain.from_iterable(one.doubted for one in heard))
+    for flight in fleet:
+        found = sums.get(flight.key) or Sum()
+        flight.peers = found.running
+        flight.peers_backlog = found.backlog
+        flight.timing_of_peers = found.timing
+        flight.is_doubted_by_peers = flight.key in doubted
+
+
+class Sum:
+    """What all peers have under way at one endpoint."""
+
+    __slots__ = ("backlog", "running", "timing")
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.backlog = Backlog()
+        self.timing = Timing()
+
+    def add(self, told: FlightNews) -> None:
+        """Add what one peer has."""
+        self.running += told.running
+        for part in told.backlog:
+            self.backlog.add(part.urgency, part.milliseconds / MILLISECONDS)
+        self.timing += Timing(told.answers / HUNDREDTHS, told.slowness / HUNDREDTHS)
+
+
+def judge_slow(fleet: Fleet, now: float) -> None:
+    """Find out which endpoints take far longer than others of their service."""
+    by_service: dict[str, dict[str, Timing]] = collections.defaultdict(dict)
+    for flight in fleet:
+        timing = flight.find_timing(now) + flight.timing_of_peers
+        by_service[flight.endpoint.service][flight.endpoint.name] = timing
+    slow = collections.ChainMap(*map(find_slow, by_service.values()))
+    for flight in fleet:
+        _take_slowness(flight, slow.get(flight.endpoint.name, 1.0))
+
+
+def _take_slowness(flight: Flight, factor: float) -> None:
+    if (factor > 1.0) != (flight.slowness > 1.0):
+        name = flight.endpoint.name
+        log.info("placing: {} takes {:.1f} times as long as others", name, factor)
+    flight.slowness = factor
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -1,14 +1,11 @@
 """Place requests on endpoints by what this gateway knows of them."""
 
 import asyncio
-import collections
-import itertools
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import logbook
 
-from ..decisions.backlog import Backlog
 from ..decisions.doubt import DOUBT_SECONDS, avoid_doubtful
 from ..decisions.engines import (
     Candidate,
@@ -19,11 +16,12 @@
 from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.poison import Crash, Poison
 from ..decisions.sharedbudget import share_cold_rate
-from ..decisions.slowness import Timing, find_slow
 from .endpoints import Endpoint
-from .fleet import Fleet, Flight
+from .fleet import Fleet
+from .flight import Flight
+from .flightnews import judge_slow, take_flights, tell_flights
 from .messages import Refusal
-from .news import BacklogNews, FlightNews, News
+from .news import FlightNews, News
 from .prompts import (
     find_affinity,
     find_cost,
@@ -51,8 +49,6 @@
 # pace of its model.
 IDLE_SECONDS = 0.01
 
-MILLISECONDS = 1000.0
-HUNDREDTHS = 100.0
 
 # While every endpoint is at the limit of its cold start, look again so often.
 COLD_PAUSE_SECONDS = 0.05
@@ -262,9 +258,12 @@
 
     def tell_flights(self) -> tuple[FlightNews, ...]:
         """Return what is under way, for peers."""
-        now = self._loop.time()
-        told = (_tell(flight, now) for flight in self._fleet)
-        return tuple(one for one in told if one.running or one.answers)
+        return tell_flights(self._fleet, self._loop.time())
+
+    def judge_slow(self) -> None:
+        """Find out which endpoints take far longer than others."""
+        self._add_up_news()
+        judge_slow(self._fleet, self._loop.time())
 
     def tell_crashes(self) -> tuple[Crash, ...]:
         """Return the crashes that were found, for peers."""
@@ -289,47 +288,12 @@
             return
         self._has_news = False
         heard = self._list_heard()
-        running: collections.Counter[int] = collections.Counter()
-        backlogs: dict[int, Backlog] = {}
-        timings: dict[int, Timing] = {}
-        for told in itertools.chain.from_iterable(one.flights for one in heard):
-            running[told.lifetime] += told.running
-            timing = Timing(told.answers / HUNDREDTHS, told.slowness / HUNDREDTHS)
-            timings[told.lifetime] = timings.get(told.lifetime, Timing()) + timing
-            backlog = backlogs.setdefault(told.lifetime, Backlog())
-            for part in told.backlog:
-                backlog.add(part.urgency, part.milliseconds / MILLISECONDS)
-        doubted = set(itertools.chain.from_iterable(one.doubted for one in heard))
-        for flight in self._fleet:
-            flight.peers = running[flight.key]
-            flight.peers_backlog = backlogs.get(flight.key) or Backlog()
-            flight.timing_of_peers = timings.get(flight.key, Timing())
-            flight.is_doubted_by_peers = flight.key in doubted
+        take_flights(self._fleet, heard)
         now = self._loop.time()
         for news in heard:
             if news.crashes:
                 self._poison.merge(crashes=news.crashes, now=now)
 
-    def judge_slow(self) -> None:
-        """Find out which endpoints take far longer than others of their service."""
-        self._add_up_news()
-        now = self._loop.time()
-        by_service: dict[str, dict[str, Timing]] = {}
-        for flight in self._fleet:
-            timing = flight.find_timing(now) + flight.timing_of_peers
-            service = by_service.setdefault(flight.endpoint.service, {})
-            service[flight.endpoint.name] = timing
-        slow = collections.ChainMap(*map(find_slow, by_service.values()))
-        for flight in self._fleet:
-            factor = slow.get(flight.endpoint.name, 1.0)
-            if (factor > 1.0) != (flight.slowness > 1.0):
-                log.info(
-                    "placing: {} takes {:.1f} times as long as others",
-                    flight.endpoint.name,
-                    factor,
-                )
-            flight.slowness = factor
-
     def _select(self, job: "Job", passed_over: Collection[str]) -> list[Flight]:
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
@@ -411,19 +375,3 @@
         if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
             return None
         return flight
-
-
-def _tell(flight: Flight, now: float) -> FlightNews:
-    """Return what is under way at an endpoint, for peers."""
-    timing = flight.find_timing(now)
-    backlog = tuple(
-        BacklogNews(urgency, int(seconds * MILLISECONDS))
-        for urgency, seconds in flight.own_backlog.list_parts()
-    )
-    return FlightNews(
-        flight.key,
-        flight.own,
-        backlog,
-        int(timing.answers * HUNDREDTHS),
-        int(timing.total * HUNDREDTHS),
-    )
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Sequence
 
 import h11
@@ -90,7 +91,10 @@
 
 
 class Run(msgspec.Struct, kw_only=True, frozen=True):
-    """A request that was begun; header names are in lower case."""
+    """A request that was begun; header names are in lower case.
+
+    `at` is the steady clock's time of its last byte.
+    """
 
     attempt: str
     model: str
@@ -98,6 +102,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float
 
 
 class DirectEngine:
@@ -163,6 +168,9 @@
                 machine.start_next_cycle()
         except (ConnectionError, h11.RemoteProtocolError):
             return
+        except asyncio.CancelledError:
+            # The loop ends.  Raised on, asyncio would print a trace for each.
+            return
         finally:
             self._writers.discard(writer)
             writer.close()
@@ -331,4 +339,5 @@
         target=request.target.decode(),
         headers=headers,
         body=body,
+        at=time.monotonic(),
     )
--- /dev/null
+++ b/test/gateway/test_endpoints.py
@@ -0,0 +1,276 @@
+"""Endpoints that are down, silent, slow, or lose answers."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.errors import ConnectError
+from eelgrassrack.gateway.exchange import open_connection
+from eelgrassrack.standins.directengine import (
+    Break,
+    Echo,
+    Events,
+    Hang,
+    Reply,
+)
+
+from .world import connect, make_world, run, wait_for
+
+ASK = (
+    ("X-Model", "*"),
+    ("X-Token-Usage", "1000,50"),
+    ("X-Prompt-Prefix", "aa:400,bb:600"),
+    ("Session", "s1"),
+)
+
+
+def test_one_lost_answer_is_a_warning_to_all():
+    """An endpoint that looks sound resets each connection for some seconds.
+
+    Each entry would lose a request that may not be repeated, and another when
+    it tries again, before it stays away.
+    """
+
+    async def main():
+        async with make_world() as world:
+            bad = await world.add_engine("bad", Break(), slots=100)
+            for name in ("e1", "e2"):
+                await world.add_engine(name, slots=1)
+            first = await world.start_gateway(number=1)
+            second = await world.start_gateway(number=2)
+            await world.wait_ready(0)
+            await world.wait_ready(1)
+            await wait_for(lambda: first.entries == second.entries == 2)
+            got = await world.call("/issue/1")
+            assert got.status == 502
+            await asyncio.sleep(0.6)
+            for number in range(20):
+                got = await world.call(
+                    "/issue/2", number=number % 2, attempt=f"b{number}"
+                )
+                assert got.status == 200
+            assert len(bad.runs) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("alive", range(5))
+def test_endpoints_that_are_down_use_up_no_attempt(alive):
+    """Four endpoints have crashed and are still listed; a fifth is idle.
+
+    A request may be sent to three endpoints.  It was sent to none of the four, so
+    its caller is served, whichever is tried first.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(5):
+                await world.add_engine(f"e{number}")
+            await world.start_gateway()
+            await world.wait_ready()
+            for number in set(range(5)) - {alive}:
+                await world.engines[f"e{number}"].stop()
+            assert (await world.call("/look/1")).status == 200
+            assert (await world.call("/issue/1")).status == 200
+
+    run(main())
+
+
+def test_all_gateways_learn_which_endpoint_is_slow():
+    """One of five endpoints answers everything well, twenty times as late.
+
+    No probe tells of it.  Callers of one gateway meet it, and the others' callers
+    are spared.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(4):
+                await world.add_engine(f"e{number}", Echo(delay=0.02))
+            await world.add_engine("slow", Echo(delay=0.4))
+            for number in (1, 2):
+                await world.start_gateway(number=number)
+                await world.wait_ready(number - 1)
+            other = world.gateways[1].fleet
+            names = itertools.count()
+
+            async def ask():
+                while other.find("slow").slowness < 1.8:
+                    await world.call(attempt=f"a{next(names)}")
+
+            async with asyncio.timeout(8.0):
+                await asyncio.gather(*(ask() for _ in range(10)))
+            assert all(other.find(f"e{n}").slowness == 1.0 for n in range(4))
+
+    run(main())
+
+
+def test_an_endpoint_that_fell_silent_doesnt_hold_its_requests():
+    """An endpoint loses power with a lookup under way: nothing comes back.
+
+    Its caller would wait until its connection times out after seconds.
+    """
+
+    async def main():
+        async with make_world() as world:
+            dark = await world.add_engine("e1", Hang(), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1")
+            await wait_for(lambda: dark.runs)
+            dark.refuse()
+            got = await asyncio.wait_for(caller.read(), 1.2)
+            assert got.status == 200
+            caller.close()
+
+    run(main())
+
+
+def test_a_request_that_is_given_up_never_arrives_late():
+    """The path to an endpoint is cut with a request on it, which is given up.
+
+    Closed in order, its bytes would still be sent when the path is whole again,
+    seconds later, to an endpoint that is leaving by then.
+    """
+
+    async def main():
+        async with make_world() as world:
+            mute = await world.add_engine("e1", Hang(), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call(attempt="a1")).status == 200
+            await wait_for(lambda: mute.resets == ["a1"], seconds=0.5)
+
+    run(main())
+
+
+def test_a_slow_endpoint_that_takes_connections_is_waited_for():
+    """An engine reads a long prompt and says nothing for most of a second."""
+
+    async def main():
+        async with make_world() as world:
+            slow = await world.add_engine("e1", Reply(delay=0.9), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/look/1", headers=[("X-Token-Usage", "20000,10")])
+            assert got.status == 200
+            assert len(slow.runs) == 1
+
+    run(main())
+
+
+def test_a_request_that_is_never_answered_goes_elsewhere():
+    """An endpoint answers all but some requests, and its probes are good.
+
+    Their callers would wait until their time is over.
+    """
+
+    async def main():
+        async with make_world() as world:
+            mute = await world.add_engine("e1", Hang(), slots=100)
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            assert (await world.call()).status == 200
+            assert loop.time() - began < 1.0
+            assert mute.cancelled
+
+    run(main())
+
+
+def test_a_stream_that_stands_still_goes_on_elsewhere():
+    """An engine stops in the middle of a stream without a word."""
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            await world.add_engine("e1", Events(count=6, gap=30.0), slots=100, **rest)
+            await world.add_engine("e2", Events(count=6), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await asyncio.wait_for(world.call("/chat/1"), 4.0)
+            assert got.is_whole
+            assert got.body.count(b"\n\n") == 6
+
+    run(main())
+
+
+def test_what_may_not_be_repeated_waits_for_a_silent_endpoint():
+    """An issue's endpoint is out of reach for a moment and then answers."""
+
+    async def main():
+        async with make_world() as world:
+            silent = await world.add_engine("e1", Reply(delay=1.2))
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/issue/1")
+            await wait_for(lambda: silent.runs)
+            silent.refuse()
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
+
+
+def test_the_last_attempt_waits_for_an_endpoint_that_looks_dark(monkeypatch):
+    """A stream runs by its last attempt, and no new connection gets through.
+
+    Given up, it would break off for certain; the endpoint may only be full.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, gap=1.2), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/final/1"))
+            await wait_for(lambda: engine.runs)
+            monkeypatch.setattr(pool, "open_connection", fail_to_connect)
+            assert (await calling).is_whole
+
+    run(main())
+
+
+async def fail_to_connect(*, address, timeout):
+    raise ConnectError(f"{address}: no answer")
+
+
+def test_one_lost_packet_doesn_t_make_an_endpoint_dark(monkeypatch):
+    """A stream pauses, and the first packet of the probe is lost on its way.
+
+    The endpoint is up; its streams would all be cut and begun anew.
+    """
+    tries = []
+
+    async def lose_first(*, address, timeout):
+        tries.append(address)
+        if len(tries) == 1:
+            raise ConnectError(f"{address}: no answer")
+        return await open_connection(address=address, timeout=timeout)
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, gap=0.9), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: engine.runs)
+            monkeypatch.setattr(pool, "open_connection", lose_first)
+            assert (await calling).is_whole
+            assert len(tries) > 1
+            assert len(engine.runs) == 1
+
+    run(main())
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -12,7 +12,7 @@
 from eelgrassrack.gateway.plan import Router
 from eelgrassrack.platform import headers
 
-from . import test_follower, test_limits, test_serving, test_stop
+from . import test_endpoints, test_follower, test_limits, test_serving, test_stop
 
 # What a test of a failure ends with when the failure comes about: a check that
 # fails, a wait that is over, or an answer that breaks off.
@@ -51,7 +51,7 @@
     ),
     "one lost answer is told to all": (
         [(placing, "avoid_doubtful", lambda found, **_: list(found))],
-        test_serving.test_one_lost_answer_is_a_warning_to_all,
+        test_endpoints.test_one_lost_answer_is_a_warning_to_all,
     ),
     "the endpoint is named to which a request goes": (
         [(headers, "encode_request", encode_for_anyone)],
@@ -59,7 +59,7 @@
     ),
     "a silent endpoint is given up": (
         [(attempts, "limit_first", lambda **_: None)],
-        test_serving.test_a_request_that_is_never_answered_goes_elsewhere,
+        test_endpoints.test_a_request_that_is_never_answered_goes_elsewhere,
     ),
     "connections with unread bytes stay open at a stop": (
         [(ingress, "has_unread", lambda stream: False)],
