--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -4,6 +4,7 @@
 that is restarted often on a small instance should.
 """
 
+import signal
 import sys
 
 from .listener import open_early
@@ -17,6 +18,9 @@
         print("usage: python -m eelgrassrack.gateway SETTINGS", file=sys.stderr)
         return USAGE
     (path,) = argv
+    # Told of changed settings while it loads, a process without a handler ends,
+    # and callers in the socket's queue are cut.  It reads the settings later on.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     listener = open_early(path)
     # Only now, with the socket open, what takes long to load.
     from .process import run_process
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -1,6 +1,7 @@
 """What callers meet while a gateway process starts."""
 
 import asyncio
+import signal
 import subprocess
 import sys
 
@@ -54,6 +55,35 @@
     run(main())
 
 
+def test_changed_settings_dont_end_a_process_that_loads(tmp_path):
+    """Operators change settings while an instance comes back from a crash.
+
+    The signal arrives before the process has a handler for it.  Ended by it, the
+    process would cut the callers that wait, and start all over.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Echo())
+            gate = Gate(
+                number=1,
+                news_port=find_port(),
+                store=world.store.url.removeprefix("http://"),
+                folder=str(tmp_path),
+            )
+            gate.start()
+            try:
+                caller = await connect_soon(gate.listen)
+                gate.send(signal.SIGHUP)
+                caller.send("/look/1", attempt="early")
+                assert (await caller.read()).status == 200
+                assert gate.process.poll() is None
+            finally:
+                gate.close()
+
+    run(main())
+
+
 def test_the_socket_is_open_before_libraries_are_loaded(tmp_path):
     """A heavy import ahead of the socket would undo that silently."""
     settings = tmp_path / "gateway.ini"
