Have an organisation that takes several times the mean give way

Gateways tell each other what the heaviest organisations had engines read within seconds; from four times the mean on their prompts rank with the longest. Nobody is refused by it, and without a queue it changes nothing. Ruled out: a queue at the gateway, which would hold requests that engines have room for.

--- a/eelgrassrack/decisions/urgency.py
+++ b/eelgrassrack/decisions/urgency.py
@@ -25,10 +25,11 @@
 LAST = RANKS - 1
 
 
-def find_urgency(*, rank: int, reading: float) -> int:
+def find_urgency(*, rank: int, reading: float, gives_way: bool = False) -> int:
     """Return the rank for an engine, 0 for the most urgent, 9 for the least.
 
     `rank` is the operators' rank, `reading` the seconds to read the prompt.
+    What `gives_way` stands with the longest of its rank.
     """
-    size = bisect.bisect_right(SIZE_SECONDS, reading)
+    size = SIZES - 1 if gives_way else bisect.bisect_right(SIZE_SECONDS, reading)
     return min(max(rank, 0) * SIZES + size, LAST)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -297,7 +297,7 @@
             self.fleet.sweep()
             self.ingress.close_overdue()
             self._placing.forget_parts()
-            self._placing.judge_slow()
+            self._placing.judge()
             if now >= next_look:
                 # The file may change without any signal.
                 self.reload()
@@ -352,6 +352,7 @@
             pins=pins,
             crashes=self._placing.tell_crashes(),
             doubted=self._placing.tell_doubted(),
+            usage=self._placing.tell_usage(),
         )
 
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -13,6 +13,7 @@
 import logbook
 import msgspec
 
+from ..decisions.fairshare import Told
 from ..decisions.poison import Crash
 from ..decisions.urgency import LAST
 from ..decisions.versiontrial import Tally
@@ -79,7 +80,8 @@
 
     `revisions` are those of the store at the last changes of each kind that
     were seen, in the order in which all gateways follow the kinds.  `doubted`
-    are lifetimes of endpoints, by their hash, that lost an answer lately.
+    are lifetimes of endpoints, by their hash, that lost an answer lately;
+    `usage` is what organisations had engines read.
     """
 
     name: str
@@ -94,6 +96,7 @@
     pins: tuple[Pin, ...] = ()
     crashes: tuple[Crash, ...] = ()
     doubted: tuple[int, ...] = ()
+    usage: Told = Told()
 
 
 class Heard(msgspec.Struct):
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -12,6 +12,7 @@
     Choice,
     choose_engine,
 )
+from ..decisions.fairshare import Told, Usage
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.poison import Crash, Poison
@@ -64,12 +65,14 @@
         "_count_entries",
         "_fleet",
         "_has_news",
+        "_heavy",
         "_list_heard",
         "_loop",
         "_pace",
         "_poison",
         "_rollouts",
         "_settings",
+        "_usage",
     )
 
     def __init__(
@@ -89,7 +92,9 @@
         self._has_news = False
         self._poison = Poison()
         self._pace = Pace()
+        self._heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
+        self._usage = Usage(now=self._loop.time())
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take over changed settings."""
@@ -128,7 +133,11 @@
             if self._holds(flight, affinity, now):
                 job.reading -= reading.shared
             flight.parts[affinity] = now
-        job.urgency = rank_reading(job, job.reading)
+        job.urgency = rank_reading(job, job.reading, self._heavy)
+        if job.arrival.tokens_in:
+            self._usage.note(
+                organisation=job.permit.organisation_name, seconds=job.reading
+            )
         job.was_idle = flight.backlog < IDLE_SECONDS
         flight.own += 1
         flight.own_backlog.add(job.urgency, job.reading)
@@ -260,10 +269,21 @@
         """Return what is under way, for peers."""
         return tell_flights(self._fleet, self._loop.time())
 
-    def judge_slow(self) -> None:
-        """Find out which endpoints take far longer than others."""
+    def judge(self) -> None:
+        """Find out which endpoints are slow, and which organisations give way."""
         self._add_up_news()
-        judge_slow(self._fleet, self._loop.time())
+        now = self._loop.time()
+        judge_slow(self._fleet, now)
+        self._usage.fade(now)
+        heavy = self._usage.find_heavy(one.usage for one in self._list_heard())
+        if heavy != self._heavy:
+            names = ", ".join(sorted(heavy)) or "none"
+            log.info("placing: organisations that give way: {}", names)
+        self._heavy = heavy
+
+    def tell_usage(self) -> Told:
+        """Return what organisations had engines read, for peers."""
+        return self._usage.tell()
 
     def tell_crashes(self) -> tuple[Crash, ...]:
         """Return the crashes that were found, for peers."""
@@ -321,7 +341,7 @@
         now = self._loop.time()
         affinity = find_affinity(job, model)
         reading = find_reading(job, model, self._pace)
-        urgency = rank_reading(job, reading.whole)
+        urgency = rank_reading(job, reading.whole, self._heavy)
         return choose_engine(
             candidates=[self._describe(one, urgency, affinity, now) for one in flights],
             reading=reading,
--- a/eelgrassrack/gateway/prompts.py
+++ b/eelgrassrack/gateway/prompts.py
@@ -1,5 +1,6 @@
 """What a request's prompt asks of an engine, by the model that reads it."""
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from ..decisions.engines import PLAIN_SECONDS, Reading
@@ -23,11 +24,18 @@
     )
 
 
-def rank_reading(job: "Job", reading: float) -> int:
-    """Return how urgent a prompt of so many seconds is; others wait for all."""
+def rank_reading(job: "Job", reading: float, heavy: Collection[str]) -> int:
+    """Return how urgent a prompt of so many seconds is; others wait for all.
+
+    `heavy` are the organisations whose prompts give way to those of others.
+    """
     if not job.arrival.tokens_in:
         return LAST
-    return find_urgency(rank=job.permit.priority, reading=reading)
+    return find_urgency(
+        rank=job.permit.priority,
+        reading=reading,
+        gives_way=job.permit.organisation_name in heavy,
+    )
 
 
 def find_cost(job: "Job", model: str) -> float:
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import (
     Break,
     Events,
@@ -15,7 +16,16 @@
 )
 from eelgrassrack.standins.metadatastore import Fault
 
-from .world import KEY, call, connect, make_route, make_world, run, wait_for
+from .world import (
+    KEY,
+    call,
+    connect,
+    make_manifest,
+    make_route,
+    make_world,
+    run,
+    wait_for,
+)
 
 ASK = (
     ("X-Model", "*"),
@@ -334,6 +344,49 @@
     run(main())
 
 
+def test_one_organisation_s_burst_gives_way_at_all_gateways():
+    """One of five organisations sends sixty times what the others do.
+
+    Its callers come through one gateway.  Another gateway's engines read the
+    prompts of the others first, too, so that nobody waits for the burst.
+    """
+    names = [f"org{number}" for number in range(5)]
+    ask = (("X-Model", "*"), ("X-Token-Usage", "450,50"))
+
+    def make_tenants():
+        return [{"name": name, "apiKeys": [f"key-{name}"]} for name in names]
+
+    async def main():
+        async with make_world() as world:
+            manifest = {**make_manifest(version=2), "tenants": make_tenants()}
+            world.store.put(kind=Kinds.CONFIGURATION, name="main", spec=manifest)
+            engine = await world.add_engine("e1", Events(), service="models")
+            for number in (1, 2):
+                await world.start_gateway(number=number)
+                await world.wait_ready(number - 1)
+            await wait_for(
+                lambda: all(one.router.version == 2 for one in world.gateways)
+            )
+
+            async def rank(name, number):
+                """Send a prompt and return the rank that the engine was told."""
+                key = f"key-{name}"
+                got = await world.call("/chat/1", number=number, key=key, headers=ask)
+                assert got.status == 200
+                return int(engine.runs[-1].headers["x-request-priority"])
+
+            before = [await rank(name, 1) for name in names]
+            assert len(set(before)) == 1
+            for _ in range(60):
+                await rank("org3", 0)
+            async with asyncio.timeout(4.0):
+                while await rank("org3", 1) <= before[0]:
+                    await asyncio.sleep(0.1)
+            assert await rank("org1", 1) == before[0]
+
+    run(main())
+
+
 def test_a_caller_that_names_its_model_gets_it():
     async def main():
         async with make_world() as world:
