Learn times from answers alone

Cause (found while reading): refusals and failures were taken for first pieces, though an endpoint that refuses does so within a millisecond; it looked fast, and its model's pace with it. The test shows timings noted from refusals and from failures before, none now.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -119,7 +119,6 @@
                 for name, value in response.headers.raw_items()
             ],
         )
-        self._placing.note_first(job, endpoint)
         if head.not_run:
             await self._read_body(connection)
             self._keep(endpoint, connection, head)
@@ -128,6 +127,10 @@
             return Lost(reason=f"an answer to {head.attempt}")
         if head.status in GOOD and not head.is_whole:
             return Lost(reason="a success without its stamp")
+        if head.status in GOOD:
+            # A refusal or a failure takes no time to read: learned from, it would
+            # make the endpoint look fast, and its model.
+            self._placing.note_first(job, endpoint)
         unsure = self._find_unsure(job, head, reply)
         if unsure is not None:
             return unsure
--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -13,6 +13,7 @@
     Echo,
     Events,
     Hang,
+    Refuse,
     Reply,
 )
 
@@ -107,6 +108,29 @@
     run(main())
 
 
+@pytest.mark.parametrize("step", [Refuse(), Reply(status=500)])
+def test_an_endpoint_that_refuses_at_once_isn_t_taken_for_a_fast_one(step):
+    """A full endpoint refuses within a millisecond what takes others a second.
+
+    Taken for answers, its refusals would draw more and more work to it.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("bad", step)
+            await world.add_engine("good", Echo())
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            for number in range(12):
+                assert (await world.call(attempt=f"a{number}")).status == 200
+                await asyncio.sleep(0.05)
+            assert gateway.fleet.find("good").timing.answers > 1
+            assert world.engines["bad"].connections
+            assert gateway.fleet.find("bad").timing.answers == 0
+
+    run(main())
+
+
 def test_an_endpoint_that_fell_silent_doesnt_hold_its_requests():
     """An endpoint loses power with a lookup under way: nothing comes back.
 
