--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -19,13 +19,6 @@
 
 from .world import connect, make_world, run, wait_for
 
-ASK = (
-    ("X-Model", "*"),
-    ("X-Token-Usage", "1000,50"),
-    ("X-Prompt-Prefix", "aa:400,bb:600"),
-    ("Session", "s1"),
-)
-
 
 def test_one_lost_answer_is_a_warning_to_all():
     """An endpoint that looks sound resets each connection for some seconds.
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -17,6 +17,7 @@
 from eelgrassrack.standins.metadatastore import Fault
 
 from .world import (
+    ASK,
     KEY,
     call,
     connect,
@@ -27,13 +28,6 @@
     wait_for,
 )
 
-ASK = (
-    ("X-Model", "*"),
-    ("X-Token-Usage", "1000,50"),
-    ("X-Prompt-Prefix", "aa:400,bb:600"),
-    ("Session", "s1"),
-)
-
 
 def test_a_request_is_passed_on_as_it_came():
     async def main():
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -19,6 +19,14 @@
 
 MODELS = ("small", "middle", "large")
 
+# The headers of a request that leaves the choice of the model to the gateway.
+ASK = (
+    ("X-Model", "*"),
+    ("X-Token-Usage", "1000,50"),
+    ("X-Prompt-Prefix", "aa:400,bb:600"),
+    ("Session", "s1"),
+)
+
 
 def run(coroutine):
     """Run a test's coroutine, for half a minute at most."""
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -1,6 +1,7 @@
 """What callers meet while a gateway process starts."""
 
 import asyncio
+import contextlib
 import signal
 import subprocess
 import sys
@@ -25,6 +26,24 @@
             await asyncio.sleep(0.002)
 
 
+@contextlib.asynccontextmanager
+async def start_gate(folder):
+    """Start a gateway process before an endpoint that echoes attempts' ids."""
+    async with make_world() as world:
+        await world.add_engine("e1", Echo())
+        gate = Gate(
+            number=1,
+            news_port=find_port(),
+            store=world.store.url.removeprefix("http://"),
+            folder=str(folder),
+        )
+        gate.start()
+        try:
+            yield gate
+        finally:
+            gate.close()
+
+
 def test_a_caller_waits_while_the_process_loads(tmp_path):
     """All gateways were killed and come back at the same moment.
 
@@ -34,23 +53,12 @@
     """
 
     async def main():
-        async with make_world() as world:
-            await world.add_engine("e1", Echo())
-            gate = Gate(
-                number=1,
-                news_port=find_port(),
-                store=world.store.url.removeprefix("http://"),
-                folder=str(tmp_path),
-            )
-            gate.start()
-            try:
-                caller = await connect_soon(gate.listen)
-                assert "started" not in (tmp_path / "entry-1.log").read_text()
-                caller.send("/look/1", attempt="early")
-                got = await caller.read()
-                assert (got.status, got.body) == (200, b"early")
-            finally:
-                gate.close()
+        async with start_gate(tmp_path) as gate:
+            caller = await connect_soon(gate.listen)
+            assert "started" not in (tmp_path / "entry-1.log").read_text()
+            caller.send("/look/1", attempt="early")
+            got = await caller.read()
+            assert (got.status, got.body) == (200, b"early")
 
     run(main())
 
@@ -63,23 +71,12 @@
     """
 
     async def main():
-        async with make_world() as world:
-            await world.add_engine("e1", Echo())
-            gate = Gate(
-                number=1,
-                news_port=find_port(),
-                store=world.store.url.removeprefix("http://"),
-                folder=str(tmp_path),
-            )
-            gate.start()
-            try:
-                caller = await connect_soon(gate.listen)
-                gate.send(signal.SIGHUP)
-                caller.send("/look/1", attempt="early")
-                assert (await caller.read()).status == 200
-                assert gate.process.poll() is None
-            finally:
-                gate.close()
+        async with start_gate(tmp_path) as gate:
+            caller = await connect_soon(gate.listen)
+            gate.send(signal.SIGHUP)
+            caller.send("/look/1", attempt="early")
+            assert (await caller.read()).status == 200
+            assert gate.process.poll() is None
 
     run(main())
 
