--- a/eelgrassrack/decisions/fairshare.py
+++ b/eelgrassrack/decisions/fairshare.py
@@ -33,6 +33,9 @@
 # the mean is among the heaviest at nearly all of them.
 MOST_TOLD = 4
 
+# News hold whole milliseconds, which are shorter than fractions.
+MILLISECONDS = 1000.0
+
 
 class Heavy(msgspec.Struct, frozen=True, array_like=True):
     """An organisation's reading at one entry, in milliseconds."""
@@ -75,8 +78,10 @@
         """Return what peers are told."""
         heaviest = sorted(self._seconds.items(), key=lambda one: -one[1])[:MOST_TOLD]
         return Told(
-            int(sum(self._seconds.values()) * 1000),
-            tuple(Heavy(name, int(seconds * 1000)) for name, seconds in heaviest),
+            int(sum(self._seconds.values()) * MILLISECONDS),
+            tuple(
+                Heavy(name, int(seconds * MILLISECONDS)) for name, seconds in heaviest
+            ),
         )
 
     def find_heavy(self, told: Iterable[Told]) -> frozenset[str]:
@@ -87,9 +92,9 @@
         whole = sum(self._seconds.values())
         sums = dict(self._seconds)
         for one in told:
-            whole += one.milliseconds / 1000
+            whole += one.milliseconds / MILLISECONDS
             for heavy in one.heaviest:
                 known = sums.get(heavy.organisation, 0.0)
-                sums[heavy.organisation] = known + heavy.milliseconds / 1000
+                sums[heavy.organisation] = known + heavy.milliseconds / MILLISECONDS
         most = MOST_SHARE * whole / active
         return frozenset(name for name, seconds in sums.items() if seconds > most)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -361,6 +361,8 @@
             self._metrics.version.set(self.router.version)
             self._metrics.store.set(self.has_store)
             self._metrics.entries.set(self.entries)
+            self._metrics.slow.set(self._placing.count_slow())
+            self._metrics.heavy.set(len(self._placing.heavy))
             self._metrics.dropped_lines.set(self._count_dropped())
             return (200, self._metrics.render())
         return (200, encode_beliefs(self._knowledge.describe()))
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -16,7 +16,9 @@
         "_took",
         "dropped_lines",
         "entries",
+        "heavy",
         "registry",
+        "slow",
         "store",
         "version",
     )
@@ -54,6 +56,16 @@
             "1 while the platform's store answers, 0 while it doesn't.",
             registry=self.registry,
         )
+        self.slow = Gauge(
+            "gateway_slow_endpoints",
+            "Endpoints that take far longer than others of their service.",
+            registry=self.registry,
+        )
+        self.heavy = Gauge(
+            "gateway_heavy_organisations",
+            "Organisations that give way, taking several times the mean.",
+            registry=self.registry,
+        )
         self.dropped_lines = Gauge(
             "gateway_log_lines_dropped",
             "Log lines dropped to keep the volume bounded.",
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -59,13 +59,15 @@
 
 
 class Placing:
-    """Choose endpoints and keep count of what runs on them."""
+    """Choose endpoints and keep count of what runs on them.
+
+    `heavy` are the organisations whose prompts give way to those of others.
+    """
 
     __slots__ = (
         "_count_entries",
         "_fleet",
         "_has_news",
-        "_heavy",
         "_list_heard",
         "_loop",
         "_pace",
@@ -73,6 +75,7 @@
         "_rollouts",
         "_settings",
         "_usage",
+        "heavy",
     )
 
     def __init__(
@@ -92,7 +95,7 @@
         self._has_news = False
         self._poison = Poison()
         self._pace = Pace()
-        self._heavy: frozenset[str] = frozenset()
+        self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
         self._usage = Usage(now=self._loop.time())
 
@@ -133,7 +136,7 @@
             if self._holds(flight, affinity, now):
                 job.reading -= reading.shared
             flight.parts[affinity] = now
-        job.urgency = rank_reading(job, job.reading, self._heavy)
+        job.urgency = rank_reading(job, job.reading, self.heavy)
         if job.arrival.tokens_in:
             self._usage.note(
                 organisation=job.permit.organisation_name, seconds=job.reading
@@ -276,10 +279,14 @@
         judge_slow(self._fleet, now)
         self._usage.fade(now)
         heavy = self._usage.find_heavy(one.usage for one in self._list_heard())
-        if heavy != self._heavy:
+        if heavy != self.heavy:
             names = ", ".join(sorted(heavy)) or "none"
             log.info("placing: organisations that give way: {}", names)
-        self._heavy = heavy
+        self.heavy = heavy
+
+    def count_slow(self) -> int:
+        """Return how many endpoints take far longer than others."""
+        return sum(flight.slowness > 1.0 for flight in self._fleet)
 
     def tell_usage(self) -> Told:
         """Return what organisations had engines read, for peers."""
@@ -341,7 +348,7 @@
         now = self._loop.time()
         affinity = find_affinity(job, model)
         reading = find_reading(job, model, self._pace)
-        urgency = rank_reading(job, reading.whole, self._heavy)
+        urgency = rank_reading(job, reading.whole, self.heavy)
         return choose_engine(
             candidates=[self._describe(one, urgency, affinity, now) for one in flights],
             reading=reading,
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -376,6 +376,10 @@
             async with asyncio.timeout(4.0):
                 while await rank("org3", 1) <= before[0]:
                     await asyncio.sleep(0.1)
+            address = f"{world.settings[1].address}:{world.settings[1].metrics_port}"
+            told = await call(address, "/metrics", method="GET", body=b"")
+            assert b"gateway_heavy_organisations 1.0" in told.body
+            assert b"gateway_slow_endpoints 0.0" in told.body
             assert await rank("org1", 1) == before[0]
 
     run(main())
