--- a/bench/gatewayslopes.py
+++ b/bench/gatewayslopes.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from eelgrassrack.decisions.engines import Candidate, Reading, choose_engine
+from eelgrassrack.decisions.fairshare import Heavy, Told
 from eelgrassrack.gateway.endpoints import Endpoint
 from eelgrassrack.gateway.flight import Flight
 from eelgrassrack.gateway.news import BacklogNews, FlightNews, News
@@ -73,8 +74,9 @@
         knows_store=True,
         revisions=(4_000, 4_100, 4_200, 4_300),
         flights=tuple(
-            FlightNews(2**31 + n, 3, (BacklogNews(4, 120),)) for n in range(8)
+            FlightNews(2**31 + n, 3, (BacklogNews(4, 120),), 250, 40) for n in range(8)
         ),
+        usage=Told(1_200, tuple(Heavy(f"tenant{n}", 300) for n in range(4))),
     )
 
 
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from eelgrassrack.gateway import attempts, fleet, follower, ingress, placing
+from eelgrassrack.decisions.fairshare import Usage
+from eelgrassrack.gateway import (
+    attempts,
+    fleet,
+    flightnews,
+    follower,
+    ingress,
+    placing,
+)
 from eelgrassrack.gateway.events import Events, EventSplitter
 from eelgrassrack.gateway.exchange import Connection
 from eelgrassrack.gateway.ingress import Ingress
@@ -53,6 +61,14 @@
         [(placing, "avoid_doubtful", lambda found, **_: list(found))],
         test_endpoints.test_one_lost_answer_is_a_warning_to_all,
     ),
+    "what peers saw makes an endpoint slow": (
+        [(flightnews, "find_slow", lambda timings: {})],
+        test_endpoints.test_all_gateways_learn_which_endpoint_is_slow,
+    ),
+    "an organisation's burst gives way": (
+        [(Usage, "find_heavy", lambda usage, told: frozenset())],
+        test_serving.test_one_organisation_s_burst_gives_way_at_all_gateways,
+    ),
     "the endpoint is named to which a request goes": (
         [(headers, "encode_request", encode_for_anyone)],
         test_serving.test_a_reused_address_runs_nothing,
