Don't take the end of an earlier watch for the store's return

Cause: a watch that waits when the store is lost may still end in order; it was taken for the return, so that gateway_store_answers and the log told for up to a second that the store answers, and the time began to run for which lapsed entries are kept. Only answers to calls made after the loss count now. Ruled out: the test's own timing alone, which only decides whether one sees it.

--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -86,18 +86,24 @@
         if self.lost_at is not None and self._prober != kind:
             await self._regained.wait()
 
-    def note(
-        self, *, is_answered: bool, now: float, kind: str = "", reason: str = ""
-    ) -> None:
-        """Take over the outcome of a call."""
-        if is_answered:
-            if self.lost_at is not None:
-                lost = now - self.lost_at
-                log.notice("store: regained, away for {:.2f} s", lost)
-                self.returned_at = now
-            self.lost_at = None
-            self._regained.set()
+    def note_answer(self, *, asked_at: float, now: float) -> None:
+        """Take over that a call was answered which was made at `asked_at`.
+
+        A watch that was waiting when the store was lost may still end in order.
+        Taken for the store's return, it would tell operators that all is well,
+        and let the time run out for which missing entries are kept.
+        """
+        if self.lost_at is not None and asked_at < self.lost_at:
             return
+        if self.lost_at is not None:
+            lost = now - self.lost_at
+            log.notice("store: regained, away for {:.2f} s", lost)
+            self.returned_at = now
+        self.lost_at = None
+        self._regained.set()
+
+    def note_lost(self, *, now: float, kind: str, reason: str) -> None:
+        """Take over that a call wasn't answered."""
         if self.lost_at is None:
             self.lost_at = now
             self._prober = kind
@@ -192,8 +198,10 @@
     async def _advance(self) -> bool:
         """List or watch once; return whether the next call may follow at once."""
         self._has_changed = False
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         result = await (self._list() if self.revision is None else self._watch())
-        now = asyncio.get_running_loop().time()
+        now = loop.time()
         match result:
             case Listed():
                 self.revision = result.revision
@@ -213,11 +221,9 @@
             case Unheard():
                 return True
             case Away(reason=reason):
-                self._contact.note(
-                    is_answered=False, now=now, kind=self.kind, reason=reason
-                )
+                self._contact.note_lost(now=now, kind=self.kind, reason=reason)
                 return False
-        self._contact.note(is_answered=True, now=now)
+        self._contact.note_answer(asked_at=asked_at, now=now)
         return True
 
     async def _list(self) -> Listed | Away:
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrassrack.gateway.follower import Contact
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.metadatastore import Fault
 
@@ -210,6 +211,25 @@
     run(main())
 
 
+def test_the_end_of_an_earlier_watch_isnt_the_store_s_return():
+    """The store refuses new calls, and a watch from before still ends in order.
+
+    Taken for its return, operators would read that the store answers, and entries
+    that lapsed meanwhile would be dropped before they can be back.
+    """
+
+    async def main():
+        contact = Contact()
+        contact.note_lost(now=10.0, kind="one", reason="busy")
+        contact.note_answer(asked_at=9.0, now=11.0)
+        assert contact.lost_at == 10.0
+        contact.note_answer(asked_at=12.0, now=12.1)
+        assert contact.lost_at is None
+        assert contact.returned_at == 12.1
+
+    run(main())
+
+
 def test_a_gateway_without_the_store_learns_from_a_peer():
     """The store turns one gateway away and serves the other.
 
