Await the first request of a new connection before closing it as idle

Cause: a stopping gateway closes idle connections every 50 ms. One that was accepted a moment ago, with its first request on the way, counted as idle: its caller got no answer at all (IncompleteReadError with 0 bytes in test_a_stream_that_may_outlast_the_process_isnt_begun, in one of six runs beside load). Users met the same on any stop.

Ruled out: the test's world, which closes nothing of its own before the end.

Change: a connection that has brought no request yet stays open for 0.3 s, and a stop waits for it. Two tests that fail each time without it; one that such a connection is closed in the end.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -37,6 +37,9 @@
 # connections come until then, and a little later over its own links.
 ROTATION_SECONDS = 2.6
 
+# Between looks at what is still open during a stop.
+STOP_LOOK_SECONDS = 0.05
+
 # What is left of the grace for the last bytes to leave.
 LAST_SECONDS = 0.7
 
@@ -246,13 +249,17 @@
         # their try.
         self._serving.stop_at(last)
         self.ingress.close_idle()
-        while self.ingress.open_requests and loop.time() < last:
-            await asyncio.sleep(0.05)
+        while self._is_occupied and loop.time() < last:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
             self.ingress.close_idle()
-        self.ingress.close_idle()
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
         await self.close()
 
+    @property
+    def _is_occupied(self) -> bool:
+        """Tell whether a caller has a request here, or is about to send one."""
+        return bool(self.ingress.open_requests) or self.ingress.awaits_first
+
     async def close(self) -> None:
         """End all parts at once."""
         self._server.stop()
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -32,6 +32,10 @@
 # No body is longer for the HTTP library, which would answer by itself.
 ANY_BYTES = 1 << 60
 
+# A caller that has connected sends its first request at once, but for the time
+# that a lost packet takes to be sent again.
+FIRST_SECONDS = 0.3
+
 # The library reads heads up to this many times the limit, so that most heads
 # that are too long get an answer; it closes at once on those beyond.
 READ_FACTOR = 4
@@ -162,15 +166,21 @@
     """A connection on which no request is under way.
 
     `since` is the loop's time at which it began, `head_since` that at which
-    the first bytes of a head were seen.
+    the first bytes of a head were seen.  `is_first` says that no request has
+    come on the connection yet.
     """
 
-    __slots__ = ("head_since", "since")
+    __slots__ = ("head_since", "is_first", "since")
 
-    def __init__(self, *, since: float) -> None:
+    def __init__(self, *, since: float, is_first: bool) -> None:
         self.since = since
+        self.is_first = is_first
         self.head_since: float | None = None
 
+    def awaits_first(self, now: float) -> bool:
+        """Tell whether the first request is most likely on its way."""
+        return self.is_first and now < self.since + FIRST_SECONDS
+
 
 Decode = Callable[..., Arrival]
 
@@ -199,10 +209,11 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Begin to read a request."""
-        if server_conn not in self._known:
+        is_first = server_conn not in self._known
+        if is_first:
             self._known.add(server_conn)
             set_probes(request_conn.stream.socket)
-        self._idle[request_conn] = Pause(since=self._loop.time())
+        self._idle[request_conn] = Pause(since=self._loop.time(), is_first=is_first)
         limits = self._find_limits()
         request_conn.params.max_header_size = limits.header_bytes * READ_FACTOR
         request_conn.set_max_body_size(ANY_BYTES)
@@ -213,14 +224,23 @@
         """Return on how many connections no request is under way."""
         return len(self._idle)
 
+    @property
+    def awaits_first(self) -> bool:
+        """Tell whether a caller has connected and its request isn't here yet."""
+        now = self._loop.time()
+        return any(pause.awaits_first(now) for pause in self._idle.values())
+
     def close_idle(self) -> None:
         """Close connections on which no request is under way or has come in.
 
         A busy process may not have read yet what its caller sent.  Closing
         then would cut a whole request, which its caller can't safely repeat.
+        A caller that has just connected would get no answer at all to a request
+        that is on its way, so its connection stays open for a moment.
         """
-        for connection in tuple(self._idle):
-            if not has_unread(connection.stream):
+        now = self._loop.time()
+        for connection, pause in tuple(self._idle.items()):
+            if not pause.awaits_first(now) and not has_unread(connection.stream):
                 connection.close()
 
     def close_overdue(self) -> None:
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+from eelgrassrack.gateway.ingress import FIRST_SECONDS
 from eelgrassrack.standins.directengine import Events, Reply
 
 from .world import call, connect, make_world, run, wait_for
@@ -66,6 +68,62 @@
     run(main())
 
 
+def test_a_caller_that_has_just_connected_gets_an_answer():
+    """A caller connects to an entry that stops, and its request is on its way.
+
+    Closed as idle, its connection would end without any answer, and the caller
+    could only guess whether its request ran.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            await wait_for(lambda: gateway.ingress.idle_connections)
+            gateway.ingress.close_idle()
+            caller.send("/look/1")
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
+
+
+def test_a_stop_waits_for_the_first_request_of_a_connection():
+    """An entry has nothing left to do, and a caller connects in that moment."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(ROTATION_SECONDS - 0.1)
+            caller = await connect(world.settings[0].listen)
+            await asyncio.sleep(0.15)
+            caller.send("/look/1")
+            assert (await caller.read()).status == 200
+            await stopping
+            caller.close()
+
+    run(main())
+
+
+def test_a_connection_without_any_request_is_closed_in_the_end():
+    async def main():
+        async with make_world() as world:
+            gateway = await world.start_gateway()
+            caller = await connect(world.settings[0].listen)
+            await wait_for(lambda: gateway.ingress.idle_connections)
+            await asyncio.sleep(FIRST_SECONDS + 0.05)
+            gateway.ingress.close_idle()
+            assert await asyncio.wait_for(caller.reader.read(), 2) == b""
+            caller.close()
+
+    run(main())
+
+
 def test_idle_connections_are_closed():
     async def main():
         async with make_world() as world:
