--- /dev/null
+++ b/bench/plays/__init__.py
@@ -0,0 +1,1 @@
+"""Days of the users' bench, played by several copies of the tree side by side."""
--- /dev/null
+++ b/bench/plays/mechanisms.py
@@ -0,0 +1,117 @@
+"""Mechanisms of the gateway, and the neutral answer that stands for each.
+
+A neutral answer is what the gateway would do if nobody had thought of the
+mechanism.  It is appended to the mechanism's module in a copy of the tree, so
+the product itself holds no switches.
+"""
+
+import msgspec
+
+
+class Mechanism(msgspec.Struct, kw_only=True, frozen=True):
+    """One mechanism: its module, and the code without it."""
+
+    name: str
+    module: str
+    neutral: str
+
+
+def _make(name: str, module: str, neutral: str) -> Mechanism:
+    return Mechanism(name=name, module=f"eelgrassrack/{module}.py", neutral=neutral)
+
+
+MECHANISMS = (
+    _make("slowness", "decisions/slowness", "def find_slow(timings):\n    return {}\n"),
+    _make(
+        "urgency",
+        "decisions/urgency",
+        "def find_urgency(*, rank, reading, gives_way=False):\n    return 5\n",
+    ),
+    _make(
+        "fairshare",
+        "decisions/fairshare",
+        "Usage.find_heavy = lambda self, told: frozenset()\n",
+    ),
+    _make(
+        "doubt",
+        "decisions/doubt",
+        "def avoid_doubtful(endpoints, **rest):\n    return list(endpoints)\n",
+    ),
+    _make(
+        "poison",
+        "decisions/poison",
+        "Poison.is_guilty = lambda self, **rest: False\n",
+    ),
+    _make(
+        "silence",
+        "decisions/silence",
+        "def limit_first(**rest):\n    return None\n\n\n"
+        "def limit_gap(**rest):\n    return 3600.0\n",
+    ),
+    _make(
+        "idle connections",
+        "decisions/idle",
+        "def choose_idle_seconds(named):\n    return 3600.0\n",
+    ),
+    _make(
+        "cold share",
+        "decisions/sharedbudget",
+        "def share_cold_rate(**rest):\n    return 1_000_000\n",
+    ),
+    _make(
+        "retry budget",
+        "decisions/sharedbudget",
+        "def allow_retry(**rest):\n    return True\n",
+    ),
+    _make(
+        "affinity",
+        "gateway/prompts",
+        'def find_affinity(job, model):\n    return ""\n',
+    ),
+    _make(
+        "backlog",
+        "gateway/flight",
+        "Flight.split_backlog = lambda self, urgency: Split(0.0, 0.0)\n",
+    ),
+    _make(
+        "choice of the model",
+        "decisions/modelchoice",
+        "def choose_next(**rest):\n    return None\n",
+    ),
+    _make(
+        "best model for long prompts",
+        "decisions/modelchoice",
+        "def choose_first(*, models, **rest):\n    return models[0]\n",
+    ),
+    _make(
+        "pace",
+        "decisions/pace",
+        "Pace.note = lambda self, **rest: None\n"
+        "Pace.note_stream = lambda self, **rest: None\n",
+    ),
+    _make(
+        "news of load",
+        "gateway/flightnews",
+        "def tell_flights(fleet, now):\n    return ()\n",
+    ),
+    _make(
+        "probes of silent endpoints",
+        "gateway/pool",
+        "Pool.probe_silent = lambda self, **rest: None\n",
+    ),
+    _make(
+        "kept connections",
+        "gateway/pool",
+        "Pool._take_kept = lambda self, endpoint, now: None\n",
+    ),
+    _make(
+        "passing over what failed",
+        "gateway/placing",
+        "Placing._shun = lambda self, flight: None\n",
+    ),
+)
+
+
+def find_mechanism(name: str) -> Mechanism:
+    """Return a mechanism by its name; raise `KeyError`."""
+    return {one.name: one for one in MECHANISMS}[name]
