Keep requests in their failure domain as long as they have slack

Change: a near endpoint may answer later by 0.02 of the slack that is left within the objective, long prompts have none, and each domain has a holder of its own.

--- a/eelgrassrack/decisions/engines.py
+++ b/eelgrassrack/decisions/engines.py
@@ -7,9 +7,14 @@
 
 Each endpoint is weighed by the seconds until the first token: what it still
 has to read, and what it would read of this prompt.  A shared part that it
-holds already counts for it.  All entries rank the endpoints of a shared part
-by the same hash, so that without asking each other they take the same one to
-hold it.
+holds already counts for it.  All entries of a failure domain rank its endpoints
+by the same hash for a shared part, so that without asking each other they take
+the same one to hold it.
+
+Bytes between failure domains are paid for, and an answer that comes well within
+its objective is worth no more for coming sooner.  A request therefore waits for
+a near endpoint as long as that takes a small part of its slack; once all have a
+queue, there is no slack left, and it goes wherever it is answered first.
 """
 
 from collections.abc import Sequence
@@ -17,8 +22,15 @@
 import msgspec
 import xxhash
 
-# An endpoint of another failure domain counts as if it were busy for so much
-# longer: bytes between domains are paid for, but a queue costs more.
+# The part of its slack that a request waits longer for a near endpoint.  Other
+# requests wait as well, and the estimate may be wrong.
+NEAR_SHARE = 0.02
+
+# Requests that come later are read before a long prompt, so it may take so many
+# times what is expected of a near endpoint that gets all of its domain's.
+STRETCH = 3.0
+
+# Without slack an endpoint of another failure domain still takes so much longer.
 FAR_SECONDS = 0.002
 
 # A request that runs beside makes each token a little slower.
@@ -66,19 +78,28 @@
 
 
 def choose_engine(
-    *, candidates: Sequence[Candidate], reading: Reading, affinity: str, spread: str
+    *,
+    candidates: Sequence[Candidate],
+    reading: Reading,
+    affinity: str,
+    spread: str,
+    left: float = 0.0,
 ) -> Choice:
     """Return the endpoint for a request.
 
     Requests of the same `affinity` go together; `spread` breaks ties, so that
-    entries don't all choose the same of equal endpoints.
+    entries don't all choose the same of equal endpoints.  `left` is the seconds
+    that the first token may take within the request's objective.
     """
     sound = [one for one in candidates if not one.is_shunned] or candidates
-    home = max(sound, key=lambda one: _rank(affinity, one.name)) if affinity else None
+    home = _find_home(sound, affinity)
+    weights = {one.name: _weigh(one, reading, is_home=one is home) for one in sound}
+    slack = left - min(weights.values()) * STRETCH
+    far = max(slack * NEAR_SHARE, FAR_SECONDS)
     best = min(
         sound,
         key=lambda one: (
-            _weigh(one, reading, is_home=one is home),
+            weights[one.name] + (0.0 if one.is_near else far),
             _rank(spread, one.name),
         ),
     )
@@ -87,12 +108,19 @@
     return Choice(best.name, wait + own * best.slowness, wait)
 
 
+def _find_home(sound: Sequence[Candidate], affinity: str) -> Candidate | None:
+    """Return the endpoint that is to hold a shared part, a near one if any is."""
+    if not affinity:
+        return None
+    near = [one for one in sound if one.is_near]
+    return max(near or sound, key=lambda one: _rank(affinity, one.name))
+
+
 def _weigh(one: Candidate, reading: Reading, *, is_home: bool) -> float:
     saved = reading.shared if one.holds_parts or is_home else 0.0
-    far = 0.0 if one.is_near else FAR_SECONDS
     beside = BESIDE_SECONDS * one.running / one.slots
     work = one.burden + _find_queue(one) + beside + reading.whole - saved
-    return work * one.slowness + far
+    return work * one.slowness
 
 
 def _find_queue(one: Candidate) -> float:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -354,8 +354,21 @@
             reading=reading,
             affinity=affinity,
             spread=self._settings.name,
+            left=self._find_left(job, model, now),
         )
 
+    def _find_left(self, job: "Job", model: str, now: float) -> float:
+        """Return the seconds that the first token of a model may take.
+
+        Its answer may be dropped for the best model's, which reads the prompt
+        again within the same objective.
+        """
+        left = job.arrival.arrived + job.permit.route.objective - now
+        models = job.permit.route.models if job.has_choice else ()
+        if not models or model == models[-1]:
+            return left
+        return left - find_reading(job, models[-1], self._pace).whole
+
     def _holds(self, flight: Flight, affinity: str, now: float) -> bool:
         used_at = flight.parts.get(affinity)
         return used_at is not None and now < used_at + self._settings.reuse_seconds
--- a/test/decisions/test_engines.py
+++ b/test/decisions/test_engines.py
@@ -23,12 +23,15 @@
     )
 
 
-def choose(candidates, *, reading=0.05, shared=0.02, affinity="part", spread="one"):
+def choose(
+    candidates, *, reading=0.05, shared=0.02, affinity="part", spread="one", left=0.0
+):
     return choose_engine(
         candidates=candidates,
         reading=Reading(whole=reading, shared=shared),
         affinity=affinity,
         spread=spread,
+        left=left,
     )
 
 
@@ -117,3 +120,51 @@
     )
     assert choose([bad, *make(1, backlog=3.0)], affinity="").name == "e0"
     assert choose([bad], affinity="").name == "bad"
+
+
+def make_far(name, **rest):
+    return make_one(name=name, is_near=False, **rest)
+
+
+def test_a_request_with_slack_stays_in_its_domain():
+    """Engines of all domains are nearly idle, and bytes between them are dear.
+
+    The near one would answer a few milliseconds later, far within the objective.
+    """
+    near = make_one(name="near", backlog=0.01)
+    idle = [make_far(f"far{number}") for number in range(4)]
+    assert choose([near, *idle], left=2.0, affinity="").name == "near"
+    assert choose([near, *idle], left=0.0, affinity="").name != "near"
+
+
+def test_a_queue_in_a_domain_overflows_to_others():
+    """A third of the callers come to the domain with a fifth of the engines."""
+    near = make_one(name="near", backlog=0.5)
+    assert choose([near, make_far("far")], left=1.0).name == "far"
+
+
+def test_a_long_prompt_goes_where_it_is_read_first():
+    """Short ones that come later are read before it, and nearness has cost its slack.
+
+    Its domain's only engine gets all of these; its caller would wait too long.
+    """
+    near = make_one(name="near", backlog=0.02)
+    chosen = choose([near, make_far("far")], left=2.0, reading=0.8, shared=0.0)
+    assert chosen.name == "far"
+
+
+def test_each_domain_has_its_own_holder_of_a_shared_part():
+    """One holder for all would draw two thirds of the prompts across domains."""
+    engines = [f"e{number}" for number in range(9)]
+
+    def find_holder(domain):
+        return choose(
+            [
+                make_one(name=name, is_near=number % 3 == domain)
+                for number, name in enumerate(engines)
+            ],
+            left=1.0,
+        ).name
+
+    holders = [find_holder(domain) for domain in range(3)]
+    assert [engines.index(one) % 3 for one in holders] == [0, 1, 2]
