--- a/test/decisions/test_pace.py
+++ b/test/decisions/test_pace.py
@@ -52,3 +52,15 @@
         pace.note_stream(model="large", tokens=300, seconds=6.0)
     assert pace.estimate_stream(model="small", tokens=100) == pytest.approx(0.5)
     assert pace.estimate_stream(model="large", tokens=100) == pytest.approx(2.0)
+
+
+def test_an_entry_that_has_just_started_soon_knows_a_fast_engine():
+    """An entry starts under load, and engines are four times as fast as guessed.
+
+    Until it knows, long prompts seem to leave no time to ask a cheap model first.
+    """
+    pace = Pace()
+    guess = estimate(pace, "large", 20_000)
+    assert guess > 3 * TRUE_PACES["large"] * 20_000
+    teach(pace, "large", count=4)
+    assert estimate(pace, "large", 20_000) < 2 * TRUE_PACES["large"] * 20_000
