Send news to other domains less often, and fetch only what changed

Cause: each gateway told all peers all it has under way four times a second, and each change at the store had every gateway fetch all beliefs, 20 KB with the configuration, from the same best informed peer.

Change: peers of other domains get each fourth news once there are many of them, and at once what all must know (configuration, store, crashes, doubt, bad versions). A gateway asks for what it lacks by kind, spread over those that know, near ones first, and takes a configuration from whoever has it.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -18,14 +18,14 @@
 from .knowledge import Kinds, Knowledge
 from .listener import open_listener
 from .metrics import GatewayMetrics
-from .news import News, NewsExchange
+from .news import Audience, News, NewsExchange
 from .placing import Placing
 from .plan import Router
 from .pool import Pool
 from .rollouts import Rollouts
 from .serving import Serving
 from .settings import GatewaySettings
-from .sharing import PATH, Need, Sharing, encode_beliefs
+from .sharing import Need, Sharing, encode_beliefs, read_path
 from .translation import Translation
 
 log = logbook.Logger("gateway")
@@ -126,6 +126,7 @@
         )
         self._news = NewsExchange(
             name=settings.name,
+            domain=settings.domain,
             address=(settings.address, settings.news_port),
             seeds=find_seeds(settings),
             make_news=self._make_news,
@@ -161,6 +162,8 @@
         self._sharing = Sharing(
             find_url=self._find_url,
             find_need=self._knowledge.find_need,
+            find_known=self._knowledge.find_known,
+            rank=self._knowledge.rank_sources,
             take=self._knowledge.take_beliefs,
         )
 
@@ -226,9 +229,7 @@
         self._supervisor.start(name="news", job=self._news.run)
         self._supervisor.start(name="rollouts", job=self.rollouts.run)
         self._supervisor.start(name="peers", job=self._follow_peers)
-        self._supervisor.start(
-            name="sharing", job=lambda: self._sharing.run(lambda: self._news.heard)
-        )
+        self._supervisor.start(name="sharing", job=self._sharing.run)
         self._server.add_socket(self._listener or open_listener(self._settings.listen))
         for door in self._doors:
             door.open()
@@ -344,8 +345,10 @@
         }
         self._news.take_peers(peers)
 
-    def _make_news(self, *, name: str, lifetime: str, port: int, number: int) -> News:
-        trials, pins = self.rollouts.tell()
+    def _make_news(
+        self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
+    ) -> News:
+        trials, pins = self.rollouts.tell(audience)
         return News(
             name=name,
             lifetime=lifetime,
@@ -360,11 +363,13 @@
             crashes=self._placing.tell_crashes(),
             doubted=self._placing.tell_doubted(),
             usage=self._placing.tell_usage(),
+            domain=self._settings.domain,
         )
 
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
         """Answer a peer, or an operator who reads metrics."""
-        if path != PATH:
+        known = read_path(path)
+        if known is None:
             self._metrics.version.set(self.router.version)
             self._metrics.store.set(self.has_store)
             self._metrics.entries.set(self.entries)
@@ -372,7 +377,7 @@
             self._metrics.heavy.set(len(self._placing.heavy))
             self._metrics.dropped_lines.set(self._count_dropped())
             return (200, self._metrics.render())
-        return (200, encode_beliefs(self._knowledge.describe()))
+        return (200, encode_beliefs(self._knowledge.describe(known)))
 
     def _find_url(self, name: str) -> str | None:
         address = self._news.find_address(name)
--- a/eelgrassrack/gateway/knowledge.py
+++ b/eelgrassrack/gateway/knowledge.py
@@ -1,20 +1,23 @@
 """What a gateway knows of the platform, from the store and from its peers."""
 
+import itertools
 import time
 from collections.abc import Callable
 from typing import Protocol
 
 import logbook
 
+from ..decisions.sources import Source, rank_sources
 from ..decisions.watchers import Watch, find_watch
 from ..decisions.watchturns import find_wait
+from .endpoints import Endpoint
 from .fleet import Fleet
 from .follower import Contact, Follower, Store, TakeChanges, TakeList
 from .news import News
 from .plan import Plan, Router
 from .rollouts import Rollouts
 from .settings import GatewaySettings
-from .sharing import Beliefs, Need
+from .sharing import Beliefs, Known, Need
 
 log = logbook.Logger("gateway")
 
@@ -79,19 +82,57 @@
         """Tell whether a configuration and the endpoints are known."""
         return self._router.plan is not None and self._fleet.is_known
 
-    def describe(self) -> Beliefs:
-        """Return all that was read, for a peer."""
+    def describe(self, known: Known) -> Beliefs:
+        """Return what was read and a peer doesn't know yet."""
+        revisions = self.revisions
+        fresh = {
+            follower.kind
+            for follower, mine, theirs in itertools.zip_longest(
+                self.followers, revisions, known.revisions[: len(revisions)]
+            )
+            if theirs is None or mine > theirs
+        }
+        kinds = self._kinds
+        is_newer = self._router.version > known.configuration
         return Beliefs(
-            plan=self._router.plan,
-            endpoints=tuple(
-                flight.endpoint
-                for flight in self._fleet
-                if flight.missing_since is None
+            plan=self._router.plan if is_newer else None,
+            endpoints=self._list_endpoints() if kinds.ENDPOINTS in fresh else None,
+            evacuated=(
+                tuple(sorted(self._fleet.evacuated))
+                if kinds.EVACUATIONS in fresh
+                else None
             ),
-            evacuated=tuple(sorted(self._fleet.evacuated)),
-            orders=self._rollouts.orders,
+            orders=self._rollouts.orders if kinds.ROLLOUTS in fresh else None,
             knows_store=self.knows_store,
-            revisions=self.revisions,
+            revisions=revisions,
+        )
+
+    def _list_endpoints(self) -> tuple[Endpoint, ...]:
+        flights = (one for one in self._fleet if one.missing_since is None)
+        return tuple(flight.endpoint for flight in flights)
+
+    def find_known(self) -> Known:
+        """Return what was learned from peers, so that only the rest is asked."""
+        is_adopted = not self._hears_store and self._fleet.is_known
+        return Known(
+            configuration=self._router.version,
+            revisions=self._adopted if is_adopted else (),
+        )
+
+    def rank_sources(self) -> list[str]:
+        """Return the peers to ask, best first."""
+        sources = (
+            Source(
+                name=news.name,
+                is_near=news.domain == self._settings.domain,
+                knows_store=news.knows_store,
+                configuration=news.configuration,
+                revisions=news.revisions[1:],
+            )
+            for news in self._list_heard()
+        )
+        return rank_sources(
+            sources, revisions=self._adopted[1:], spread=self._settings.name
         )
 
     def catch_up(self, news: News) -> None:
@@ -117,8 +158,9 @@
             is_known = any(news.configuration for news in heard)
             return Need.URGENT if is_known else Need.NONE
         informed = [news for news in heard if news.knows_store]
+        is_newer = any(news.configuration > self._router.version for news in heard)
         if not self.is_watcher():
-            is_behind = any(
+            is_behind = is_newer or any(
                 mine < theirs
                 for news in informed
                 for mine, theirs in zip(self._adopted, news.revisions, strict=False)
@@ -126,7 +168,6 @@
             return Need.URGENT if is_behind else Need.NONE
         if self._contact.lost_at is not None:
             return Need.PATIENT if informed else Need.NONE
-        is_newer = any(news.configuration > self._router.version for news in heard)
         return Need.PATIENT if is_newer else Need.NONE
 
     def _find_watch(self) -> Watch:
@@ -168,9 +209,17 @@
         if self._hears_store and self._fleet.is_known:
             return
         if beliefs.knows_store or not self._fleet.is_known:
-            self._adopted = beliefs.revisions
+            newest = map(max, self._adopted, beliefs.revisions)
+            self._adopted = tuple(newest) if self._fleet.is_known else beliefs.revisions
+            self._adopt(beliefs)
+
+    def _adopt(self, beliefs: Beliefs) -> None:
+        """Take over what a peer knows of kinds that have changed."""
+        if beliefs.endpoints is not None:
             self._fleet.adopt(beliefs.endpoints)
+        if beliefs.evacuated is not None:
             self._fleet.take_evacuations(beliefs.evacuated)
+        if beliefs.orders is not None:
             orders = {order.service: order for order in beliefs.orders}
             self._rollouts.take_list(orders)
 
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -3,9 +3,15 @@
 A datagram that is lost is followed by a newer one, and a peer that falls
 silent is simply not heard: there is no connection that could hang.  Each
 datagram holds the whole state, so the order of arrival doesn't matter.
+
+Bytes between failure domains are paid for, and requests mostly stay within
+theirs, so peers of other domains get news less often.  What all must know soon
+is told to all at once.
 """
 
 import asyncio
+import enum
+import math
 import secrets
 from collections.abc import Callable
 from typing import Annotated
@@ -25,12 +31,20 @@
 # load may change by half in a burst.
 NEWS_SECONDS = 0.25
 
+# Each news go to about so many peers of other failure domains at full rate.  With
+# more of them each gets every second news, every third and so on, but every
+# fourth at least, unless there is something that all must know.
+FAR_PEERS = 4
+MOST_SKIPPED = 4
+
 # With more peers than this the pause grows, so that what an entry sends and
 # reads a second doesn't grow with the fleet.
 FULL_RATE_PEERS = 32
 
-# A peer that wasn't heard for so long has nothing under way that counts.
+# A peer that wasn't heard for so long has nothing under way that counts.  Those
+# of other failure domains send once a second at least, and one may be lost.
 HEARD_SECONDS = 2.0
+FAR_HEARD_SECONDS = 2.6
 
 # A peer that wasn't heard for so long has no share of the common limits.
 SHARE_SECONDS = 20.0
@@ -97,6 +111,21 @@
     crashes: tuple[Crash, ...] = ()
     doubted: tuple[int, ...] = ()
     usage: Told = Told()
+    domain: str = ""
+
+    @property
+    def alarm(self) -> tuple[object, ...]:
+        """Return what all peers must know soon once it changes."""
+        bad = tuple(trial.version for trial in self.trials if trial.is_bad)
+        known = (self.configuration, self.knows_store, self.revisions)
+        return (known, bad, self.crashes, self.doubted)
+
+
+class Audience(enum.Enum):
+    """Whom news are made for."""
+
+    NEAR = "peers of the same failure domain"
+    FAR = "peers of other failure domains"
 
 
 class Heard(msgspec.Struct):
@@ -113,6 +142,7 @@
         self,
         *,
         name: str,
+        domain: str,
         address: tuple[str, int],
         seeds: tuple[str, ...],
         make_news: Callable[..., News],
@@ -120,6 +150,7 @@
     ) -> None:
         self.lifetime = secrets.token_hex(4)
         self._name = name
+        self._domain = domain
         self._address = address
         self._seeds: list[tuple[str, int]] = []
         self.take_seeds(seeds)
@@ -129,6 +160,8 @@
         self._heard: dict[str, Heard] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
+        self._far_number = 0
+        self._alarm: tuple[object, ...] = ()
         self._listed_at: dict[str, float] = {}
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -150,24 +183,45 @@
         """Send news until cancelled."""
         while True:
             self.send()
-            crowd = max(1.0, len(self._peers) / FULL_RATE_PEERS)
+            far = self._find_far()
+            told = len(self._peers) - len(far) + len(far) / _find_turns(len(far))
+            crowd = max(1.0, told / FULL_RATE_PEERS)
             await asyncio.sleep(NEWS_SECONDS * crowd)
 
     def send(self) -> None:
         """Send the news as they are now."""
-        addresses = self._peers.values() or self._seeds
+        addresses = set(self._peers.values()) or set(self._seeds)
         if self._transport is None or not addresses:
             return
-        self._number += 1
+        far = self._find_far()
+        news = self._tell(Audience.NEAR, addresses - far)
+        is_due = self._number >= self._far_number + _find_turns(len(far))
+        if far and (is_due or news.alarm != self._alarm):
+            self._alarm = news.alarm
+            self._far_number = self._number
+            self._tell(Audience.FAR, far)
+
+    def _tell(self, audience: Audience, addresses: set[tuple[str, int]]) -> News:
+        self._number += audience is Audience.NEAR
         news = self._make_news(
             name=self._name,
             lifetime=self.lifetime,
             port=self._address[1],
             number=self._number,
+            audience=audience,
         )
         data = msgspec.msgpack.encode(news)
         for address in addresses:
             self._transport.sendto(data, address)
+        return news
+
+    def _find_far(self) -> set[tuple[str, int]]:
+        """Return the addresses of peers that are known to be in other domains."""
+        return {
+            self._peers[name]
+            for name, heard in self._heard.items()
+            if heard.news.domain != self._domain
+        }
 
     def take_peers(self, peers: dict[str, Peer]) -> None:
         """Take over the list of all gateways that were ever there."""
@@ -181,7 +235,7 @@
         """Return the news of peers that were heard lately."""
         now = asyncio.get_running_loop().time()
         return tuple(
-            one.news for one in self._heard.values() if now < one.at + HEARD_SECONDS
+            one.news for one in self._heard.values() if self._is_heard(one, now)
         )
 
     @property
@@ -220,7 +274,7 @@
         if known is not None and known.news.lifetime == news.lifetime:
             if known.news.number >= news.number:
                 return
-        elif known is None or now > known.at + HEARD_SECONDS:
+        elif known is None or not self._is_heard(known, now):
             log.info("news: {} is heard", news.name)
         self._heard[news.name] = Heard(news, now)
         self._take_news(news)
@@ -229,6 +283,10 @@
         """Leave out what the network says of a peer that is down."""
         log.debug("news: {}", exc)
 
+    def _is_heard(self, heard: Heard, now: float) -> bool:
+        is_near = heard.news.domain == self._domain
+        return now < heard.at + (HEARD_SECONDS if is_near else FAR_HEARD_SECONDS)
+
     def _add(self, name: str, address: tuple[str, int], now: float) -> None:
         self._peers[name] = address
         self._listed_at.setdefault(name, now)
@@ -236,3 +294,8 @@
     def _find_last(self, name: str) -> float:
         heard = self._heard.get(name)
         return heard.at if heard else self._listed_at[name]
+
+
+def _find_turns(far: int) -> int:
+    """Return with each how many-th news so many far peers get theirs."""
+    return min(max(math.ceil(far / FAR_PEERS), 1), MOST_SKIPPED)
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -21,7 +21,7 @@
 from .beliefs import RolloutOrder, RolloutState, RolloutStatus
 from .fleet import ANY_VERSION, Fleet, VersionChoice
 from .follower import Contact
-from .news import News, Pin, TrialNews
+from .news import Audience, News, Pin, TrialNews
 from .settings import GatewaySettings
 from .trial import Seen, Trial
 
@@ -39,13 +39,12 @@
 USUAL_WEIGHT = 1 / 16
 
 # A pin is told to peers for this long after it was set, in two or three news.
-PIN_NEWS_SECONDS = 0.7
+PIN_NEWS_SECONDS = {Audience.NEAR: 0.7, Audience.FAR: 2.3}
 MOST_PINS_TOLD = 40
 
-# Tallies are told with each so many-th news only.  They are most of the bytes
-# during a roll-out, and with 30 gateways on links of 5 Mbit/s news with all of
-# them each time left little of the links for callers.
-TALLY_NEWS = 4
+# Between news with tallies.  They are most of the bytes during a roll-out: sent
+# with all news, they leave little of a thin link for callers.
+TALLY_SECONDS = 0.9
 
 
 class StatusWriter(Protocol):
@@ -64,10 +63,10 @@
         "_contact",
         "_fleet",
         "_loop",
-        "_news_count",
         "_rank",
         "_settings",
         "_store",
+        "_tallied_at",
         "_trials",
         "_usual",
     )
@@ -89,7 +88,7 @@
         self._loop = asyncio.get_running_loop()
         self._trials: dict[str, Trial] = {}
         self._usual: dict[tuple[str, str], float] = {}
-        self._news_count = 0
+        self._tallied_at = dict.fromkeys(Audience, float("-inf"))
 
     def take_list(self, objects: dict[str, object]) -> None:
         """Take over all orders."""
@@ -179,12 +178,13 @@
             for pin in news.pins:
                 trial.pins[pin.session] = Seen(now, pin.is_new, float("-inf"))
 
-    def tell(self) -> tuple[tuple[TrialNews, ...], tuple[Pin, ...]]:
+    def tell(self, audience: Audience) -> tuple[tuple[TrialNews, ...], tuple[Pin, ...]]:
         """Return the trials and pins for peers."""
         now = self._loop.time()
         running = [one for one in self._trials.values() if not one.is_over]
-        self._news_count += 1
-        has_tallies = self._news_count % TALLY_NEWS == 0
+        has_tallies = now >= self._tallied_at[audience] + TALLY_SECONDS
+        if has_tallies:
+            self._tallied_at[audience] = now
         trials = tuple(
             TrialNews(
                 *one.key,
@@ -198,7 +198,7 @@
             Pin(session, seen.is_new)
             for one in running
             for session, seen in one.pins.items()
-            if now < seen.set_at + PIN_NEWS_SECONDS
+            if now < seen.set_at + PIN_NEWS_SECONDS[audience]
         ]
         return trials, tuple(pins[-MOST_PINS_TOLD:])
 
--- a/eelgrassrack/gateway/sharing.py
+++ b/eelgrassrack/gateway/sharing.py
@@ -15,7 +15,6 @@
 from ..store.http import Answer, HttpCaller
 from .beliefs import RolloutOrder
 from .endpoints import Endpoint
-from .news import News
 from .plan import Plan
 
 log = logbook.Logger("sharing")
@@ -35,16 +34,28 @@
 PATIENCE_SECONDS = 0.4
 
 PATH = "/beliefs"
+SEPARATOR = "."
 MOST_CONNECTIONS = 2
 
 
+class Known(msgspec.Struct, kw_only=True, frozen=True):
+    """What the asker has already: a configuration, and changes by kind."""
+
+    configuration: int = 0
+    revisions: tuple[int, ...] = ()
+
+
 class Beliefs(msgspec.Struct, kw_only=True, frozen=True):
-    """All that a gateway has read from the store, up to `revisions`."""
+    """What a gateway has read from the store, up to `revisions`.
+
+    What the asker has already is left out: most changes are of one kind, and
+    the configuration takes more bytes than all else.
+    """
 
     plan: Plan | None
-    endpoints: tuple[Endpoint, ...]
-    evacuated: tuple[str, ...]
-    orders: tuple[RolloutOrder, ...]
+    endpoints: tuple[Endpoint, ...] | None
+    evacuated: tuple[str, ...] | None
+    orders: tuple[RolloutOrder, ...] | None
     knows_store: bool
     revisions: tuple[int, ...]
 
@@ -62,6 +73,22 @@
     return msgspec.msgpack.encode(beliefs)
 
 
+def make_path(known: Known) -> str:
+    """Return the path that asks for what isn't known."""
+    numbers = (known.configuration, *known.revisions)
+    return f"{PATH}/{SEPARATOR.join(map(str, numbers))}"
+
+
+def read_path(path: str) -> Known | None:
+    """Return what the asker has, or None if the path asks for something else."""
+    place, _, rest = path[1:].partition("/")
+    numbers = rest.split(SEPARATOR) if rest else []
+    if f"/{place}" != PATH or not all(one.isdecimal() for one in numbers):
+        return None
+    configuration, *revisions = map(int, numbers or ["0"])
+    return Known(configuration=configuration, revisions=tuple(revisions))
+
+
 class Sharing:
     """Ask peers for what the store doesn't tell."""
 
@@ -69,7 +96,9 @@
         "_behind_since",
         "_callers",
         "_find_need",
+        "_find_known",
         "_find_url",
+        "_rank",
         "_take",
         "wake",
     )
@@ -79,9 +108,13 @@
         *,
         find_url: Callable[[str], str | None],
         find_need: Callable[[], Need],
+        find_known: Callable[[], Known],
+        rank: Callable[[], list[str]],
         take: Callable[[Beliefs, str], None],
     ) -> None:
         self._find_url = find_url
+        self._find_known = find_known
+        self._rank = rank
         self._find_need = find_need
         self._take = take
         self._callers: dict[str, HttpCaller] = {}
@@ -93,14 +126,14 @@
         for caller in self._callers.values():
             caller.close()
 
-    async def run(self, list_peers: Callable[[], tuple[News, ...]]) -> None:
+    async def run(self) -> None:
         """Ask whenever that is needed, until cancelled."""
         while True:
             await self._sleep()
             if self._must_wait():
                 continue
-            for news in _rank(list_peers()):
-                if await self._pull(news.name):
+            for name in self._rank():
+                if await self._pull(name):
                     await asyncio.sleep(GATHER_SECONDS)
                     break
 
@@ -135,7 +168,9 @@
             caller = self._callers[url] = HttpCaller(
                 url=url, max_clients=MOST_CONNECTIONS
             )
-        answer = await caller.fetch(path=PATH, timeout=ANSWER_SECONDS)
+        answer = await caller.fetch(
+            path=make_path(self._find_known()), timeout=ANSWER_SECONDS
+        )
         if not isinstance(answer, Answer) or answer.status != 200:
             return False
         try:
@@ -145,12 +180,3 @@
             return False
         self._take(beliefs, name)
         return True
-
-
-def _rank(peers: tuple[News, ...]) -> list[News]:
-    """Return the peers with a configuration, best informed first."""
-    known = [one for one in peers if one.configuration]
-    return sorted(
-        known,
-        key=lambda one: (not one.knows_store, -sum(one.revisions), -one.configuration),
-    )
