Learn from requests that end before their endpoint has said anything

Cause: what may not be repeated has no limit but its time limit, and an attempt that it cut taught nothing. An endpoint that takes such requests and says nothing, with fine health, got the next one as well.

Change: a silence beyond what would have sent a repeatable request elsewhere counts as a lost answer, and an endpoint found dark by a probe is told to all entries as doubted. The test fails without it (the second caller got 504).

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -58,12 +58,30 @@
             return NotRun(reason=str(error), is_down=True)
         except BrokenError as error:
             return Lost(reason=str(error))
+        except asyncio.CancelledError:
+            self._note_silence(job, endpoint)
+            raise
         finally:
             self._placing.end(job, endpoint)
             if connection is not None:
                 self._pool.release(endpoint=endpoint, connection=connection)
         return outcome
 
+    def _note_silence(self, job: Job, endpoint: Endpoint) -> None:
+        """Learn from an attempt that was ended before anything came back.
+
+        What may not be repeated waits until its time limit.  An endpoint that
+        takes such requests and says nothing, while its health is fine, would get
+        the next one as well, and its caller would wait as long for nothing.
+        """
+        if not job.reading:
+            return
+        longest = limit_first(
+            expected=job.expected, has_prompt=bool(job.arrival.tokens_in)
+        )
+        if self._loop.time() > job.sent_at + longest:
+            self._placing.note_silent(endpoint)
+
     def _send(self, job: Job, endpoint: Endpoint, connection: Connection) -> None:
         arrival = job.arrival
         connection.is_kept = False
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -242,19 +242,24 @@
         That says nothing of the endpoint's version: connections break for
         many reasons, on old and new endpoints alike.
         """
+        self.note_silent(endpoint)
+        crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
+        self._poison.note_loss(crash=crash, now=self._loop.time())
+
+    def note_silent(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint owes an answer that doesn't come."""
         flight = self._find(endpoint)
         if flight is not None:
             flight.note_end(failed=True)
             flight.doubted_until = self._loop.time() + DOUBT_SECONDS
             self._shun(flight)
-        crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
-        self._poison.note_loss(crash=crash, now=self._loop.time())
 
     def note_dark(self, endpoint: Endpoint) -> None:
         """Note that an endpoint with requests under way is out of reach."""
         flight = self._find(endpoint)
         if flight is not None:
             flight.badness = max(flight.badness, OFTEN_BAD)
+            flight.doubted_until = self._loop.time() + DOUBT_SECONDS
             self._shun(flight)
 
     def note_gone(self, lifetime: tuple[str, int]) -> None:
--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -50,6 +50,29 @@
     run(main())
 
 
+def test_an_endpoint_that_never_answers_is_met_once():
+    """An endpoint takes requests that may not be repeated, and says nothing.
+
+    Its health is fine and it takes new connections.  Each caller would wait until
+    the time limit, and have nothing.
+    """
+
+    async def main():
+        async with make_world() as world:
+            mute = await world.add_engine("mute", Hang(), slots=100)
+            await world.add_engine("e1", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1", patience_ms=900)
+            assert got.status == 504
+            for number in range(4):
+                got = await world.call("/issue/2", attempt=f"b{number}")
+                assert got.status == 200
+            assert len(mute.runs) == 1
+
+    run(main())
+
+
 @pytest.mark.parametrize("alive", range(5))
 def test_endpoints_that_are_down_use_up_no_attempt(alive):
     """Four endpoints have crashed and are still listed; a fifth is idle.
