Log each decision on a request with its values as fields, and tell losses by cause

Cause: log lines were prose without fields; none told of a placement's inputs and their age, and a request refused at its time limit named neither the endpoint where it stood nor how long.

Change: gateway/requestlog.py writes a line for each attempt and each end, with fields (endpoint, expected, wait, running, slowness, age of news, reason, gap, confidence). eelgrassrack losses LOG... counts late and lost requests by cause.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -174,6 +174,7 @@
         if not job.has_choice or not job.attempts_left:
             return None
         objective = job.permit.route.objective
+        job.confidence = head.confidence
         model = choose_next(
             models=job.permit.route.models,
             model=job.model,
@@ -248,6 +249,10 @@
     async def _pass_events(
         self, job: Job, reply: Reply, head: Head, data: bytes
     ) -> None:
+        now = self._loop.time()
+        if reply.is_begun:
+            job.longest_gap = max(job.longest_gap, now - job.passed_at)
+        job.passed_at = now
         if reply.is_begun:
             if data:
                 await reply.write(data)
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -55,6 +55,17 @@
     confidence: int
 
 
+class Placement(msgspec.Struct, kw_only=True, frozen=True):
+    """What an endpoint was chosen by: seconds to wait, requests, and ages."""
+
+    wait: float = 0.0
+    running: int = 0
+    slowness: float = 1.0
+    news_age: float = 0.0
+
+
+UNPLACED = Placement()
+
 Outcome = Delivered | NotRun | Lost | Failed | Unsure
 
 
@@ -62,20 +73,25 @@
     """One request under way.
 
     `expected` is the seconds to the first piece that placing reckons with,
-    `usual` the same if the endpoint is as fast as others.
+    `usual` the same if the endpoint is as fast as others.  `longest_gap` is the
+    longest pause between events so far, and `passed_at` when the last was passed on.
     """
 
     __slots__ = (
         "arrival",
         "attempts",
+        "confidence",
         "deadline",
         "expected",
         "failure",
         "fingerprint",
         "first_at",
+        "longest_gap",
         "model",
+        "passed_at",
         "passed_over",
         "permit",
+        "placement",
         "reading",
         "sent_at",
         "resume_after",
@@ -100,6 +116,10 @@
         self.passed_over: set[str] = set()
         self.fingerprint = make_fingerprint(arrival, permit)
         self.model = arrival.model
+        self.placement = UNPLACED
+        self.passed_at = 0.0
+        self.longest_gap = 0.0
+        self.confidence: int | None = None
         self.expected = 0.0
         self.usual = 0.0
         self.reading = 0.0
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -21,6 +21,7 @@
 from .fleet import Fleet
 from .flight import Flight
 from .flightnews import judge_slow, take_flights, tell_flights
+from .job import Placement
 from .messages import Refusal
 from .news import FlightNews, News
 from .prompts import (
@@ -65,6 +66,7 @@
     """
 
     __slots__ = (
+        "_added_at",
         "_count_entries",
         "_fleet",
         "_has_news",
@@ -93,6 +95,7 @@
         self._count_entries = count_entries
         self._list_heard = list_heard
         self._has_news = False
+        self._added_at = 0.0
         self._poison = Poison()
         self._pace = Pace()
         self.heavy: frozenset[str] = frozenset()
@@ -319,6 +322,7 @@
         if not self._has_news:
             return
         self._has_news = False
+        self._added_at = self._loop.time()
         heard = self._list_heard()
         take_flights(self._fleet, heard)
         now = self._loop.time()
@@ -347,6 +351,12 @@
         chosen = next(one for one in flights if one.endpoint.name == choice.name)
         job.expected = choice.seconds
         job.usual = choice.seconds / chosen.slowness
+        job.placement = Placement(
+            wait=choice.wait,
+            running=chosen.running,
+            slowness=chosen.slowness,
+            news_age=self._loop.time() - self._added_at,
+        )
         return chosen.endpoint
 
     def _weigh(self, job: "Job", model: str, flights: list[Flight]) -> Choice:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -10,8 +10,6 @@
 import asyncio
 from collections.abc import Callable
 
-import logbook
-
 from ..decisions.modelchoice import SPARE_FACTOR, choose_first
 from ..decisions.sharedbudget import allow_retry
 from .attempts import Attempts
@@ -23,12 +21,11 @@
 from .placing import Placing
 from .plan import Permit, Router
 from .pool import Pool
+from .requestlog import log_attempt, log_cut, log_end, log_refusal
 from .retries import RecentSends
 from .settings import GatewaySettings
 from .translation import Translation
 
-log = logbook.Logger("serving")
-
 # A request that could not be sent anywhere within its limit is told to come
 # back after this: about the time in which a restarted endpoint is back.
 COME_BACK_SECONDS = 1.0
@@ -216,35 +213,24 @@
 
     def _note_outcome(self, job: Job, endpoint: Endpoint, outcome: Outcome) -> None:
         """Learn from an attempt; what it shows of the endpoint goes to placing."""
+        log_attempt(job, endpoint, outcome, seconds=self._loop.time() - job.sent_at)
         match outcome:
             case Delivered():
                 self._note_answer(job, endpoint, failed=False)
                 self._placing.note_whole(job)
                 self._note_end(job, "answered")
-                return
-            case Unsure(confidence=confidence):
-                reason = f"confidence {confidence}"
+            case Unsure():
                 job.note(Standing.RAN)
                 self._note_answer(job, endpoint, failed=False)
-            case NotRun(reason=reason, is_down=is_down):
+            case NotRun(is_down=is_down):
                 self._placing.note_not_run(job, endpoint, is_down=is_down)
-            case Lost(reason=reason):
+            case Lost():
                 job.note(Standing.UNKNOWN)
                 self._placing.note_lost(job, endpoint)
-            case Failed(head=head):
-                reason = f"status {head.status}"
+            case Failed():
                 job.note(Standing.RAN)
                 job.failure = outcome
                 self._note_answer(job, endpoint, failed=True)
-        log.info(
-            "serving: attempt {} of {} at {} {}: {}: {}",
-            job.attempts,
-            job.arrival.id,
-            endpoint.name,
-            endpoint.version,
-            type(outcome).__name__,
-            reason,
-        )
 
     def _note_answer(self, job: Job, endpoint: Endpoint, *, failed: bool) -> None:
         first_at = job.first_at or self._loop.time()
@@ -272,6 +258,8 @@
         """Answer a request whose time is over."""
         if reply.is_over:
             return
+        if job.tried:
+            log_cut(job, seconds=self._loop.time() - job.sent_at)
         if reply.is_begun:
             self._note_end(job, "broken_off", "time limit")
             reply.abort()
@@ -286,13 +274,11 @@
     async def refuse(self, arrival: Arrival, reply: Reply, refusal: Refusal) -> None:
         """Answer with a refusal; raise `CallerGoneError`."""
         self._metrics.ended(f"status_{refusal.status}")
-        log.info(
-            "serving: {} {} refused {}: {}; configuration {}",
-            arrival.id,
-            arrival.path,
-            refusal.status,
-            refusal.reason,
-            self.router.version,
+        log_refusal(
+            arrival,
+            refusal,
+            configuration=self.router.version,
+            seconds=self._loop.time() - arrival.arrived,
         )
         await reply.refuse(refusal)
 
@@ -302,19 +288,7 @@
         if job.first_at is not None:
             self._metrics.took(job.first_at - job.arrival.arrived, "first")
         self._metrics.took(now - job.arrival.arrived, "whole")
-        log.info(
-            "serving: {} {} on {} with {} by {} after {:.3f} s, first {:.3f} s, "
-            "attempts {} {}",
-            job.arrival.id,
-            end,
-            job.permit.route.name,
-            job.model or "no model",
-            ",".join(job.tried) or "none",
-            now - job.arrival.arrived,
-            (job.first_at or now) - job.arrival.arrived,
-            job.attempts,
-            reason,
-        )
+        log_end(job, end, reason=reason, now=now)
 
     def _find_sends(self, service: str) -> RecentSends:
         sends = self._sends.get(service)
--- a/eelgrassrack/logs.py
+++ b/eelgrassrack/logs.py
@@ -124,11 +124,15 @@
 
 
 class BoundedLine(msgspec.Struct, kw_only=True, frozen=True, omit_defaults=True):
-    """One record; `dropped` lines before it weren't written."""
+    """One record; `dropped` lines before it weren't written.
+
+    `fields` holds the record's values by name.
+    """
 
     time: float
     level: str
     message: str
+    fields: dict[str, str | int | float | None] = {}
     dropped: int = 0
     error: str = ""
 
@@ -139,6 +143,7 @@
         time=round(time.time(), 4),
         level=record.level_name.lower(),
         message=record.message,
+        fields=record.kwargs or {},
         dropped=dropped,
         error=record.formatted_exception or "",
     )
--- a/eelgrassrack/requesttrace.py
+++ b/eelgrassrack/requesttrace.py
@@ -6,11 +6,14 @@
 kind are taken from some seconds around the request's own.
 """
 
+import pathlib
 import re
 from collections.abc import Iterable
 
 import msgspec
 
+from .settings import read_text
+
 # Faults that end a request show within seconds before it, and an endpoint's
 # entry is removed a few seconds after its crash.
 BEFORE_SECONDS = 10.0
@@ -32,6 +35,7 @@
     level: str = ""
     file: str = ""
     error: str = ""
+    fields: dict[str, str | int | float | None] = {}
 
 
 class Trace(msgspec.Struct, kw_only=True, frozen=True):
@@ -51,6 +55,13 @@
         return sorted((*self.own, *self.beside), key=lambda one: one.time)
 
 
+def read_files(paths: Iterable[pathlib.Path]) -> tuple[list[LogLine], int]:
+    """Return all files' log lines, and how many lines are none."""
+    read = [read_lines(read_text(path), file=path.name) for path in paths]
+    lines = [line for found, _ in read for line in found]
+    return lines, sum(unread for _, unread in read)
+
+
 def read_lines(text: str, *, file: str) -> tuple[list[LogLine], int]:
     """Return a file's log lines, and how many lines are none."""
     read = [_read_line(line, file) for line in text.splitlines() if line.strip()]
--- a/eelgrassrack/ui/__init__.py
+++ b/eelgrassrack/ui/__init__.py
@@ -19,6 +19,7 @@
 from .commands.entry import Entry
 from .commands.gateway import Gateway
 from .commands.load import Load
+from .commands.losses import LossesCommand
 from .commands.show import Show
 from .commands.status import Status
 from .commands.trace import TraceCommand
@@ -55,6 +56,7 @@
         | Agent
         | Gateway
         | TraceCommand
+        | LossesCommand
         | Demo
         | Load
     ]
--- a/eelgrassrack/ui/commands/trace.py
+++ b/eelgrassrack/ui/commands/trace.py
@@ -6,8 +6,7 @@
 
 import cappa
 
-from ...requesttrace import LogLine, Trace, read_lines, trace_request
-from ...settings import read_text
+from ...requesttrace import Trace, read_files, trace_request
 from ..errors import OK, REFUSED
 from ..options import AsJson
 from ..output import print_json
@@ -26,13 +25,7 @@
 
     def __call__(self) -> int:
         """Read the logs and print the lines."""
-        lines: list[LogLine] = []
-        unread = 0
-        for file in self.files:
-            path = pathlib.Path(file)
-            found, skipped = read_lines(read_text(path), file=path.name)
-            lines += found
-            unread += skipped
+        lines, unread = read_files(pathlib.Path(file) for file in self.files)
         trace = trace_request(self.request, lines=lines, unread=unread)
         if self.as_json:
             print_json(trace)
