--- /dev/null
+++ b/test/decisions/deployments.py
@@ -0,0 +1,235 @@
+"""Deployments drawn at random, and requests played against them in virtual time.
+
+An engine reads prompts one after the other and generates beside that, so a
+request's first token comes when its prompt has been read.  Everything is known to
+the one entry that chooses; what is compared is the choice alone.
+"""
+
+import itertools
+import random
+
+import msgspec
+
+from eelgrassrack.decisions.engines import Candidate, Reading, choose_engine
+from eelgrassrack.decisions.modelchoice import Estimate, choose_first, choose_next
+
+REQUESTS = 1_500
+TIME_LEFT = 15.0
+LATE_PART = 0.3
+
+# What a wrong answer is worth beside a right one.
+POOR_PART = 0.05
+
+# Requests carry so many bytes for each token of their prompt.
+TOKEN_BYTES = 1.0
+
+
+class Engine(msgspec.Struct):
+    """An engine; `speed` is how many times as long as usual it takes."""
+
+    name: str
+    domain: int
+    speed: float
+    free_at: float = 0.0
+    running: int = 0
+
+
+class Model(msgspec.Struct, frozen=True):
+    """A model: seconds a token read, the hardest it answers well, and its cost."""
+
+    name: str
+    pace: float
+    quality: float
+    cost: float
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A request; `worth` is that of a right answer in time."""
+
+    at: float
+    domain: int
+    tokens: int
+    difficulty: float
+    objective: float
+    worth: float
+    opinions: tuple[int, ...]
+
+
+class Deployment(msgspec.Struct):
+    """Engines, models, what crossing domains costs a byte, and requests."""
+
+    engines: list[Engine]
+    models: tuple[Model, ...]
+    byte_cost: float
+    requests: list[Request]
+
+
+class Total(msgspec.Struct):
+    """What requests were worth, and what they cost."""
+
+    worth: float = 0.0
+    cost: float = 0.0
+
+
+def draw(seed):
+    """Return a deployment; its load is between a fifth and nine tenths."""
+    luck = random.Random(seed)
+    domains = luck.randint(2, 4)
+    engines = [
+        Engine(f"e{number}", number % domains, luck.choice((1.0, 1.0, 1.3)))
+        for number in range(luck.randint(domains, 12))
+    ]
+    base = luck.uniform(2e-6, 8e-6)
+    models = tuple(
+        Model(name, base * pace, quality, cost)
+        for name, pace, quality, cost in (
+            ("small", 1.0, luck.uniform(0.45, 0.65), luck.uniform(0.01, 0.02)),
+            ("middle", 2.7, luck.uniform(0.66, 0.8), luck.uniform(0.08, 0.14)),
+            ("large", luck.uniform(7, 12), 1.0, luck.uniform(0.2, 0.3)),
+        )
+    )
+    load = luck.uniform(0.2, 0.9)
+    mean_seconds = 4_000 * (models[0].pace + 0.4 * models[2].pace)
+    rate = load * len(engines) / mean_seconds
+    times = itertools.accumulate(luck.expovariate(rate) for _ in range(REQUESTS))
+    requests = [_draw_request(luck, at, domains, models) for at in times]
+    return Deployment(engines, models, luck.uniform(1e-6, 1e-5), requests)
+
+
+def _draw_request(luck, at, domains, models):
+    tokens = int(min(luck.lognormvariate(7.6, 1.1), 40_000)) + 50
+    difficulty = luck.random()
+    opinions = tuple(
+        round(min(max(50 + 150 * (m.quality - difficulty) + luck.gauss(0, 10), 0), 100))
+        for m in models
+    )
+    return Request(
+        at=at,
+        domain=luck.randrange(domains),
+        tokens=tokens,
+        difficulty=difficulty,
+        objective=luck.choice((1.0, 1.5, 2.0)),
+        worth=0.3 + tokens / 3_000,
+        opinions=opinions,
+    )
+
+
+def play(deployment, *, choose_model, choose_place):
+    """Return what all requests were worth and cost under a policy.
+
+    `choose_model` returns the models to run in turn, each by what is known then.
+    """
+    total = Total()
+    for engine in deployment.engines:
+        engine.free_at = 0.0
+    for request in deployment.requests:
+        _serve(deployment, request, choose_model, choose_place, total)
+    return total
+
+
+def _serve(deployment, request, choose_model, choose_place, total):
+    now = request.at
+    model = choose_model(deployment, request, None, now)
+    while True:
+        engine = choose_place(deployment, request, model, now)
+        seconds = request.tokens * model.pace * engine.speed
+        begun = max(now, engine.free_at)
+        now = engine.free_at = begun + seconds
+        total.cost += model.cost * request.tokens / 1_000 / 4
+        if engine.domain != request.domain:
+            total.cost += deployment.byte_cost * request.tokens * TOKEN_BYTES
+        following = choose_model(deployment, request, model, now)
+        if following is None:
+            break
+        model = following
+    is_late = now - request.at > request.objective
+    is_right = request.difficulty <= model.quality
+    part = (LATE_PART if is_late else 1.0) * (1.0 if is_right else POOR_PART)
+    total.worth += request.worth * part
+
+
+def choose_ours(deployment, request, model, now):
+    """Return the first or the next model as the product does."""
+    names = tuple(one.name for one in deployment.models)
+    by_name = {one.name: one for one in deployment.models}
+
+    def estimate(name):
+        wait, seconds = min(
+            (
+                max(one.free_at - now, 0.0),
+                request.tokens * by_name[name].pace * one.speed,
+            )
+            for one in deployment.engines
+        )
+        return Estimate(wait + seconds, wait, wait + seconds)
+
+    left = request.at + TIME_LEFT - now
+    if model is None:
+        chosen = choose_first(
+            models=names,
+            attempts=3,
+            is_repeatable=True,
+            objective=request.objective,
+            left=left,
+            estimate=estimate,
+        )
+    else:
+        chosen = choose_next(
+            models=names,
+            model=model.name,
+            confidence=request.opinions[names.index(model.name)],
+            objective=request.objective,
+            left=left,
+            estimate=estimate,
+        )
+    return by_name.get(chosen)
+
+
+def choose_first_only(deployment, request, model, now):
+    return deployment.models[0] if model is None else None
+
+
+def choose_best_only(deployment, request, model, now):
+    return deployment.models[-1] if model is None else None
+
+
+def place_ours(deployment, request, model, now):
+    """Return the engine as the product does."""
+    candidates = [
+        Candidate(
+            name=one.name,
+            wait=max(one.free_at - now, 0.0),
+            burden=max(one.free_at - now, 0.0),
+            running=0,
+            slots=64,
+            is_near=one.domain == request.domain,
+            slowness=one.speed,
+        )
+        for one in deployment.engines
+    ]
+    chosen = choose_engine(
+        candidates=candidates,
+        reading=Reading(whole=request.tokens * model.pace),
+        affinity="",
+        spread="entry",
+        left=request.at + request.objective - now,
+    )
+    return next(one for one in deployment.engines if one.name == chosen.name)
+
+
+def place_on_least_busy(deployment, request, model, now):
+    return min(deployment.engines, key=lambda one: (one.free_at, one.name))
+
+
+def place_in_turn(deployment, request, model, now):
+    number = deployment.requests.index(request)
+    return deployment.engines[number % len(deployment.engines)]
+
+
+BASELINES = {
+    f"{model} {place}": (choose_model, choose_place)
+    for (model, choose_model), (place, choose_place) in itertools.product(
+        (("first model", choose_first_only), ("best model", choose_best_only)),
+        (("least busy", place_on_least_busy), ("in turn", place_in_turn)),
+    )
+}
