Ask better models for short prompts also when engines have a queue

Cause: with a third of the engines gone, a queue of a fifth of the objective kept all requests at the cheapest model's answer, also questions that the best one reads in a few hundredths of a second.

Change: a prompt that takes the better model up to a tenth of the objective to read is asked while its answer is in time.

Also moves what attempts show of endpoints out of placing.py, splits the reading of a head, and takes stories of tuning out of comments; behaviour as before.

--- a/eelgrassrack/decisions/doubt.py
+++ b/eelgrassrack/decisions/doubt.py
@@ -3,9 +3,8 @@
 Load pattern: an endpoint looks sound, by its entry and its health, and loses
 answers for some seconds: it resets each connection, or runs requests and says
 nothing.  What may be repeated goes on elsewhere, and its caller notices little.
-What may not has failed with the first loss.  With 27 entries that each found
-out for itself, by two losses, one such endpoint of five took 80 of 1,470
-requests of this kind in six seconds.
+What may not has failed with the first loss, and each of thirty entries would
+find out by losses of its own.
 
 One loss anywhere is therefore told to all entries, and requests that may not be
 repeated avoid the endpoint for a while.  Repeatable ones still go there and show
--- a/eelgrassrack/decisions/modelchoice.py
+++ b/eelgrassrack/decisions/modelchoice.py
@@ -11,10 +11,17 @@
 on: a little too low to the next model, far too low to the best one at once,
 since each further run costs time and the reading of the prompt.
 
-Under overload the better models give way first.  A run of the best one takes
+Long prompts are the dearest: the best model reads one for as much as dozens of
+short ones.  They begin with the best only if there is no time for both: asked
+at once without need, it would be paid for every one of them, and more than half
+are answered well by the cheapest.
+
+Under overload the better models give way first, but for short prompts: these
+take little of an engine's time, and an answer of the cheapest model that is
+known to be wrong is worth next to nothing.  A run of the best one takes
 an engine's time from ten others, so it is asked only where an engine has next
-to nothing else to read.  Asked as long as it answers in time, it was found to
-fill engines up to the most patient route's objective, and all others were late.
+to nothing else to read.  Asked as long as it answers in time, it would fill
+engines up to the most patient route's objective, and all others would be late.
 Nor is it asked where its answer, which takes three times as long, wouldn't be
 whole in the time that the caller has left, as after a fault that held callers up.
 """
@@ -24,27 +31,29 @@
 import msgspec
 
 # An answer is taken from this opinion on.  Opinions lie around 50 where a
-# request is just as hard as the model bears, with a spread of about 10, so
-# that 60 leaves one bad answer in six at the edge and hardly any beyond.
+# request is just as hard as the model bears, with a spread of about 10.
 ACCEPTED_CONFIDENCE = 60
 
-# The opinion of the next model is higher by about this much on the same
-# request, measured over a day's requests on both sites.
+# The opinion of the next model is higher by about this much on the same request.
 STEP_CONFIDENCE = 15
 
 # A run that is dropped needs an attempt left for the next one, and one for a
 # broken connection; with fewer the best model begins.
 LEAST_ATTEMPTS = 2
 
-# A prompt that takes the best model this part of the objective to read leaves
-# no time to ask another one first.
-LONG_SHARE = 0.45
+# Both models must be expected to answer within this part of the objective, or
+# the best one begins.  The rest is for waits that aren't known of yet.
+BOTH_SHARE = 0.85
 
 # An engine whose queue takes no more than this part of the objective has room
 # for a better model.
 IDLE_SHARE = 0.2
 
 
+# A prompt that takes no more than this part of the objective to read fills no
+# engine, so a better model reads it as long as its answer is in time.
+SHORT_SHARE = 0.1
+
 # A caller that gives up in the middle has nothing of its answer, so an answer
 # must be expected to be whole with this part of its time to spare.
 SPARE_FACTOR = 1.3
@@ -81,10 +90,11 @@
     if not is_repeatable or attempts < LEAST_ATTEMPTS:
         return best
     expected = estimate(best)
-    is_long = expected.seconds - expected.wait > objective * LONG_SHARE
+    both = estimate(models[0]).seconds + expected.seconds
     has_room = expected.wait <= objective * IDLE_SHARE
     in_time = expected.seconds <= objective and expected.whole * SPARE_FACTOR <= left
-    return best if is_long and in_time and has_room else models[0]
+    begins = both > objective * BOTH_SHARE and in_time and has_room
+    return best if begins else models[0]
 
 
 def choose_next(
@@ -106,10 +116,16 @@
     missing = ACCEPTED_CONFIDENCE - confidence
     if missing > STEP_CONFIDENCE:
         better = better[-1:]
-    expected = ((one, estimate(one)) for one in better)
-    fitting = (
-        one
-        for one, time in expected
-        if time.wait <= objective * IDLE_SHARE and time.whole * SPARE_FACTOR <= left
+    return next(
+        (one for one in better if _has_room(estimate(one), objective, left)), None
     )
-    return next(fitting, None)
+
+
+def _has_room(expected: Estimate, objective: float, left: float) -> bool:
+    """Tell whether a model may be asked instead, for the sake of all requests."""
+    if expected.whole * SPARE_FACTOR > left:
+        return False
+    if expected.wait <= objective * IDLE_SHARE:
+        return True
+    reading = expected.seconds - expected.wait
+    return reading <= objective * SHORT_SHARE and expected.seconds <= objective
--- a/eelgrassrack/decisions/sharedbudget.py
+++ b/eelgrassrack/decisions/sharedbudget.py
@@ -18,8 +18,7 @@
 
 # The part that is used of what requests earn.  An entry that starts anew earns
 # anew, so only its last repeats outlive the requests that earned them.  Asking
-# better models takes half of what is earned on a calm day: at 0.7 of it an entry
-# whose window had a few more of them refused callers when endpoints crashed.
+# better models takes much of it, and what is left has to do when endpoints crash.
 EARNED_SHARE = 0.9
 
 # The part of a cold endpoint's rate that is used, for the same reasons.
--- a/eelgrassrack/decisions/urgency.py
+++ b/eelgrassrack/decisions/urgency.py
@@ -4,9 +4,7 @@
 wait seconds to be read.  They differ by a factor of fifty, and by ten more
 between models.  Read in the order of their arrival, short ones wait behind
 long ones and all are late.  Read shortest first, the short ones, which take a
-tenth of the engines' time, are hardly held up, and the long ones lose little:
-on a day with two engines left of nine, late answers fell from 150 to 27 in
-four seconds, and fewer long ones were late too.
+tenth of the engines' time, are hardly held up, and the long ones lose little.
 
 The operators' ranks come first: size decides among requests of equal rank.
 """
--- a/eelgrassrack/decisions/watchers.py
+++ b/eelgrassrack/decisions/watchers.py
@@ -22,8 +22,7 @@
 
 # With more, so many watch.  Where a third of all entries is turned away by the
 # store, one time in a hundred all four are among them, and then the others
-# notice within a second.  With six a day of many changes took 1,150 to 1,190
-# calls in place of 840.
+# notice within a second.
 WATCHERS = 4
 
 
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -80,7 +80,7 @@
             expected=job.expected, has_prompt=bool(job.arrival.tokens_in)
         )
         if self._loop.time() > job.sent_at + longest:
-            self._placing.note_silent(endpoint)
+            self._placing.evidence.note_silent(endpoint)
 
     def _send(self, job: Job, endpoint: Endpoint, connection: Connection) -> None:
         arrival = job.arrival
@@ -128,15 +128,7 @@
         reply: Reply,
         patience: asyncio.Timeout,
     ) -> Outcome:
-        response = await connection.read()
-        head = self._translation.decode_head(
-            status=response.status_code,
-            reason=response.reason.decode("latin-1"),
-            pairs=[
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in response.headers.raw_items()
-            ],
-        )
+        head = await self._read_head(connection)
         if head.not_run:
             await self._read_body(connection)
             self._keep(endpoint, connection, head)
@@ -163,6 +155,17 @@
         await self.deliver(job, reply, head, body)
         return Delivered()
 
+    async def _read_head(self, connection: Connection) -> Head:
+        response = await connection.read()
+        return self._translation.decode_head(
+            status=response.status_code,
+            reason=response.reason.decode("latin-1"),
+            pairs=[
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in response.headers.raw_items()
+            ],
+        )
+
     def _find_unsure(self, job: Job, head: Head, reply: Reply) -> Unsure | None:
         """Return which model to ask instead, if this one is unsure.
 
@@ -250,10 +253,10 @@
         self, job: Job, reply: Reply, head: Head, data: bytes
     ) -> None:
         now = self._loop.time()
-        if reply.is_begun:
-            job.longest_gap = max(job.longest_gap, now - job.passed_at)
+        gap = now - job.passed_at
         job.passed_at = now
         if reply.is_begun:
+            job.longest_gap = max(job.longest_gap, gap)
             if data:
                 await reply.write(data)
             return
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -301,7 +301,7 @@
             await asyncio.sleep(CHORE_SECONDS)
             now = asyncio.get_running_loop().time()
             self._pool.prune(now=now)
-            self._pool.probe_silent(now=now, note_dark=self._placing.note_dark)
+            self._pool.probe_silent(now=now, note_dark=self._placing.evidence.note_dark)
             self.fleet.sweep()
             self.ingress.close_overdue()
             self._placing.forget_parts()
@@ -360,8 +360,8 @@
             flights=self._placing.tell_flights(),
             trials=trials,
             pins=pins,
-            crashes=self._placing.tell_crashes(),
-            doubted=self._placing.tell_doubted(),
+            crashes=self._placing.evidence.tell_crashes(),
+            doubted=self._placing.evidence.tell_doubted(),
             usage=self._placing.tell_usage(),
             domain=self._settings.domain,
         )
@@ -398,7 +398,7 @@
 
     def _forget(self, lifetime: tuple[str, int]) -> None:
         self._pool.forget(lifetime=lifetime)
-        self._placing.note_gone(lifetime)
+        self._placing.evidence.note_gone(lifetime)
 
 
 def find_seeds(settings: GatewaySettings) -> tuple[str, ...]:
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -123,6 +123,13 @@
             if flight.missing_since is not None and not self._may_be_back(now):
                 self._drop(flight, "still missing after the store's return")
 
+    def find_lifetime(self, endpoint: Endpoint) -> Flight | None:
+        """Return the lifetime's record, or None once it is gone."""
+        flight = self.find(endpoint.name)
+        if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
+            return None
+        return flight
+
     def select(
         self, *, service: str, versions: VersionChoice = ANY_VERSION
     ) -> list[Flight]:
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -69,8 +69,8 @@
     it had not; `lost_at` is None while it answers.
 
     While it doesn't, only the kind that failed first asks again: each call is
-    paid for, also a refused one, and with 30 entries that all ask for four
-    kinds an outage of ten seconds cost as many calls as the rest of the day.
+    paid for, also a refused one, and thirty entries that all ask for four kinds
+    make as many of them in ten seconds as on the rest of a day.
     """
 
     __slots__ = ("_prober", "_regained", "lost_at", "returned_at")
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -6,7 +6,7 @@
 
 import logbook
 
-from ..decisions.doubt import DOUBT_SECONDS, avoid_doubtful
+from ..decisions.doubt import avoid_doubtful
 from ..decisions.engines import (
     Candidate,
     Choice,
@@ -15,9 +15,9 @@
 from ..decisions.fairshare import Told, Usage
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace
-from ..decisions.poison import Crash, Poison
 from ..decisions.sharedbudget import share_cold_rate
 from .endpoints import Endpoint
+from .evidence import Evidence
 from .fleet import Fleet
 from .flight import Flight
 from .flightnews import judge_slow, take_flights, tell_flights
@@ -39,14 +39,6 @@
 
 log = logbook.Logger("placing")
 
-# An endpoint that failed once is passed over for a moment; one that fails
-# often, for about as long as it takes to find out whether it got better.
-SHORT_SHUN_SECONDS = 0.3
-LONG_SHUN_SECONDS = 3.0
-
-# The share of failures among the last answers from which one fails often.
-OFTEN_BAD = 0.3
-
 # An endpoint with less than this to read is as good as idle, and shows the
 # pace of its model.
 IDLE_SECONDS = 0.01
@@ -62,7 +54,8 @@
 class Placing:
     """Choose endpoints and keep count of what runs on them.
 
-    `heavy` are the organisations whose prompts give way to those of others.
+    `heavy` are the organisations whose prompts give way to those of others,
+    `evidence` is what attempts have shown of endpoints.
     """
 
     __slots__ = (
@@ -73,10 +66,10 @@
         "_list_heard",
         "_loop",
         "_pace",
-        "_poison",
         "_rollouts",
         "_settings",
         "_usage",
+        "evidence",
         "heavy",
     )
 
@@ -89,6 +82,7 @@
         count_entries: Callable[[], int],
         list_heard: Callable[[], tuple[News, ...]],
     ) -> None:
+        self.evidence = Evidence(fleet=fleet, rollouts=rollouts)
         self._fleet = fleet
         self._rollouts = rollouts
         self._settings = settings
@@ -96,7 +90,6 @@
         self._list_heard = list_heard
         self._has_news = False
         self._added_at = 0.0
-        self._poison = Poison()
         self._pace = Pace()
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
@@ -116,7 +109,7 @@
         while True:
             now = self._loop.time()
             self._add_up_news()
-            if self._poison.is_guilty(fingerprint=job.fingerprint, now=now):
+            if self.evidence.is_guilty(job):
                 return POISON
             flights = self._select_trusted(job, now)
             if not flights:
@@ -128,7 +121,7 @@
 
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Count a request that is sent."""
-        flight = self._find(endpoint)
+        flight = self._fleet.find_lifetime(endpoint)
         if flight is None:
             return
         now = self._loop.time()
@@ -151,7 +144,7 @@
 
     def note_first(self, job: "Job", endpoint: Endpoint) -> None:
         """Note the first piece of an answer: its prompt has been read."""
-        flight = self._find(endpoint)
+        flight = self._fleet.find_lifetime(endpoint)
         now = self._loop.time()
         if flight is not None:
             flight.own_backlog.add(job.urgency, -job.reading)
@@ -171,7 +164,7 @@
 
     def end(self, job: "Job", endpoint: Endpoint) -> None:
         """Count the end of a request."""
-        flight = self._find(endpoint)
+        flight = self._fleet.find_lifetime(endpoint)
         if flight is not None:
             flight.own -= 1
             flight.own_backlog.add(job.urgency, -job.reading)
@@ -187,26 +180,6 @@
         stream = self._pace.estimate_stream(model=model, tokens=find_generated(job))
         return Estimate(choice.seconds, choice.wait, choice.seconds + stream)
 
-    def note_answer(
-        self, job: "Job", endpoint: Endpoint, *, failed: bool, seconds: float
-    ) -> None:
-        """Learn from an answer; `seconds` is the time to its first piece."""
-        self._rollouts.note(
-            service=endpoint.service,
-            version=endpoint.version,
-            route=job.permit.route.name,
-            model=job.model,
-            endpoint=endpoint.name,
-            failed=failed,
-            seconds=seconds,
-        )
-        flight = self._find(endpoint)
-        if flight is None:
-            return
-        flight.note_end(failed=failed)
-        if failed:
-            self._shun(flight)
-
     def estimate_longest(self, job: "Job") -> float:
         """Return the seconds that a request may take at most.
 
@@ -227,49 +200,6 @@
                 seconds=self._loop.time() - job.first_at,
             )
 
-    def note_not_run(self, job: "Job", endpoint: Endpoint, *, is_down: bool) -> None:
-        """Learn from an attempt that didn't run."""
-        now = self._loop.time()
-        if is_down:
-            self._poison.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
-        flight = self._find(endpoint)
-        if flight is None:
-            return
-        if is_down:
-            flight.note_end(failed=True)
-        self._shun(flight)
-
-    def note_lost(self, job: "Job", endpoint: Endpoint) -> None:
-        """Note an answer that was lost; the request may have crashed it.
-
-        That says nothing of the endpoint's version: connections break for
-        many reasons, on old and new endpoints alike.
-        """
-        self.note_silent(endpoint)
-        crash = Crash(job.fingerprint, endpoint.name, endpoint.born)
-        self._poison.note_loss(crash=crash, now=self._loop.time())
-
-    def note_silent(self, endpoint: Endpoint) -> None:
-        """Note that an endpoint owes an answer that doesn't come."""
-        flight = self._find(endpoint)
-        if flight is not None:
-            flight.note_end(failed=True)
-            flight.doubted_until = self._loop.time() + DOUBT_SECONDS
-            self._shun(flight)
-
-    def note_dark(self, endpoint: Endpoint) -> None:
-        """Note that an endpoint with requests under way is out of reach."""
-        flight = self._find(endpoint)
-        if flight is not None:
-            flight.badness = max(flight.badness, OFTEN_BAD)
-            flight.doubted_until = self._loop.time() + DOUBT_SECONDS
-            self._shun(flight)
-
-    def note_gone(self, lifetime: tuple[str, int]) -> None:
-        """Note that a lifetime ended without a word."""
-        name, born = lifetime
-        self._poison.note_down(endpoint=name, born=born, now=self._loop.time())
-
     def forget_parts(self) -> None:
         """Forget which shared parts were used long ago."""
         before = self._loop.time() - self._settings.reuse_seconds
@@ -300,15 +230,6 @@
         """Return what organisations had engines read, for peers."""
         return self._usage.tell()
 
-    def tell_crashes(self) -> tuple[Crash, ...]:
-        """Return the crashes that were found, for peers."""
-        return self._poison.tell(now=self._loop.time())
-
-    def tell_doubted(self) -> tuple[int, ...]:
-        """Return the lifetimes that lost an answer here lately, for peers."""
-        now = self._loop.time()
-        return tuple(one.key for one in self._fleet if now < one.doubted_until)
-
     def note_news(self) -> None:
         """Note that there are news of peers, or that a peer fell silent.
 
@@ -325,10 +246,7 @@
         self._added_at = self._loop.time()
         heard = self._list_heard()
         take_flights(self._fleet, heard)
-        now = self._loop.time()
-        for news in heard:
-            if news.crashes:
-                self._poison.merge(crashes=news.crashes, now=now)
+        self.evidence.take_news(heard)
 
     def _select(self, job: "Job", passed_over: Collection[str]) -> list[Flight]:
         versions = self._rollouts.choose_version(
@@ -403,11 +321,6 @@
         )
         return len(sends) < most
 
-    def _shun(self, flight: Flight) -> None:
-        often = flight.badness >= OFTEN_BAD
-        seconds = LONG_SHUN_SECONDS if often else SHORT_SHUN_SECONDS
-        flight.shunned_until = self._loop.time() + seconds
-
     def _describe(
         self, flight: Flight, urgency: int, affinity: str, now: float
     ) -> Candidate:
@@ -423,10 +336,3 @@
             holds_parts=bool(affinity) and self._holds(flight, affinity, now),
             is_shunned=now < flight.shunned_until or flight.missing_since is not None,
         )
-
-    def _find(self, endpoint: Endpoint) -> Flight | None:
-        """Return the lifetime's record, or None once it is gone."""
-        flight = self._fleet.find(endpoint.name)
-        if flight is None or flight.endpoint.lifetime != endpoint.lifetime:
-            return None
-        return flight
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -223,10 +223,10 @@
                 job.note(Standing.RAN)
                 self._note_answer(job, endpoint, failed=False)
             case NotRun(is_down=is_down):
-                self._placing.note_not_run(job, endpoint, is_down=is_down)
+                self._placing.evidence.note_not_run(job, endpoint, is_down=is_down)
             case Lost():
                 job.note(Standing.UNKNOWN)
-                self._placing.note_lost(job, endpoint)
+                self._placing.evidence.note_lost(job, endpoint)
             case Failed():
                 job.note(Standing.RAN)
                 job.failure = outcome
@@ -234,7 +234,7 @@
 
     def _note_answer(self, job: Job, endpoint: Endpoint, *, failed: bool) -> None:
         first_at = job.first_at or self._loop.time()
-        self._placing.note_answer(
+        self._placing.evidence.note_answer(
             job, endpoint, failed=failed, seconds=max(first_at - job.sent_at, 0.0)
         )
 
--- a/test/decisions/test_modelchoice.py
+++ b/test/decisions/test_modelchoice.py
@@ -107,3 +107,21 @@
     assert following(20, estimate=slow) == "large"
     assert following(20, estimate=slow, left=5.0) is None
     assert following(50, estimate=slow, left=5.0) == "middle"
+
+
+def test_a_short_prompt_gets_a_better_model_though_engines_have_a_queue():
+    """A third of the engines is gone, and the others have half a second to read.
+
+    A short prompt takes the best model a few hundredths of a second; the cheapest
+    model's answer, known to be wrong, would be worth nothing to its caller.
+    """
+
+    def busy(model):
+        return Estimate(0.6, 0.5)
+
+    def busy_and_long(model):
+        return Estimate(0.9, 0.5)
+
+    assert following(20, estimate=busy) == "large"
+    assert following(20, estimate=busy_and_long) is None
+    assert following(20, estimate=lambda model: Estimate(2.1, 2.0)) is None
