Count bytes that cross failure domains by kind, and split the gateway's long modules

gateway_crossed_bytes_total{kind} tells news, beliefs, requests and answers apart. peerlist.py and reply.py come out of daemon.py and ingress.py; the constructor of the metrics is cut down.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -9,11 +9,12 @@
 from .errors import BrokenError, ConnectError
 from .events import EventSplitter, skip_known
 from .exchange import Connection
-from .ingress import Reply
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Data, End, Head
+from .metrics import GatewayMetrics
 from .placing import Placing
 from .pool import Pool
+from .reply import Reply
 from .translation import Translation
 
 GOOD = range(200, 300)
@@ -23,7 +24,14 @@
 class Attempts:
     """Make attempts; `may_repeat` tells whether the budget has another."""
 
-    __slots__ = ("_loop", "_may_repeat", "_placing", "_pool", "_translation")
+    __slots__ = (
+        "_loop",
+        "_may_repeat",
+        "_metrics",
+        "_placing",
+        "_pool",
+        "_translation",
+    )
 
     def __init__(
         self,
@@ -31,8 +39,10 @@
         placing: Placing,
         pool: Pool,
         translation: Translation,
+        metrics: GatewayMetrics,
         may_repeat: Callable[[Job], bool],
     ) -> None:
+        self._metrics = metrics
         self._placing = placing
         self._pool = pool
         self._translation = translation
@@ -64,9 +74,15 @@
         finally:
             self._placing.end(job, endpoint)
             if connection is not None:
+                self._count_bytes(endpoint, connection)
                 self._pool.release(endpoint=endpoint, connection=connection)
         return outcome
 
+    def _count_bytes(self, endpoint: Endpoint, connection: Connection) -> None:
+        if not self._placing.is_near(endpoint):
+            self._metrics.crossed(connection.sent, "requests")
+            self._metrics.crossed(connection.received, "answers")
+
     def _note_silence(self, job: Job, endpoint: Endpoint) -> None:
         """Learn from an attempt that was ended before anything came back.
 
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -10,7 +10,6 @@
 
 from ..errors import UserError
 from ..supervisor import Supervisor
-from .beliefs import Listed, Peer
 from .doors import Door
 from .fleet import Fleet
 from .follower import Contact, Store
@@ -19,6 +18,7 @@
 from .listener import open_listener
 from .metrics import GatewayMetrics
 from .news import Audience, News, NewsExchange
+from .peerlist import PeerList
 from .placing import Placing
 from .plan import Router
 from .pool import Pool
@@ -43,9 +43,6 @@
 # What is left of the grace for the last bytes to leave.
 LAST_SECONDS = 0.7
 
-# A call to the store beside the watches.
-CALL_SECONDS = 1.5
-
 # A body that takes longer comes from a caller that has long given up: no
 # route's time limit is near this.
 BODY_SECONDS = 60.0
@@ -53,13 +50,6 @@
 # Between looks at the settings file.
 SETTINGS_SECONDS = 3.0
 
-# All instances of a deployment start within a third of a second, and a process
-# needs as long to come up.
-START_SECONDS = 0.7
-
-# Between looks for peers; each is a stale read, at a tenth of a call's price.
-PEERS_SECONDS = 5.0
-
 
 class Gateway:
     """All parts of one gateway."""
@@ -76,6 +66,7 @@
         "_listener",
         "_metrics",
         "_news",
+        "_peers",
         "_placing",
         "_pool",
         "rollouts",
@@ -131,6 +122,13 @@
             seeds=find_seeds(settings),
             make_news=self._make_news,
             take_news=self._take_news,
+            count_crossed=lambda size: self._metrics.crossed(size, "news"),
+        )
+        self._peers = PeerList(
+            settings=settings,
+            store=self._store,
+            kind=self._kinds.PEERS,
+            take=self._news.take_peers,
         )
         self.rollouts = Rollouts(
             fleet=self.fleet,
@@ -165,6 +163,7 @@
             find_known=self._knowledge.find_known,
             rank=self._knowledge.rank_sources,
             take=self._knowledge.take_beliefs,
+            count_bytes=self._count_beliefs,
         )
 
     def _make_doors(self, translation: Translation) -> None:
@@ -228,7 +227,7 @@
         self._supervisor.start(name="chores", job=self._do_chores)
         self._supervisor.start(name="news", job=self._news.run)
         self._supervisor.start(name="rollouts", job=self.rollouts.run)
-        self._supervisor.start(name="peers", job=self._follow_peers)
+        self._supervisor.start(name="peers", job=self._peers.run)
         self._supervisor.start(name="sharing", job=self._sharing.run)
         self._server.add_socket(self._listener or open_listener(self._settings.listen))
         for door in self._doors:
@@ -312,39 +311,6 @@
                 next_look = now + SETTINGS_SECONDS
             self._placing.note_news()
 
-    async def _follow_peers(self) -> None:
-        """Say where this gateway is, and look for others now and then.
-
-        A stale list serves later on: a peer that starts then sends news by
-        itself.  Where all start at the same moment a stale one names none of
-        them, and each would watch the store as if it were one of a few.
-        """
-        settings = self._settings
-        address = f"{settings.address}:{settings.news_port}"
-        is_written = False
-        while not is_written:
-            is_written = await self._store.write_peer(
-                name=settings.name, address=address, timeout=CALL_SECONDS
-            )
-            await self._list_peers(is_stale_fine=True)
-            await asyncio.sleep(START_SECONDS if is_written else 1.0)
-        await self._list_peers(is_stale_fine=False)
-        while True:
-            await asyncio.sleep(PEERS_SECONDS)
-            await self._list_peers(is_stale_fine=True)
-
-    async def _list_peers(self, *, is_stale_fine: bool) -> None:
-        listed = await self._store.list(
-            kind=self._kinds.PEERS, timeout=CALL_SECONDS, is_stale_fine=is_stale_fine
-        )
-        if not isinstance(listed, Listed):
-            log.debug("gateway: peers couldn't be listed: {}", listed)
-            return
-        peers = {
-            name: one for name, one in listed.objects.items() if isinstance(one, Peer)
-        }
-        self._news.take_peers(peers)
-
     def _make_news(
         self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
     ) -> News:
@@ -383,6 +349,10 @@
         address = self._news.find_address(name)
         return f"http://{address}:{self._settings.metrics_port}" if address else None
 
+    def _count_beliefs(self, name: str, size: int) -> None:
+        if self._news.is_far(name):
+            self._metrics.crossed(size, "beliefs")
+
     def _take_news(self, news: News) -> None:
         if self._knowledge.is_watcher():
             self._knowledge.catch_up(news)
--- a/eelgrassrack/gateway/exchange.py
+++ b/eelgrassrack/gateway/exchange.py
@@ -33,7 +33,8 @@
 class Connection:
     """A connection to one endpoint, used for one request at a time.
 
-    `heard_at` is when bytes last came on it, or when a request was sent.
+    `heard_at` is when bytes last came on it, or when a request was sent;
+    `sent` and `received` are the bytes of the request under way.
     `is_kept` says that it is with the pool again, `is_repeatable` that the
     request under way may run elsewhere too.
     """
@@ -47,6 +48,8 @@
         "idle_until",
         "is_kept",
         "is_repeatable",
+        "received",
+        "sent",
     )
 
     def __init__(self, *, stream: IOStream) -> None:
@@ -59,6 +62,8 @@
         self.is_kept = False
         self.is_repeatable = False
         self.heard_at = 0.0
+        self.sent = 0
+        self.received = 0
         self._is_given_up = False
 
     @property
@@ -104,6 +109,8 @@
             data += self._machine.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise BrokenError(f"not a request: {error}") from error
+        self.sent = len(data)
+        self.received = 0
         try:
             self._written = self._stream.write(data)
         except StreamClosedError as error:
@@ -181,6 +188,7 @@
                 raise BrokenError(f"reset: {self._stream.error}") from error
             data = b""
         self.heard_at = asyncio.get_running_loop().time()
+        self.received += len(data)
         self._machine.receive_data(data)
 
 
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -12,6 +12,7 @@
 
     __slots__ = (
         "_arrived",
+        "_crossed",
         "_ended",
         "_took",
         "dropped_lines",
@@ -25,14 +26,12 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self._arrived = Counter(
-            "gateway_requests", "Requests that arrived.", registry=self.registry
-        )
-        self._ended = Counter(
-            "gateway_ends",
-            "Requests by their end.",
-            ["end"],
-            registry=self.registry,
+        self._arrived = self._count("gateway_requests", "Requests that arrived.")
+        self._ended = self._count("gateway_ends", "Requests by their end.", "end")
+        self._crossed = self._count(
+            "gateway_crossed_bytes",
+            "Bytes to and from other failure domains, by what they were for.",
+            "kind",
         )
         self._took = Histogram(
             "gateway_seconds",
@@ -41,37 +40,36 @@
             buckets=BUCKETS,
             registry=self.registry,
         )
-        self.version = Gauge(
-            "gateway_configuration_version",
-            "Configuration in force.",
-            registry=self.registry,
+        self.version = self._show(
+            "gateway_configuration_version", "Configuration in force."
         )
-        self.entries = Gauge(
+        self.entries = self._show(
             "gateway_entries",
             "Gateways that share the common limits, this one among them.",
-            registry=self.registry,
         )
-        self.store = Gauge(
+        self.store = self._show(
             "gateway_store_answers",
             "1 while the platform's store answers, 0 while it doesn't.",
-            registry=self.registry,
         )
-        self.slow = Gauge(
+        self.slow = self._show(
             "gateway_slow_endpoints",
             "Endpoints that take far longer than others of their service.",
-            registry=self.registry,
         )
-        self.heavy = Gauge(
+        self.heavy = self._show(
             "gateway_heavy_organisations",
             "Organisations that give way, taking several times the mean.",
-            registry=self.registry,
         )
-        self.dropped_lines = Gauge(
+        self.dropped_lines = self._show(
             "gateway_log_lines_dropped",
             "Log lines dropped to keep the volume bounded.",
-            registry=self.registry,
         )
 
+    def _count(self, name: str, meaning: str, *labels: str) -> Counter:
+        return Counter(name, meaning, labels, registry=self.registry)
+
+    def _show(self, name: str, meaning: str) -> Gauge:
+        return Gauge(name, meaning, registry=self.registry)
+
     def arrived(self) -> None:
         """Count a request."""
         self._arrived.inc()
@@ -80,6 +78,10 @@
         """Count a request's end."""
         self._ended.labels(end).inc()
 
+    def crossed(self, size: int, kind: str) -> None:
+        """Count bytes that crossed failure domains."""
+        self._crossed.labels(kind).inc(size)
+
     def took(self, seconds: float, until: str) -> None:
         """Note a duration."""
         self._took.labels(until).observe(seconds)
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -135,6 +135,10 @@
     at: float
 
 
+def _count_nothing(size: int) -> None:
+    """Take no note of bytes that crossed failure domains."""
+
+
 class NewsExchange(asyncio.DatagramProtocol):
     """Send own news to all peers and keep theirs."""
 
@@ -147,6 +151,7 @@
         seeds: tuple[str, ...],
         make_news: Callable[..., News],
         take_news: Callable[[News], None],
+        count_crossed: Callable[[int], None] = _count_nothing,
     ) -> None:
         self.lifetime = secrets.token_hex(4)
         self._name = name
@@ -156,6 +161,7 @@
         self.take_seeds(seeds)
         self._make_news = make_news
         self._take_news = take_news
+        self._count_crossed = count_crossed
         self._peers: dict[str, tuple[str, int]] = {}
         self._heard: dict[str, Heard] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -213,6 +219,8 @@
         data = msgspec.msgpack.encode(news)
         for address in addresses:
             self._transport.sendto(data, address)
+        if audience is Audience.FAR:
+            self._count_crossed(len(data) * len(addresses))
         return news
 
     def _find_far(self) -> set[tuple[str, int]]:
@@ -250,6 +258,11 @@
             now < self._find_last(name) + SHARE_SECONDS for name in self._peers
         )
 
+    def is_far(self, name: str) -> bool:
+        """Tell whether a peer is known to be in another failure domain."""
+        heard = self._heard.get(name)
+        return heard is not None and heard.news.domain != self._domain
+
     def find_address(self, name: str) -> str | None:
         """Return a peer's IP number."""
         address = self._peers.get(name)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -104,6 +104,10 @@
         """Return how many gateways share the common limits."""
         return self._count_entries()
 
+    def is_near(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint is in this gateway's failure domain."""
+        return endpoint.domain == self._settings.domain
+
     async def place(self, job: "Job") -> Endpoint | Refusal:
         """Return the endpoint for the next attempt."""
         while True:
@@ -332,7 +336,7 @@
             slowness=flight.slowness,
             running=flight.running,
             slots=flight.endpoint.slots,
-            is_near=flight.endpoint.domain == self._settings.domain,
+            is_near=self.is_near(flight.endpoint),
             holds_parts=bool(affinity) and self._holds(flight, affinity, now),
             is_shunned=now < flight.shunned_until or flight.missing_since is not None,
         )
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -14,13 +14,13 @@
 from ..decisions.sharedbudget import allow_retry
 from .attempts import Attempts
 from .endpoints import Endpoint
-from .ingress import Reply
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Standing, Unsure
 from .messages import Arrival, Refusal
 from .metrics import GatewayMetrics
 from .placing import Placing
 from .plan import Permit, Router
 from .pool import Pool
+from .reply import Reply
 from .requestlog import log_attempt, log_cut, log_end, log_refusal
 from .retries import RecentSends
 from .settings import GatewaySettings
@@ -79,6 +79,7 @@
             placing=placing,
             pool=pool,
             translation=translation,
+            metrics=metrics,
             may_repeat=self._has_budget,
         )
         self._metrics = metrics
--- a/eelgrassrack/gateway/sharing.py
+++ b/eelgrassrack/gateway/sharing.py
@@ -95,6 +95,7 @@
     __slots__ = (
         "_behind_since",
         "_callers",
+        "_count_bytes",
         "_find_need",
         "_find_known",
         "_find_url",
@@ -111,12 +112,14 @@
         find_known: Callable[[], Known],
         rank: Callable[[], list[str]],
         take: Callable[[Beliefs, str], None],
+        count_bytes: Callable[[str, int], None],
     ) -> None:
         self._find_url = find_url
         self._find_known = find_known
         self._rank = rank
         self._find_need = find_need
         self._take = take
+        self._count_bytes = count_bytes
         self._callers: dict[str, HttpCaller] = {}
         self._behind_since: float | None = None
         self.wake = asyncio.Event()
@@ -173,6 +176,7 @@
         )
         if not isinstance(answer, Answer) or answer.status != 200:
             return False
+        self._count_bytes(name, len(answer.body))
         try:
             beliefs = msgspec.msgpack.decode(answer.body, type=Beliefs)
         except msgspec.DecodeError as error:
--- a/test/gateway/test_news.py
+++ b/test/gateway/test_news.py
@@ -205,3 +205,20 @@
             await asyncio.sleep(0)
 
     run(main())
+
+
+def test_bytes_that_cross_domains_are_counted_by_kind():
+    """Operators pay for them and ask which of them could be spared."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("far", zone="south")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call()).status == 200
+            _, page = gateway._answer_inside("/metrics")
+            lines = [line for line in page.decode().splitlines() if "crossed" in line]
+            assert any('kind="requests"' in line for line in lines)
+            assert any('kind="answers"' in line for line in lines)
+
+    run(main())
