--- a/bench/gatewayslopes.py
+++ b/bench/gatewayslopes.py
@@ -4,6 +4,7 @@
 and for a peer's news, and bytes for an endpoint and for news.
 """
 
+import asyncio
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -14,9 +15,21 @@
 from eelgrassrack.decisions.fairshare import Heavy, Told
 from eelgrassrack.gateway.endpoints import Endpoint
 from eelgrassrack.gateway.flight import Flight
-from eelgrassrack.gateway.news import BacklogNews, FlightNews, News
+from eelgrassrack.gateway.news import (
+    FULL_RATE_PEERS,
+    NEWS_SECONDS,
+    BacklogNews,
+    FlightNews,
+    News,
+    NewsExchange,
+)
 
 SIZES = (9, 29, 580)
+
+# Gateways, and failure domains among which they are spread evenly.
+FLEETS = ((4, 3), (21, 3), (68, 5), (300, 20))
+NEWS_ROUNDS = 400
+DATAGRAM_HEADER_BYTES = 28
 ROUNDS = 300
 MICROSECONDS = 1e6
 ENDPOINTS = 1_000
@@ -34,6 +47,12 @@
     took = measure(lambda: msgspec.msgpack.decode(data, type=News))
     print(f"decode news: {took:.1f} us")
     print(f"an endpoint: {_weigh_endpoint():.0f} bytes")
+    for gateways, domains in FLEETS:
+        near, far = asyncio.run(_count_news(gateways, domains))
+        print(
+            f"news of one of {gateways} gateways in {domains} domains, a second: "
+            f"{near:.1f} KB within, {far:.1f} KB to others"
+        )
 
 
 def measure(work: Callable[[], object]) -> float:
@@ -80,6 +99,50 @@
     )
 
 
+class Line:
+    """Adds up datagrams by the failure domain that they go to."""
+
+    def __init__(self) -> None:
+        self.datagrams = 0
+        self.near = 0
+        self.far = 0
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Count a datagram; the host of a near peer begins with `near`."""
+        self.datagrams += 1
+        size = len(data) + DATAGRAM_HEADER_BYTES
+        if address[0].startswith("near"):
+            self.near += size
+        else:
+            self.far += size
+
+
+async def _count_news(gateways: int, domains: int) -> tuple[float, float]:
+    """Return the kilobytes a second that one gateway sends near and far."""
+    line = Line()
+    exchange = NewsExchange(
+        name="me",
+        domain="near",
+        address=("me", 7),
+        seeds=(),
+        make_news=lambda **_: _make_news(),
+        take_news=lambda news: None,
+    )
+    exchange.connection_made(line)
+    peers = gateways - 1
+    near = max(round(gateways / domains) - 1, 0)
+    for number in range(peers):
+        domain = "near" if number < near else "far"
+        name = f"{domain}{number}"
+        news = News(name, "life", 7, 1, 1, True, domain=domain)
+        exchange.datagram_received(msgspec.msgpack.encode(news), (name, 7))
+    for _ in range(NEWS_ROUNDS):
+        exchange.send()
+    told = line.datagrams / NEWS_ROUNDS
+    seconds = NEWS_ROUNDS * NEWS_SECONDS * max(1.0, told / FULL_RATE_PEERS)
+    return line.near / seconds / 1_000, line.far / seconds / 1_000
+
+
 def _weigh_endpoint() -> float:
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
