Learn slower paces slowly, keep short prompts from full queues, and scale silence

A first answer that something else had held up doubled the pace (test_short_prompts_and_outliers_teach_little), and short prompts were sent to better models behind 0.9 s of their own kind with an objective of 1 s (test_a_queue_of_the_same_rank_counts). Beside it: from 280 far peers on, news come later than peers count as heard.

Change: only answers that come sooner than guessed count more at first; short prompts go to a better model if that is expected within 0.85 of the objective, as for both models in turn; the time after which a peer counts as silent grows with the pause.

--- a/eelgrassrack/decisions/modelchoice.py
+++ b/eelgrassrack/decisions/modelchoice.py
@@ -41,9 +41,9 @@
 # broken connection; with fewer the best model begins.
 LEAST_ATTEMPTS = 2
 
-# Both models must be expected to answer within this part of the objective, or
-# the best one begins.  The rest is for waits that aren't known of yet.
-BOTH_SHARE = 0.85
+# What is expected within this part of the objective is taken to be in time.  The
+# rest is for waits that aren't known of yet.
+IN_TIME_SHARE = 0.85
 
 # An engine whose queue takes no more than this part of the objective has room
 # for a better model.
@@ -93,7 +93,7 @@
     both = estimate(models[0]).seconds + expected.seconds
     has_room = expected.wait <= objective * IDLE_SHARE
     in_time = expected.seconds <= objective and expected.whole * SPARE_FACTOR <= left
-    begins = both > objective * BOTH_SHARE and in_time and has_room
+    begins = both > objective * IN_TIME_SHARE and in_time and has_room
     return best if begins else models[0]
 
 
@@ -128,4 +128,5 @@
     if expected.wait <= objective * IDLE_SHARE:
         return True
     reading = expected.seconds - expected.wait
-    return reading <= objective * SHORT_SHARE and expected.seconds <= objective
+    is_in_time = expected.seconds <= objective * IN_TIME_SHARE
+    return reading <= objective * SHORT_SHARE and is_in_time
--- a/eelgrassrack/decisions/pace.py
+++ b/eelgrassrack/decisions/pace.py
@@ -10,7 +10,9 @@
 
 An entry that has just started knows no pace.  Its guess may be several times
 too slow, and until it has learned better it takes half of the long prompts for
-too long to ask a cheap model first.  The first answers therefore count more.
+too long to ask a cheap model first.  The first answers that come sooner than
+guessed therefore count more.  Those that come later count as little as ever:
+something else may have held them up, but nothing answers before it has read.
 """
 
 import msgspec
@@ -50,7 +52,8 @@
 
     def note(self, seconds: float) -> "Learned":
         """Return it with one more answer; what was guessed counts as one."""
-        weight = max(WEIGHT, 1 / (self.answers + 2))
+        is_sooner = seconds < self.seconds
+        weight = max(WEIGHT, 1 / (self.answers + 2)) if is_sooner else WEIGHT
         known = self.seconds + (seconds - self.seconds) * weight
         return Learned(known, self.answers + 1)
 
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -41,8 +41,9 @@
 # reads a second doesn't grow with the fleet.
 FULL_RATE_PEERS = 32
 
-# A peer that wasn't heard for so long has nothing under way that counts.  Those
-# of other failure domains send once a second at least, and one may be lost.
+# A peer that wasn't heard for so long has nothing under way that counts; with
+# longer pauses between news, for so much longer.  Those of other failure domains
+# send once a second at least, and one may be lost.
 HEARD_SECONDS = 2.0
 FAR_HEARD_SECONDS = 2.6
 
@@ -167,6 +168,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._number = 0
         self._far_number = 0
+        self._crowd = 1.0
         self._alarm: tuple[object, ...] = ()
         self._listed_at: dict[str, float] = {}
 
@@ -191,8 +193,8 @@
             self.send()
             far = self._find_far()
             told = len(self._peers) - len(far) + len(far) / _find_turns(len(far))
-            crowd = max(1.0, told / FULL_RATE_PEERS)
-            await asyncio.sleep(NEWS_SECONDS * crowd)
+            self._crowd = max(1.0, told / FULL_RATE_PEERS)
+            await asyncio.sleep(NEWS_SECONDS * self._crowd)
 
     def send(self) -> None:
         """Send the news as they are now."""
@@ -298,7 +300,8 @@
 
     def _is_heard(self, heard: Heard, now: float) -> bool:
         is_near = heard.news.domain == self._domain
-        return now < heard.at + (HEARD_SECONDS if is_near else FAR_HEARD_SECONDS)
+        longest = HEARD_SECONDS if is_near else FAR_HEARD_SECONDS
+        return now < heard.at + longest * self._crowd
 
     def _add(self, name: str, address: tuple[str, int], now: float) -> None:
         self._peers[name] = address
--- a/test/gateway/test_news.py
+++ b/test/gateway/test_news.py
@@ -102,6 +102,25 @@
     run(main())
 
 
+def test_peers_that_tell_seldom_aren_t_taken_for_silent():
+    """Three hundred gateways tell each other once in three seconds.
+
+    Taken for silent in between, what they have under way would count by turns.
+    """
+
+    async def main():
+        exchange, _, _ = make_exchange(near=14, far=285)
+        telling = asyncio.ensure_future(exchange.run())
+        await asyncio.sleep(0.05)
+        now = asyncio.get_running_loop().time()
+        for heard in exchange._heard.values():
+            heard.at = now - 3.5
+        assert len(exchange.heard) == 299
+        telling.cancel()
+
+    run(main())
+
+
 def test_a_peer_whose_domain_isn_t_known_gets_all_news():
     async def main():
         exchange, _, line = make_exchange(near=0, far=14)
