Check that each neutral answer replaces something that is there

The ablation's row of what failed lately was void: the method had moved to another class, so nothing was taken out of the copy. The test fails on the list as it was.

--- a/bench/plays/mechanisms.py
+++ b/bench/plays/mechanisms.py
@@ -106,8 +106,8 @@
     ),
     _make(
         "passing over what failed",
-        "gateway/placing",
-        "Placing._shun = lambda self, flight: None\n",
+        "gateway/evidence",
+        "Evidence._shun = lambda self, flight: None\n",
     ),
 )
 
