Let a stop wait for requests that are still being read

A request counted as under way only once its task ran; one in the kernel, in the stream, or whose body was on its way counted as nothing.

Ruled out: the idle connections' closing, which looks for unread bytes.

Change: a stop goes on while any connection has unread bytes, a message is being read, or a task isn't done; at most until the end of its grace, as before.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -249,17 +249,12 @@
         # their try.
         self._serving.stop_at(last)
         self.ingress.close_idle()
-        while self._is_occupied and loop.time() < last:
+        while self.ingress.is_occupied and loop.time() < last:
             await asyncio.sleep(STOP_LOOK_SECONDS)
             self.ingress.close_idle()
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
         await self.close()
 
-    @property
-    def _is_occupied(self) -> bool:
-        """Tell whether a caller has a request here, or is about to send one."""
-        return bool(self.ingress.open_requests) or self.ingress.awaits_first
-
     async def close(self) -> None:
         """End all parts at once."""
         self._server.stop()
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -115,7 +115,8 @@
         self._loop = asyncio.get_running_loop()
         self._known: weakref.WeakSet[object] = weakref.WeakSet()
         self._idle: dict[HTTPConnection, Pause] = {}
-        self.open_requests = 0
+        self._reading: set[_Message] = set()
+        self._serving: set[asyncio.Task] = set()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -137,10 +138,23 @@
         return len(self._idle)
 
     @property
-    def awaits_first(self) -> bool:
-        """Tell whether a caller has connected and its request isn't here yet."""
+    def open_requests(self) -> int:
+        """Return how many requests are under way, those being read among them."""
+        return len(self._reading) + len(self._serving)
+
+    @property
+    def is_occupied(self) -> bool:
+        """Tell whether a caller has a request here, or is about to send one.
+
+        A request may lie unread in the kernel, or its head in the stream, while
+        none is under way.  A stop that took that for nothing left to do would cut
+        it, and a caller that may not repeat it couldn't know whether it ran.
+        """
         now = self._loop.time()
-        return any(pause.awaits_first(now) for pause in self._idle.values())
+        return bool(self.open_requests) or any(
+            pause.awaits_first(now) or has_unread(connection.stream)
+            for connection, pause in self._idle.items()
+        )
 
     def close_idle(self) -> None:
         """Close connections on which no request is under way or has come in.
@@ -189,7 +203,6 @@
     async def _serve(
         self, arrival: Arrival, reply: Reply, refusal: Refusal | None = None
     ) -> None:
-        self.open_requests += 1
         try:
             if refusal is not None:
                 await self._service.refuse(arrival, reply, refusal)
@@ -204,8 +217,6 @@
             # along, nor leave this caller to wait for its time limit.
             log.exception("ingress: request {} failed", arrival.id)
             reply.abort()
-        finally:
-            self.open_requests -= 1
 
 
 class _Message(HTTPMessageDelegate):
@@ -237,6 +248,7 @@
     ) -> None:
         """Decode the head."""
         self._ingress._leave_idle(self._connection)
+        self._ingress._reading.add(self)
         # What is in force now: the connection may have been idle for long.
         self._limits = self._ingress._find_limits()
         self._arrival = self._ingress._decode(
@@ -266,6 +278,7 @@
 
     def finish(self) -> None:
         """Serve the request, now that it is whole."""
+        self._ingress._reading.discard(self)
         self._connection.set_close_callback(self._leave)
         if self._refused is not None:
             self._refused.is_read = True
@@ -289,10 +302,13 @@
     def _start(self, reply: Reply, refusal: Refusal | None = None) -> None:
         serving = self._ingress._serve(self._arrival, reply, refusal)
         self._task = asyncio.ensure_future(serving)
+        self._ingress._serving.add(self._task)
+        self._task.add_done_callback(self._ingress._serving.discard)
 
     def on_connection_close(self) -> None:
         """Stop the work for a caller that left."""
         self._ingress._leave_idle(self._connection)
+        self._ingress._reading.discard(self)
         self._leave()
 
     def _leave(self) -> None:
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -1,12 +1,15 @@
 """Graceful shutdown of a gateway."""
 
 import asyncio
+import time
+
+import pytest
 
 from eelgrassrack.gateway.daemon import ROTATION_SECONDS
 from eelgrassrack.gateway.ingress import FIRST_SECONDS
 from eelgrassrack.standins.directengine import Events, Reply
 
-from .world import call, connect, make_world, run, wait_for
+from .world import KEY, call, connect, make_world, run, wait_for
 
 
 def test_a_stop_cuts_no_request():
@@ -110,6 +113,61 @@
     run(main())
 
 
+def test_a_stop_waits_for_a_request_that_lies_unread():
+    """An entry has no request under way, and one has come that it hasn't read.
+
+    The process was held up for a tenth of a second.  Its caller reserves a lot and
+    may not repeat that; cut, it wouldn't know whether the lot is reserved.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Reply(delay=0.1))
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/look/1", attempt="a1")
+            assert (await caller.read()).status == 200
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(ROTATION_SECONDS - 0.2)
+            # Nothing in this process runs until the stop goes on, after the
+            # request has come.
+            caller.send("/issue/2", attempt="a2")
+            await caller.writer.drain()
+            time.sleep(0.3)
+            assert (await caller.read()).status == 200
+            await stopping
+            assert [one.target for one in engine.runs] == ["/look/1", "/issue/2"]
+
+    run(main())
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.01, 0.1])
+def test_a_stop_waits_for_a_body_that_comes_slowly(pause):
+    """Its head was read before the stop went on, and the rest comes later."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(ROTATION_SECONDS - 0.35)
+            caller = await connect(world.settings[0].listen)
+            lines = (
+                "POST /look/1 HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: a1\r\n"
+                f"Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\nab"
+            )
+            caller.writer.write(lines.encode())
+            await asyncio.sleep(0.4 + pause)
+            caller.writer.write(b"cd")
+            assert (await caller.read()).status == 200
+            await stopping
+            caller.close()
+
+    run(main())
+
+
 def test_a_connection_without_any_request_is_closed_in_the_end():
     async def main():
         async with make_world() as world:
