--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -150,12 +150,15 @@
         none is under way.  A stop that took that for nothing left to do would cut
         it, and a caller that may not repeat it couldn't know whether it ran.
         """
-        now = self._loop.time()
         return bool(self.open_requests) or any(
-            pause.awaits_first(now) or has_unread(connection.stream)
+            self._awaits_request(connection, pause)
             for connection, pause in self._idle.items()
         )
 
+    def _awaits_request(self, connection: HTTPConnection, pause: Pause) -> bool:
+        """Tell whether a request has come on an idle connection, or is about to."""
+        return pause.awaits_first(self._loop.time()) or has_unread(connection.stream)
+
     def close_idle(self) -> None:
         """Close connections on which no request is under way or has come in.
 
@@ -164,9 +167,8 @@
         A caller that has just connected would get no answer at all to a request
         that is on its way, so its connection stays open for a moment.
         """
-        now = self._loop.time()
         for connection, pause in tuple(self._idle.items()):
-            if not pause.awaits_first(now) and not has_unread(connection.stream):
+            if not self._awaits_request(connection, pause):
                 connection.close()
 
     def close_overdue(self) -> None:
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -227,11 +227,7 @@
 
     def _find_far(self) -> set[tuple[str, int]]:
         """Return the addresses of peers that are known to be in other domains."""
-        return {
-            self._peers[name]
-            for name, heard in self._heard.items()
-            if heard.news.domain != self._domain
-        }
+        return {self._peers[name] for name in self._heard if self.is_far(name)}
 
     def take_peers(self, peers: dict[str, Peer]) -> None:
         """Take over the list of all gateways that were ever there."""
@@ -299,8 +295,8 @@
         log.debug("news: {}", exc)
 
     def _is_heard(self, heard: Heard, now: float) -> bool:
-        is_near = heard.news.domain == self._domain
-        longest = HEARD_SECONDS if is_near else FAR_HEARD_SECONDS
+        is_far = self.is_far(heard.news.name)
+        longest = FAR_HEARD_SECONDS if is_far else HEARD_SECONDS
         return now < heard.at + longest * self._crowd
 
     def _add(self, name: str, address: tuple[str, int], now: float) -> None:
