Log by what a stopping gateway takes or refuses a request

Of the stream that was cut no line told what it was expected to take: whether the estimate was too low or the endpoint stood still couldn't be told apart.

--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -21,7 +21,13 @@
 from .plan import Permit, Router
 from .pool import Pool
 from .reply import Reply
-from .requestlog import log_attempt, log_cut, log_end, log_refusal
+from .requestlog import (
+    log_attempt,
+    log_cut,
+    log_end,
+    log_refusal,
+    log_taken_late,
+)
 from .retries import RecentSends
 from .settings import GatewaySettings
 from .translation import Translation
@@ -134,8 +140,17 @@
         """Tell whether a request would be cut by the end of this process."""
         if self._ends_at is None:
             return False
+        now = self._loop.time()
         expected = self._placing.estimate_longest(job)
-        return self._loop.time() + expected * SPARE_FACTOR > self._ends_at
+        is_too_long = now + expected * SPARE_FACTOR > self._ends_at
+        log_taken_late(
+            job.arrival,
+            expected=expected,
+            limit=job.deadline - now,
+            left=self._ends_at - now,
+            is_taken=not is_too_long,
+        )
+        return is_too_long
 
     def _choose_model(self, job: Job) -> str:
         route = job.permit.route
