Answer what is still under way when a process ends

Cause: only a request's own limit ended it with an answer. The end of the process wasn't a limit: `close` cancelled the tasks, and a cancelled task says nothing.

Ruled out: the caller's leaving (it waited 4.7 s more), unread bytes.

Change: from the moment at which a stop begins to wait for its last requests, the end of the process is their time limit too. What hasn't begun gets 503 if nothing was sent and 504 otherwise, and endpoints are told the time that is left. Connections are closed 0.4 s later, when the answers have left.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -40,8 +40,11 @@
 # Between looks at what is still open during a stop.
 STOP_LOOK_SECONDS = 0.05
 
-# What is left of the grace for the last bytes to leave.
-LAST_SECONDS = 0.7
+# What is left of the grace once everything has its answer, and once connections
+# are closed: a slow instance needs some of it for the last bytes to leave, and
+# some to end.
+ANSWERED_SECONDS = 0.7
+CLOSED_SECONDS = 0.3
 
 # A body that takes longer comes from a caller that has long given up: no
 # route's time limit is near this.
@@ -242,14 +245,14 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._is_closing = True
-        last = began + self._settings.grace_seconds - LAST_SECONDS
+        ends_at = began + self._settings.grace_seconds
         await asyncio.sleep(ROTATION_SECONDS)
         # The balancer still sends callers here if too few others are ready.
         # They are served as long as that fits: a closed port would cost them
         # their try.
-        self._serving.stop_at(last)
+        self._serving.stop_at(ends_at - ANSWERED_SECONDS)
         self.ingress.close_idle()
-        while self.ingress.is_occupied and loop.time() < last:
+        while self.ingress.is_occupied and loop.time() < ends_at - CLOSED_SECONDS:
             await asyncio.sleep(STOP_LOOK_SECONDS)
             self.ingress.close_idle()
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -10,6 +10,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from ..decisions.modelchoice import SPARE_FACTOR, choose_first
 from ..decisions.sharedbudget import allow_retry
 from .attempts import Attempts
@@ -61,6 +63,7 @@
         "_is_learning",
         "_loop",
         "_metrics",
+        "_open",
         "_placing",
         "_sends",
         "_settings",
@@ -93,6 +96,7 @@
         self._sends: dict[str, RecentSends] = {}
         self._loop = asyncio.get_running_loop()
         self._ends_at: float | None = None
+        self._open: dict[asyncio.Timeout, Job] = {}
 
     def take_settings(self, settings: GatewaySettings) -> None:
         """Take over changed settings."""
@@ -114,18 +118,26 @@
         self._find_sends(verdict.service.name).note_request(self._loop.time())
         if job.has_choice:
             job.model = self._choose_model(job)
-        if self._is_too_long(job):
+        if not self._may_take(job):
             await self.refuse(arrival, reply, STOPPING)
             return
         try:
-            async with asyncio.timeout_at(job.deadline):
-                await self._run(job, reply)
+            await self._run_in_time(job, reply)
         except TimeoutError:
             await self._end_late(job, reply)
         except asyncio.CancelledError:
             self._note_end(job, "caller_gone")
             raise
 
+    async def _run_in_time(self, job: Job, reply: Reply) -> None:
+        """Serve a request until its time is over; raise `TimeoutError`."""
+        async with asyncio.timeout_at(job.deadline) as limit:
+            self._open[limit] = job
+            try:
+                await self._run(job, reply)
+            finally:
+                del self._open[limit]
+
     async def _wait_learned(self, arrival: Arrival) -> None:
         """Wait until what the store tells at a start has come, for a moment."""
         last = arrival.arrived + LEARN_SECONDS
@@ -133,24 +145,31 @@
             await asyncio.sleep(LEARN_LOOK_SECONDS)
 
     def stop_at(self, time: float) -> None:
-        """Refuse from now on what wouldn't end by a time of the loop."""
+        """Have everything answered by a time of the loop, at which this process ends.
+
+        What is under way and might take longer is given until then.
+        """
         self._ends_at = time
+        for limit, job in self._open.items():
+            if job.deadline > time and not limit.expired():
+                job.deadline = time
+                limit.reschedule(time)
 
-    def _is_too_long(self, job: Job) -> bool:
-        """Tell whether a request would be cut by the end of this process."""
+    def _may_take(self, job: Job) -> bool:
+        """Tell whether a request is expected to end before this process."""
         if self._ends_at is None:
-            return False
+            return True
         now = self._loop.time()
         expected = self._placing.estimate_longest(job)
-        is_too_long = now + expected * SPARE_FACTOR > self._ends_at
+        is_taken = now + expected * SPARE_FACTOR <= self._ends_at
         log_taken_late(
             job.arrival,
             expected=expected,
             limit=job.deadline - now,
             left=self._ends_at - now,
-            is_taken=not is_too_long,
+            is_taken=is_taken,
         )
-        return is_too_long
+        return is_taken
 
     def _choose_model(self, job: Job) -> str:
         route = job.permit.route
@@ -276,15 +295,20 @@
             return
         if job.tried:
             log_cut(job, seconds=self._loop.time() - job.sent_at)
+        refusal = self._refuse_late(job)
         if reply.is_begun:
-            self._note_end(job, "broken_off", "time limit")
+            self._note_end(job, "broken_off", refusal.reason)
             reply.abort()
             return
+        await self.refuse(job.arrival, reply, refusal)
+
+    def _refuse_late(self, job: Job) -> Refusal:
+        """Return the answer to a request whose time is over."""
         status = 503 if job.attempts == 0 else 504
-        await self.refuse(
-            job.arrival,
-            reply,
-            Refusal(status=status, reason="time limit", retry_after=COME_BACK_SECONDS),
+        if job.deadline == self._ends_at:
+            return msgspec.structs.replace(STOPPING, status=status)
+        return Refusal(
+            status=status, reason="time limit", retry_after=COME_BACK_SECONDS
         )
 
     async def refuse(self, arrival: Arrival, reply: Reply, refusal: Refusal) -> None:
