Tell callers of stopping entries when others will be there

What callers saw: while all entries are stopped one after the other, one that was refused was told to come back after 0.3 s, met the next stopping entry, was refused again and had spent its tries.

Cause: 0.3 s is right where others are ready. No entry knew whether they are.

Change: news say whether an entry is ready. A stopping one counts those of its failure domain and of others by the balancer's rule and tells a caller to come soon, or after two seconds, when the first are back.

--- a/eelgrassrack/decisions/stopping.py
+++ b/eelgrassrack/decisions/stopping.py
@@ -9,8 +9,35 @@
 silent, or be unsure so that another is asked, and the process would end in the
 middle of an answer.  So a request is taken if its limit is over before the
 process ends, and refused at once otherwise, while it surely hasn't run.
+
+A caller that is refused has few tries.  Sent on at once while next to all entries
+are stopping, it meets the next one that refuses; told to come when they are
+back, it is served late.
 """
 
+import msgspec
+
+# A caller comes to another entry soon, or once one that was stopped is back: it
+# has to end, to start, and to be asked by the balancer.
+SOON_SECONDS = 0.3
+BACK_SECONDS = 2.0
+
+# The balancer sends callers to all entries of a failure domain, ready or not, if
+# fewer than this part of them are ready, unless none is.
+READY_SHARE = 0.5
+
+
+class Readiness(msgspec.Struct, kw_only=True, frozen=True):
+    """How many entries are ready.
+
+    `near` are all entries of the same failure domain, this one among them,
+    `near_ready` those of them that are ready, `far_ready` those of others.
+    """
+
+    near: int
+    near_ready: int
+    far_ready: int
+
 
 def may_take(*, left: float, limit: float) -> bool:
     """Tell whether a request surely has its answer before the process ends.
@@ -19,3 +46,12 @@
     answered whatever has become of it.
     """
     return limit <= left
+
+
+def find_return(readiness: Readiness) -> float:
+    """Return after how many seconds a refused caller best comes again."""
+    if readiness.near_ready >= readiness.near * READY_SHARE:
+        return SOON_SECONDS
+    if not readiness.near_ready and readiness.far_ready:
+        return SOON_SECONDS
+    return BACK_SECONDS
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -180,6 +180,7 @@
             metrics=self._metrics,
             settings=settings,
             is_learning=lambda: self.has_store and not self._knowledge.is_informed,
+            tell_readiness=lambda: self._news.readiness,
         )
         self.ingress = Ingress(
             service=self._serving,
@@ -328,6 +329,7 @@
             doubted=self._placing.evidence.tell_doubted(),
             usage=self._placing.tell_usage(),
             domain=self._settings.domain,
+            is_ready=self.is_ready,
         )
 
     def _answer_inside(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -21,6 +21,7 @@
 
 from ..decisions.fairshare import Told
 from ..decisions.poison import Crash
+from ..decisions.stopping import Readiness
 from ..decisions.urgency import LAST
 from ..decisions.versiontrial import Tally
 from .beliefs import Peer
@@ -96,7 +97,8 @@
     `revisions` are those of the store at the last changes of each kind that
     were seen, in the order in which all gateways follow the kinds.  `doubted`
     are lifetimes of endpoints, by their hash, that lost an answer lately;
-    `usage` is what organisations had engines read.
+    `usage` is what organisations had engines read.  `is_ready` tells whether the
+    balancer may send callers there; those that don't tell are.
     """
 
     name: str
@@ -113,13 +115,14 @@
     doubted: tuple[int, ...] = ()
     usage: Told = Told()
     domain: str = ""
+    is_ready: bool = True
 
     @property
     def alarm(self) -> tuple[object, ...]:
         """Return what all peers must know soon once it changes."""
         bad = tuple(trial.version for trial in self.trials if trial.is_bad)
         known = (self.configuration, self.knows_store, self.revisions)
-        return (known, bad, self.crashes, self.doubted)
+        return (known, bad, self.crashes, self.doubted, self.is_ready)
 
 
 class Audience(enum.Enum):
@@ -251,9 +254,23 @@
         One that is listed counts until it wasn't heard for long: it may be
         alive on the other side of a cut and use its share there.
         """
+        return 1 + len(self._list_live())
+
+    def _list_live(self) -> set[str]:
+        """Return the names of peers that may be alive."""
         now = asyncio.get_running_loop().time()
-        return 1 + sum(
-            now < self._find_last(name) + SHARE_SECONDS for name in self._peers
+        return {
+            name for name in self._peers if now < self._find_last(name) + SHARE_SECONDS
+        }
+
+    @property
+    def readiness(self) -> Readiness:
+        """Return how many gateways are ready, but for this one."""
+        ready = [one for one in self.heard if one.is_ready]
+        near_ready = sum(not self.is_far(one.name) for one in ready)
+        near = sum(not self.is_far(name) for name in self._list_live() & {*self._heard})
+        return Readiness(
+            near=near + 1, near_ready=near_ready, far_ready=len(ready) - near_ready
         )
 
     def is_far(self, name: str) -> bool:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -10,11 +10,9 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
-
 from ..decisions.modelchoice import choose_first
 from ..decisions.sharedbudget import allow_retry
-from ..decisions.stopping import may_take
+from ..decisions.stopping import Readiness, find_return, may_take
 from .attempts import Attempts
 from .endpoints import Endpoint
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Standing, Unsure
@@ -51,9 +49,6 @@
 LEARN_SECONDS = 0.4
 LEARN_LOOK_SECONDS = 0.02
 
-# Another entry takes what comes to one that ends.
-STOPPING = Refusal(status=503, reason="stopping", retry_after=0.3)
-
 
 class Serving:
     """Serve requests."""
@@ -68,6 +63,7 @@
         "_placing",
         "_sends",
         "_settings",
+        "_tell_readiness",
         "router",
     )
 
@@ -81,9 +77,11 @@
         metrics: GatewayMetrics,
         settings: GatewaySettings,
         is_learning: Callable[[], bool],
+        tell_readiness: Callable[[], Readiness],
     ) -> None:
         self.router = router
         self._is_learning = is_learning
+        self._tell_readiness = tell_readiness
         self._placing = placing
         self._attempts = Attempts(
             placing=placing,
@@ -120,7 +118,7 @@
         if job.has_choice:
             job.model = self._choose_model(job)
         if not self._may_take(job):
-            await self.refuse(arrival, reply, STOPPING)
+            await self.refuse(arrival, reply, self._refuse_stopping())
             return
         try:
             await self._run_in_time(job, reply)
@@ -156,6 +154,14 @@
                 job.deadline = time
                 limit.reschedule(time)
 
+    def _refuse_stopping(self, *, status: int = 503) -> Refusal:
+        """Send a caller on to the entries that are ready, or will be."""
+        return Refusal(
+            status=status,
+            reason="stopping",
+            retry_after=find_return(self._tell_readiness()),
+        )
+
     def _may_take(self, job: Job) -> bool:
         """Tell whether a request's time is over before this process ends."""
         if self._ends_at is None:
@@ -302,7 +308,7 @@
         """Return the answer to a request whose time is over."""
         status = 503 if job.attempts == 0 else 504
         if job.deadline == self._ends_at:
-            return msgspec.structs.replace(STOPPING, status=status)
+            return self._refuse_stopping(status=status)
         return Refusal(
             status=status, reason="time limit", retry_after=COME_BACK_SECONDS
         )
--- a/test/decisions/test_stopping.py
+++ b/test/decisions/test_stopping.py
@@ -1,9 +1,15 @@
-"""What a process takes that is going to end."""
+"""What a process takes that is going to end, and where it sends the others."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from eelgrassrack.decisions.stopping import may_take
+from eelgrassrack.decisions.stopping import (
+    BACK_SECONDS,
+    SOON_SECONDS,
+    Readiness,
+    find_return,
+    may_take,
+)
 
 seconds = st.floats(min_value=0.0, max_value=60.0)
 
@@ -12,3 +18,17 @@
 def test_nothing_is_taken_that_may_outlast_the_process(left, limit):
     """An answer is passed on as it comes, and the process ends in its middle."""
     assert may_take(left=left, limit=limit) == (limit <= left)
+
+
+def test_a_refused_caller_isnt_sent_on_to_entries_that_are_stopping_too():
+    """All entries are being stopped, and each sends its callers to the next."""
+    none = Readiness(near=3, near_ready=0, far_ready=0)
+    few = Readiness(near=7, near_ready=2, far_ready=9)
+    assert find_return(none) == find_return(few) == BACK_SECONDS
+
+
+def test_a_refused_caller_comes_soon_where_others_are_ready():
+    """One entry of several is stopped, and its callers wait for nothing."""
+    near = Readiness(near=2, near_ready=1, far_ready=0)
+    far = Readiness(near=1, near_ready=0, far_ready=2)
+    assert find_return(near) == find_return(far) == SOON_SECONDS
