--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -104,6 +104,38 @@
 CALLERS = 150
 
 
+async def add_moody_engines(world, dice):
+    """Add endpoints that do what they like, but stream steadily at first."""
+    for number in range(3):
+        plain = dice.choices(PLAIN_STEPS, k=200)
+        await world.add_engine(f"p{number}", *plain)
+        models = [Events(count=80, gap=0.1), *dice.choices(MODEL_STEPS, k=200)]
+        await world.add_engine(f"m{number}", *models, service="models")
+
+
+async def ask_late(world, dice, number):
+    """Return what was asked for late in a stop, and the answer.
+
+    None is returned when the process has ended already.
+    """
+    last = world.settings[0].grace_seconds - CLOSED_SECONDS - 0.1
+    await asyncio.sleep(dice.uniform(ROTATION_SECONDS, last))
+    try:
+        caller = await connect(world.settings[0].listen)
+    except ConnectionRefusedError:
+        return None
+    kind = dice.choice(PATHS)
+    caller.send(
+        f"{kind}{number}",
+        attempt=str(number),
+        headers=SHORT_ANSWER,
+        patience_ms=LONG_PATIENCE_MS,
+    )
+    got = await caller.read()
+    caller.close()
+    return number, kind, got
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_each_request_of_a_stop_gets_a_complete_answer(seed):
     """Callers keep coming to a stopping gateway, and endpoints do what they like.
@@ -115,42 +147,15 @@
 
     async def main():
         async with make_world() as world:
-            for number in range(3):
-                plain = dice.choices(PLAIN_STEPS, k=200)
-                await world.add_engine(f"p{number}", *plain)
-                models = dice.choices(MODEL_STEPS, k=200)
-                await world.add_engine(
-                    f"m{number}", Events(count=80, gap=0.1), *models, service="models"
-                )
+            await add_moody_engines(world, dice)
             gateway = await world.start_gateway()
             await world.wait_ready()
-            last = world.settings[0].grace_seconds - CLOSED_SECONDS - 0.1
-
-            async def ask(number):
-                await asyncio.sleep(dice.uniform(ROTATION_SECONDS, last))
-                kind = dice.choice(PATHS)
-                try:
-                    caller = await connect(world.settings[0].listen)
-                except ConnectionRefusedError:
-                    # The process has ended already.
-                    return None
-                caller.send(
-                    f"{kind}{number}",
-                    attempt=str(number),
-                    headers=SHORT_ANSWER,
-                    patience_ms=LONG_PATIENCE_MS,
-                )
-                got = await caller.read()
-                caller.close()
-                return number, kind, got
-
             keeping = await connect(world.settings[0].listen)
             keeping.send("/once/keep", patience_ms=LONG_PATIENCE_MS)
             await asyncio.sleep(0.1)
             stopping = asyncio.ensure_future(gateway.stop())
-            told = await asyncio.gather(
-                *(ask(number) for number in range(CALLERS)), return_exceptions=True
-            )
+            asking = (ask_late(world, dice, number) for number in range(CALLERS))
+            told = await asyncio.gather(*asking, return_exceptions=True)
             await stopping
             keeping.close()
             check_told([one for one in told if one is not None], world)
