Take no constant share before the other gateways are known

What callers would see: many gateways are killed at once and start again while the store is slow, loses answers or turns writes away. They know the configuration and endpoints and serve, but not each other, and each uses the whole constant part of the retry budget and of a cold endpoint's rate (BUDGET, FAILBACK): endpoints that had just come back fall over.

Cause: the count of gateways that share a limit began at one and grew as peers were listed or heard. While it was too low by any factor, the sum over all was too high by that factor; the reserve of a half is for a process that ended, not for this.

Ruled out: waiting for peers' news (a gateway that isn't listed yet hears nobody), the seeds (three at most of any number), not being ready until the list is there (turns callers away in every outage of the store).

Fix: until a list of all gateways was read that names this one too, the count is unknown and the constant shares are nothing; what own requests earn isn't touched. A stale list from before the start doesn't name it and doesn't count. With the store as usual that's two calls after the start. A gateway that starts while the store turns it away repeats by what it earns only, and leaves cold endpoints to others, until the store is back.

--- a/eelgrassrack/decisions/sharedbudget.py
+++ b/eelgrassrack/decisions/sharedbudget.py
@@ -7,7 +7,9 @@
 
 Each entry holds to its own share.  What is proportional to requests it earns
 by the requests that it took itself, so those shares add up by themselves.
-The constant part is divided by the number of entries that may be live.
+The constant part is divided by the number of entries that may be live.  An
+entry that doesn't know yet who else is there takes none of it: whatever it
+guessed, dozens that start together would guess the same.
 """
 
 import math
@@ -26,11 +28,14 @@
 
 
 def allow_retry(
-    *, requests: int, repeats: int, ratio: float, slack: float, entries: int
+    *, requests: int, repeats: int, ratio: float, slack: float, entries: int | None
 ) -> bool:
-    """Tell whether one more repeat keeps to the entry's share of the budget."""
+    """Tell whether one more repeat keeps to the entry's share of the budget.
+
+    `entries` is None while the others aren't known.
+    """
     earned = ratio * requests * EARNED_SHARE
-    share = slack / max(entries, 1) * USED_SHARE
+    share = slack / max(entries, 1) * USED_SHARE if entries is not None else 0.0
     return repeats + 1 <= earned + share
 
 
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -144,7 +144,7 @@
             fleet=self.fleet,
             rollouts=self.rollouts,
             settings=settings,
-            list_sharers=lambda: self._news.sharers,
+            list_sharers=lambda: self._news.sharers if self._news.is_listed else None,
             list_heard=lambda: self._news.heard,
         )
 
--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -145,7 +145,10 @@
 
 
 class NewsExchange(asyncio.DatagramProtocol):
-    """Send own news to all peers and keep theirs."""
+    """Send own news to all peers and keep theirs.
+
+    `is_listed` tells whether a list of all gateways was read, this one among them.
+    """
 
     def __init__(
         self,
@@ -158,6 +161,7 @@
         take_news: Callable[[News], None],
         count_crossed: Callable[[int], None] = _count_nothing,
     ) -> None:
+        self.is_listed = False
         self.lifetime = secrets.token_hex(4)
         self._name = name
         self._domain = domain
@@ -234,8 +238,12 @@
         return {self._peers[name] for name in self._heard if self.is_far(name)}
 
     def take_peers(self, peers: dict[str, Peer]) -> None:
-        """Take over the list of all gateways that were ever there."""
+        """Take over the list of all gateways that were ever there.
+
+        One that doesn't name this gateway may be from before the others started.
+        """
         now = asyncio.get_running_loop().time()
+        self.is_listed = self.is_listed or self._name in peers
         for peer in peers.values():
             if peer.name != self._name:
                 self._add(peer.name, peer.address, now)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -61,7 +61,8 @@
     """Choose endpoints and keep count of what runs on them.
 
     `heavy` are the organisations whose prompts give way to those of others,
-    `evidence` is what attempts have shown of endpoints.
+    `evidence` is what attempts have shown of endpoints.  `list_sharers` returns
+    the other gateways that share the common limits, or None while it isn't known.
     """
 
     __slots__ = (
@@ -85,7 +86,7 @@
         fleet: Fleet,
         rollouts: Rollouts,
         settings: GatewaySettings,
-        list_sharers: Callable[[], tuple[Sharer, ...]],
+        list_sharers: Callable[[], tuple[Sharer, ...] | None],
         list_heard: Callable[[], tuple[News, ...]],
     ) -> None:
         self.evidence = Evidence(fleet=fleet, rollouts=rollouts)
@@ -106,9 +107,10 @@
         self._settings = settings
 
     @property
-    def entries(self) -> int:
-        """Return how many gateways share the common limits."""
-        return 1 + len(self._list_sharers())
+    def entries(self) -> int | None:
+        """Return how many gateways share the common limits, if that is known."""
+        sharers = self._list_sharers()
+        return None if sharers is None else 1 + len(sharers)
 
     def is_near(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint is in this gateway's failure domain."""
@@ -320,6 +322,8 @@
     def _share_cold_rate(self, flight: Flight, service: Service) -> int:
         settings = self._settings
         sharers = self._list_sharers()
+        if sharers is None:
+            return 0
         return share_cold_rate(
             rate=service.cold_rate,
             overage=settings.cold_overage,
--- a/test/gateway/test_cold_starts.py
+++ b/test/gateway/test_cold_starts.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from eelgrassrack.gateway import daemon
+from eelgrassrack.platform.store import PlatformStore
+
 from .world import make_world, run, wait_for
 
 GATEWAYS = 3
@@ -19,6 +22,31 @@
     )
 
 
+def list_cold(world, engine):
+    """Return what an endpoint ran while all gateways held it for cold."""
+    until = min(one.fleet.find(engine.name).cold_until for one in world.gateways)
+    return [one for one in engine.runs if one.at < until]
+
+
+async def ask_all(world):
+    """Send two requests to each gateway at once; return the answers."""
+    calls = (
+        world.call("/chat/1", number=number % GATEWAYS, attempt=f"a{number}")
+        for number in range(GATEWAYS * 2)
+    )
+    return await asyncio.gather(*calls)
+
+
+def keep_apart(monkeypatch):
+    """Have gateways neither list nor hear each other."""
+
+    async def write_late(store, **rest):
+        await asyncio.sleep(30.0)
+
+    monkeypatch.setattr(PlatformStore, "write_peer", write_late)
+    monkeypatch.setattr(daemon, "find_seeds", lambda settings: ())
+
+
 async def start_gateways(world):
     for number in range(1, GATEWAYS + 1):
         await world.start_gateway(number=number, cold_overage=COLD_OVERAGE)
@@ -53,3 +81,26 @@
             assert find_busiest(cold) <= MOST_A_SECOND
 
     run(main())
+
+
+def test_gateways_that_havent_found_each_other_yet(monkeypatch):
+    """Gateways begin to serve while the store is too slow to tell of the others.
+
+    Each would take itself for the only one and use the whole limit.
+    """
+    keep_apart(monkeypatch)
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", service="models", coldRemainingMs=3_000
+            )
+            for number in range(1, GATEWAYS + 1):
+                await world.start_gateway(number=number, cold_overage=COLD_OVERAGE)
+            for number in range(GATEWAYS):
+                await world.wait_ready(number)
+            answers = await ask_all(world)
+            assert [one.status for one in answers] == [200] * len(answers)
+            assert find_busiest(list_cold(world, engine)) <= MOST_A_SECOND
+
+    run(main())
--- /dev/null
+++ b/test/gateway/test_retry_budget.py
@@ -0,0 +1,43 @@
+"""The budget of repeats, which gateways share without asking each other."""
+
+import asyncio
+
+from eelgrassrack.standins.directengine import Reply
+
+from .test_cold_starts import keep_apart
+from .world import make_world, run
+
+GATEWAYS = 3
+ASKED = 20
+SLACK = 10.0
+
+
+def test_gateways_that_havent_found_each_other_yet_share_the_slack(monkeypatch):
+    """Endpoints fail just as gateways have started and know of no other.
+
+    Each would take the whole constant part of the budget for itself.
+    """
+    keep_apart(monkeypatch)
+
+    async def main():
+        async with make_world() as world:
+            engines = [
+                await world.add_engine(f"e{number}", Reply(status=500))
+                for number in range(3)
+            ]
+            for number in range(1, GATEWAYS + 1):
+                await world.start_gateway(
+                    number=number, retry_ratio=0.0, retry_slack=SLACK
+                )
+            for number in range(GATEWAYS):
+                await world.wait_ready(number)
+            calls = (
+                world.call(number=number % GATEWAYS, attempt=f"a{number}")
+                for number in range(ASKED)
+            )
+            answers = await asyncio.gather(*calls)
+            assert {one.status for one in answers} == {500}
+            arrived = sum(len(engine.runs) for engine in engines)
+            assert arrived - ASKED <= SLACK
+
+    run(main())
