Take a refusal for "not run" only if it answers this request

What callers would see: an endpoint's refusal of an earlier request comes late, where the answer to the next one is due. The next one has run by then; it was sent to another endpoint and ran twice, or was answered 503, which promises that it hasn't run (TWICE, REFUSED).

Cause: the answer's id was compared after the promise "not run" had been believed.

Ruled out: stray bytes that lie there before the request is sent, which end the connection already; these come afterwards. Refusals without an id, as for a request without one, count as before.

Fix: the id is compared first; an answer to another request leaves it unknown whether this one ran.

Evidence: both cases of the new test (503 and 421) saw the issue answered 200 by a second endpoint before and pass now; test/gateway/test_serving.py passes.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -150,12 +150,12 @@
         patience: asyncio.Timeout,
     ) -> Outcome:
         head = await self._read_head(connection)
+        if head.attempt and head.attempt != job.arrival.id:
+            return Lost(reason=f"an answer to {head.attempt}")
         if head.not_run:
             await self._read_body(connection)
             self._keep(endpoint, connection, head)
             return NotRun(reason=f"status {head.status}")
-        if head.attempt and head.attempt != job.arrival.id:
-            return Lost(reason=f"an answer to {head.attempt}")
         if head.status in GOOD and not head.is_whole:
             return Lost(reason="a success without its stamp")
         if head.status in GOOD:
--- a/test/gateway/test_serving.py
+++ b/test/gateway/test_serving.py
@@ -10,6 +10,7 @@
     Events,
     Garbage,
     Hang,
+    Raw,
     Refuse,
     Reply,
     Unframed,
@@ -167,6 +168,32 @@
     run(main())
 
 
+@pytest.mark.parametrize("status", [503, 421])
+def test_a_refusal_of_another_request_says_nothing_of_this_one(status):
+    """An endpoint's late refusal comes where the next request's answer is due.
+
+    That request has run by then; sent elsewhere or answered 503 it would run, or
+    be asked for, twice.
+    """
+    refusal = (
+        f"HTTP/1.1 {status} Late\r\nX-Not-Executed: 1\r\n"
+        "X-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"
+    )
+
+    async def main():
+        async with make_world() as world:
+            step = Raw(pieces=(refusal.encode(),))
+            await world.add_engine("e1", step, slots=100)
+            second = await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1")
+            assert got.status == 502
+            assert not second.runs
+
+    run(main())
+
+
 @pytest.mark.parametrize(
     "broken", [Break(), Garbage(), Unframed(is_reset=True), Reply(attempt="other")]
 )
