Find out at once whether an endpoint that broke a connection is down

Cause: a lost answer counted as a crash only if the same gateway happened to connect to the same endpoint within two seconds, or its entry changed within them. With 30 gateways before 50 endpoints hardly any does; entries change after three silent heartbeats, endpoints are back after some seconds. The proof rested on traffic passing by.

Ruled out: taking every lost answer for a crash (endpoints lose answers and stay up, and innocent requests would be kept back); a longer span of proof (an endpoint that crashed seconds later for another reason would count).

Fix: the gateway that lost an answer to a broken connection asks the endpoint itself for a new one, 50 ms later and once for all that broke meanwhile. A connection that is opened is used for the next request; none is opened where answers were only late.

Evidence: the new test (three endpoints crash, nobody goes there, the request comes again 2.2 s later) saw the fourth endpoint run it before and passes now.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -71,6 +71,9 @@
             job.attempts -= 1
             return NotRun(reason=str(error), is_down=True)
         except BrokenError as error:
+            self._pool.check(
+                endpoint=endpoint, note_down=self._placing.evidence.note_down
+            )
             return Lost(reason=str(error))
         except asyncio.CancelledError:
             self._note_silence(job, endpoint)
--- a/eelgrassrack/gateway/evidence.py
+++ b/eelgrassrack/gateway/evidence.py
@@ -57,15 +57,21 @@
 
     def note_not_run(self, job: "Job", endpoint: Endpoint, *, is_down: bool) -> None:
         """Learn from an attempt that didn't run."""
-        now = self._loop.time()
         if is_down:
-            self._poison.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
-        flight = self._fleet.find_lifetime(endpoint)
-        if flight is None:
+            self.note_down(endpoint)
             return
-        if is_down:
+        flight = self._fleet.find_lifetime(endpoint)
+        if flight is not None:
+            self._shun(flight)
+
+    def note_down(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint takes no connection."""
+        now = self._loop.time()
+        self._poison.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
+        flight = self._fleet.find_lifetime(endpoint)
+        if flight is not None:
             flight.note_end(failed=True)
-        self._shun(flight)
+            self._shun(flight)
 
     def note_lost(self, job: "Job", endpoint: Endpoint) -> None:
         """Note an answer that was lost; the request may have crashed it.
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import logbook
 
@@ -32,6 +32,10 @@
 # The next such connection to the same endpoint is tried so much later.
 NEXT_PROBE_SECONDS = 1.0
 
+# After an endpoint broke a connection it is asked for a new one this much later:
+# one that crashes closes all that it has, but not in the same moment.
+CHECK_SECONDS = 0.05
+
 # The connection itself is used for the next request that comes soon.
 PROBED_IDLE_SECONDS = 2.0
 
@@ -39,11 +43,12 @@
 class Pool:
     """Connections by endpoint, of which each lifetime has its own."""
 
-    __slots__ = ("_busy", "_idle", "_probing")
+    __slots__ = ("_busy", "_checked", "_idle", "_probing")
 
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._busy: dict[Endpoint, set[Connection]] = {}
+        self._checked: set[Endpoint] = set()
         self._probing: set[asyncio.Task] = set()
 
     async def take(self, *, endpoint: Endpoint, now: float) -> Connection:
@@ -81,9 +86,39 @@
                 continue
             for one in busy:
                 one.heard_at = now + NEXT_PROBE_SECONDS - SILENT_SECONDS
-            task = asyncio.ensure_future(self._probe(endpoint, note_dark))
-            self._probing.add(task)
-            task.add_done_callback(self._probing.discard)
+            self._start(self._probe(endpoint, note_dark))
+
+    def check(
+        self, *, endpoint: Endpoint, note_down: Callable[[Endpoint], None]
+    ) -> None:
+        """Find out whether an endpoint that broke a connection is down.
+
+        Left to the next request that happens to go there, what crashes endpoints
+        would mostly stay unknown.
+        """
+        if endpoint not in self._checked:
+            self._checked.add(endpoint)
+            self._start(self._check(endpoint, note_down))
+
+    def _start(self, job: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(job)
+        self._probing.add(task)
+        task.add_done_callback(self._probing.discard)
+
+    async def _check(
+        self, endpoint: Endpoint, note_down: Callable[[Endpoint], None]
+    ) -> None:
+        await asyncio.sleep(CHECK_SECONDS)
+        # What breaks from now on is found out by a check of its own.
+        self._checked.discard(endpoint)
+        try:
+            connection = await _connect_twice(endpoint.address)
+        except ConnectError as error:
+            log.info("pool: {} is down: {}", endpoint.name, error)
+            note_down(endpoint)
+            return
+        now = asyncio.get_running_loop().time()
+        self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
 
     async def _probe(
         self, endpoint: Endpoint, note_dark: Callable[[Endpoint], None]
--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -351,3 +351,33 @@
             assert not gone.runs
 
     run(main())
+
+
+async def crash_when_run(engine):
+    await wait_for(lambda: engine.runs)
+    await engine.stop()
+
+
+def test_what_crashed_three_endpoints_is_known_though_nobody_came_by():
+    """A request crashes three endpoints, and no other goes there meanwhile.
+
+    It comes again some seconds later and would crash the fourth.
+    """
+
+    async def main():
+        async with make_world() as world:
+            crashing = []
+            for number in range(3):
+                engine = await world.add_engine(f"e{number}", Break())
+                crashing.append(asyncio.ensure_future(crash_when_run(engine)))
+            last = await world.add_engine("e3", zone="south")
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call(body=b"bad")).status == 502
+            await asyncio.gather(*crashing)
+            await asyncio.sleep(2.2)
+            assert (await world.call(body=b"bad", attempt="a2")).status == 502
+            assert not last.runs
+            assert (await world.call(body=b"good", attempt="a3")).status == 200
+
+    run(main())
