Don't take the first roll-out's time for the second one's

What callers would see: operators order the next version of a service after one was taken over, or rolled back.

Cause: an order's time was counted from its status' `since`, and a replaced order still holds the status of the version before, which began long ago. All that looks at the state compares the version; this didn't.

Ruled out: the order's own revision of creation, which is the same for both.

Fix: only a status of the ordered version says when it began.

--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -318,8 +318,10 @@
             return
         now = self._loop.time()
         since = now
-        if order.status is not None and order.status.since:
-            since = min(now, now - (time.time() - order.status.since))
+        status = order.status
+        # An order may still hold what was written of the version before.
+        if status is not None and status.version == order.version and status.since:
+            since = min(now, now - (time.time() - status.since))
         self._trials[order.service] = Trial(order=order, since=since)
         log.info(
             "rollout: {} to {} within {:.1f} s, seen after {:.1f} s",
--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -9,11 +9,11 @@
 from .world import make_world, run, wait_for
 
 
-def order(world, *, seconds):
+def order(world, *, seconds, version="v2"):
     world.store.put(
         kind=Kinds.ROLLOUTS,
         name="plain",
-        spec={"service": "plain", "to": "v2", "durationS": seconds},
+        spec={"service": "plain", "to": version, "durationS": seconds},
     )
 
 
@@ -145,3 +145,37 @@
             await press(world, until=lambda: world.status_of("plain") == "done")
 
     run(main())
+
+
+async def count_new(world, new, *, number, asked=60):
+    """Return how many of so many requests go to the new version."""
+    before = sum(len(engine.runs) for engine in new)
+    calls = (
+        world.call(number=number, attempt=f"n{number}-{one}") for one in range(asked)
+    )
+    await asyncio.gather(*calls)
+    return sum(len(engine.runs) for engine in new) - before
+
+
+def test_a_second_roll_out_doesnt_go_by_the_first_one_s_time():
+    """Operators order the next version after one was taken over.
+
+    The order still holds what was written of the one before, which began long ago.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await add_versions(world)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=2.0)
+            await wait_for(lambda: world.status_of("plain") == "done")
+            new = [
+                await world.add_engine(f"newest{number}", version="v3")
+                for number in range(2)
+            ]
+            order(world, seconds=2.5, version="v3")
+            await wait_for(lambda: gateway.rollouts.orders[0].version == "v3")
+            assert await count_new(world, new, number=0) < 15
+
+    run(main())
