Count a roll-out's time from when it was seen to begin

What callers would see: one gateway's time of day is some seconds ahead, and it learns of a roll-out that is under way (it starts, or is one of the many that read it from peers after its status was written). It took the first half for over and told so; all gateways followed the earliest begin. All sessions change to a version that nobody has judged (PINNED, EXPOSURE), and it is written as done early: the old endpoints stop.

Ruled out: the latest begin of all (a gateway that has just started would set it back), the revision at which the order was made (no time).

Fix: news say whether a gateway saw the roll-out begin, or has it from one that did; only that is believed, and replaces a guess at once. If nobody is left who saw the begin, it goes by the guess, as before: with all gateways started anew in the middle of a roll-out a clock that jumped still moves its time.

--- a/eelgrassrack/gateway/news.py
+++ b/eelgrassrack/gateway/news.py
@@ -75,7 +75,10 @@
 
 
 class TrialNews(msgspec.Struct, frozen=True, array_like=True):
-    """How far a roll-out has come, as seen by one gateway."""
+    """How far a roll-out has come, as seen by one gateway.
+
+    `is_witnessed` says that `elapsed` was counted from when it was seen to begin.
+    """
 
     service: str
     version: str
@@ -83,6 +86,7 @@
     elapsed: float
     is_bad: bool
     tallies: tuple[Tally, ...]
+    is_witnessed: bool = False
 
 
 class Pin(msgspec.Struct, frozen=True, array_like=True):
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/rollouts.py
@@ -169,7 +169,8 @@
             trial = self._trials.get(told.service)
             if trial is None or trial.key != (told.service, told.version, told.created):
                 continue
-            trial.since = min(trial.since, now - told.elapsed)
+            if told.is_witnessed:
+                trial.hear_since(now - told.elapsed)
             if told.is_bad and not trial.is_bad:
                 log.notice("rollout: {} says {} is bad", news.name, told.version)
                 trial.is_bad = True
@@ -191,6 +192,7 @@
                 now - one.since,
                 one.is_bad,
                 one.list_tallies() if has_tallies else (),
+                one.is_witnessed,
             )
             for one in running
         )
@@ -212,6 +214,7 @@
 
     async def _advance(self, trial: Trial) -> None:
         now = self._loop.time()
+        trial.settle(now)
         self._judge(trial)
         wanted = self._find_wanted(trial, now - trial.since)
         status = trial.order.status
@@ -317,23 +320,19 @@
                 trial.order = order
             return
         now = self._loop.time()
-        since = now
-        status = order.status
-        # An order may still hold what was written of the version before.
-        if status is not None and status.version == order.version and status.since:
-            since = min(now, now - (time.time() - status.since))
-        self._trials[order.service] = Trial(order=order, since=since)
+        guess = _guess_since(order, now)
+        self._trials[order.service] = Trial(order=order, now=now, guess=guess)
         log.info(
-            "rollout: {} to {} within {:.1f} s, seen after {:.1f} s",
+            "rollout: {} to {} within {:.1f} s, seen after {:.1f} s by the clock",
             order.service,
             order.version,
             order.seconds,
-            now - since,
+            now - guess if guess is not None else 0.0,
         )
 
     def _note_state(self, trial: Trial, order: RolloutOrder) -> None:
         before = trial.state
-        after = Trial(order=order, since=0.0).state
+        after = Trial(order=order, now=0.0).state
         if before is not after:
             log.info(
                 "rollout: {} of {} is {}", order.version, order.service, after.value
@@ -343,3 +342,14 @@
         trial = self._trials.pop(service, None)
         if trial is not None:
             log.info("rollout: order for {} was removed", service)
+
+
+def _guess_since(order: RolloutOrder, now: float) -> float | None:
+    """Return the loop's time at which an order began by its status, if it has one.
+
+    An order may still hold what was written of the version before.
+    """
+    status = order.status
+    if status is None or status.version != order.version:
+        return None
+    return min(now, now - (time.time() - status.since)) if status.since else now
--- a/eelgrassrack/gateway/trial.py
+++ b/eelgrassrack/gateway/trial.py
@@ -5,6 +5,11 @@
 from ..decisions.versiontrial import Tally
 from .beliefs import RolloutOrder, RolloutState
 
+# A gateway that takes over a roll-out under way waits so long for a peer that saw
+# it begin; those of other failure domains tell once a second.  Times of day jump
+# by seconds: gone by at once, they would end a version's trial before its time.
+WITNESS_SECONDS = 2.0
+
 
 class Seen(msgspec.Struct):
     """When a session was last here, and on which side of a trial.
@@ -18,19 +23,51 @@
 
 
 class Trial:
-    """One roll-out as this gateway sees it."""
+    """One roll-out as this gateway sees it.
+
+    `since` is the loop's time at which it began, as far as that is known here:
+    `is_witnessed` says that it was seen to begin, here or by a peer that told so.
+    Otherwise `guess` is when it began by the times of day here and where its
+    status was written.
+    """
 
-    __slots__ = ("is_bad", "order", "pins", "since", "tallies", "told", "writing_from")
+    __slots__ = (
+        "guess",
+        "is_bad",
+        "is_witnessed",
+        "order",
+        "pins",
+        "since",
+        "taken_at",
+        "tallies",
+        "told",
+        "writing_from",
+    )
 
-    def __init__(self, *, order: RolloutOrder, since: float) -> None:
+    def __init__(
+        self, *, order: RolloutOrder, now: float, guess: float | None = None
+    ) -> None:
         self.order = order
-        self.since = since
+        self.since = now
+        self.taken_at = now
+        self.guess = guess
+        self.is_witnessed = guess is None
         self.is_bad = False
         self.tallies: dict[tuple[str, str, str], list[int]] = {}
         self.told: dict[str, tuple[Tally, ...]] = {}
         self.pins: dict[int, Seen] = {}
         self.writing_from: float | None = None
 
+    def hear_since(self, since: float) -> None:
+        """Take over when a peer that saw it begin says that it did."""
+        self.since = min(self.since, since) if self.is_witnessed else since
+        self.is_witnessed = True
+
+    def settle(self, now: float) -> None:
+        """Go by the guess if no peer has told in time when it began."""
+        if not self.is_witnessed and now >= self.taken_at + WITNESS_SECONDS:
+            self.since = min(self.since, self.guess)
+
     @property
     def key(self) -> tuple[str, str, int]:
         """Return what tells this roll-out from others."""
--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -1,7 +1,10 @@
 """Roll-outs through gateways, endpoints of two versions and the store."""
 
 import asyncio
+import time
+import types
 
+from eelgrassrack.gateway import rollouts
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import Reply
 from eelgrassrack.standins.metadatastore import Fault
@@ -157,6 +160,36 @@
     return sum(len(engine.runs) for engine in new) - before
 
 
+def test_a_clock_that_jumped_doesnt_hurry_a_roll_out(monkeypatch):
+    """A gateway starts during a roll-out, its time of day fifty seconds ahead.
+
+    Believed, the roll-out's first half would be over at all gateways, and all
+    callers would get a version that nobody has judged.
+    """
+    ahead = 0.0
+    clock = types.SimpleNamespace(time=lambda: time.time() + ahead)
+    monkeypatch.setattr(rollouts, "time", clock)
+
+    async def main():
+        nonlocal ahead
+        async with make_world() as world:
+            _, new = await add_versions(world)
+            await world.start_gateway(number=1)
+            await world.wait_ready(0)
+            order(world, seconds=60.0)
+            await wait_for(lambda: world.status_of("plain") == "running")
+            ahead = 50.0
+            second = await world.start_gateway(number=2)
+            await world.wait_ready(1)
+            await wait_for(lambda: second.rollouts.orders)
+            assert await count_new(world, new, number=1) < 15
+            await asyncio.sleep(1.0)
+            assert await count_new(world, new, number=0) < 15
+            assert await count_new(world, new, number=1) < 15
+
+    run(main())
+
+
 def test_a_second_roll_out_doesnt_go_by_the_first_one_s_time():
     """Operators order the next version after one was taken over.
 
@@ -179,3 +212,24 @@
             assert await count_new(world, new, number=0) < 15
 
     run(main())
+
+
+def test_a_roll_out_goes_on_where_all_gateways_start_anew():
+    """Nobody is left who saw the order: its time is taken from what was written."""
+
+    async def main():
+        async with make_world() as world:
+            _, new = await add_versions(world)
+            first = await world.start_gateway(number=1)
+            await world.wait_ready(0)
+            order(world, seconds=8.0)
+            await wait_for(lambda: world.status_of("plain") == "running")
+            await asyncio.sleep(2.0)
+            await first.close()
+            await world.start_gateway(number=2)
+            await world.wait_ready(1)
+            began = asyncio.get_running_loop().time()
+            await wait_for(lambda: world.status_of("plain") == "done")
+            assert asyncio.get_running_loop().time() - began < 6.5
+
+    run(main())
