Find out a bad version that has one endpoint

Cause: bad answers had to come from two endpoints at least, however many there were. That two take part is a guess; nothing stood behind it.

Ruled out: dropping the condition (one broken endpoint of several would roll a good version back).

Fix: from 25 bad answers on one endpoint is enough, unless the version's other endpoints gave as many answers without a bad one. It may cost a good version whose only working endpoint fails often; nobody could tell the two apart.

Evidence: test_a_bad_version_with_one_endpoint_is_bad failed before and passes now; that two sound endpoints speak for a version against a broken third passes before and after, as do all earlier tests of versions and roll-outs.

--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -8,7 +8,8 @@
 A small share of the sessions goes to the new version in the first half of its
 time.  Evidence of all entries is pooled, by route and endpoint.  A version is
 bad if clearly more of its answers are bad than of the old one's, on several of
-its endpoints: one broken endpoint is no bad version.  What passes the first
+its endpoints: one broken endpoint is no bad version, as long as others of it do
+well.  What passes the first
 half gets all traffic by steps, under which a version that is bad under load
 shows it while the old endpoints still stand by.
 """
@@ -42,6 +43,11 @@
 LEAST_BAD = 6
 LEAST_ENDPOINTS = 2
 
+# From so many bad answers on one endpoint is enough, unless others of its version
+# gave at least as many good ones: a version that has just one, or whose others get
+# nothing, would never be found out.  That leaves time before the fiftieth.
+LEAST_BAD_ALONE = 25
+
 # A version is bad at this rate beyond the old one's, and twice of it: the old
 # one's endpoints may fail a tenth of their requests for reasons of their own.
 RATE_MARGIN = 0.15
@@ -103,8 +109,7 @@
 def _is_worse(rows: Sequence[Tally], version: str) -> bool:
     own = [row for row in rows if row.version == version]
     bad = sum(row.bad for row in own)
-    places = {row.endpoint for row in own if row.bad}
-    if bad < LEAST_BAD or len(places) < LEAST_ENDPOINTS:
+    if bad < LEAST_BAD or not _speak_for_version(own, bad):
         return False
     others = [row for row in rows if row.version != version]
     usual = _find_rate(others)
@@ -112,6 +117,15 @@
     return rate >= usual + RATE_MARGIN and rate >= usual * RATE_FACTOR
 
 
+def _speak_for_version(rows: Sequence[Tally], bad: int) -> bool:
+    """Tell whether bad answers aren't those of one broken endpoint."""
+    places = {row.endpoint for row in rows if row.bad}
+    if len(places) >= LEAST_ENDPOINTS:
+        return True
+    sound = sum(row.answers for row in rows if row.endpoint not in places)
+    return bad >= LEAST_BAD_ALONE and sound < bad
+
+
 def _find_rate(rows: Sequence[Tally]) -> float:
     answers = sum(row.answers for row in rows)
     return sum(row.bad for row in rows) / answers if answers else 0.0
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -56,6 +56,21 @@
     assert not judge(rows)
 
 
+def test_a_bad_version_with_one_endpoint_is_bad():
+    """No other endpoint could show whether it is the version or the endpoint.
+
+    It would never be found out, and get all requests in the end.
+    """
+    assert judge([("v2", "r", "e1", 40, 30), ("", "r", "", 400, 4)])
+    assert not judge([("v2", "r", "e1", 12, 9), ("", "r", "", 400, 4)])
+
+
+def test_the_sound_endpoints_of_a_version_speak_for_it():
+    """One of three endpoints fails for long for reasons of its own."""
+    rows = [("v2", "r", "e1", 40, 30), *[("v2", "r", f"g{n}", 40, 0) for n in range(2)]]
+    assert not judge(rows)
+
+
 def test_a_trouble_that_both_share_is_no_bad_version():
     rows = [("v2", "r", "e1", 20, 4), ("v2", "r", "e2", 20, 4), ("", "r", "", 200, 40)]
     assert not judge(rows)
