Stop all gates in series in the soak, and judge every answer of theirs

The soak stopped one gate at a time, its streams were steady and over in 0.2 s, and it took a request without an answer for nothing. So a stream that a stopping gate took by an estimate was never cut, and would not have counted. All gates are now stopped one soon after the other, several times over, while endpoints are slow, stall, fall silent, break off or doubt their answers; each request that isn't answered is judged by the life of the process that had it.

--- a/bench/gatewaysoak/__main__.py
+++ b/bench/gatewaysoak/__main__.py
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from .play import play
+from .play import GATEWAYS, play
 
 SECONDS_A_MINUTE = 60.0
 
@@ -22,6 +22,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=5.0)
     parser.add_argument("--seconds", type=float, default=10.0, help="faults a seed")
+    parser.add_argument("--gateways", type=int, default=GATEWAYS)
     parser.add_argument("--logs", default="", help="a folder for the logs")
     options = parser.parse_args()
     ends_at = time.monotonic() + options.minutes * SECONDS_A_MINUTE
@@ -30,12 +31,14 @@
     for seed in itertools.count(options.seed):
         folder = None
         if options.logs:
+            # The logs tell which requests were read: a seed begins with none.
             folder = str(Path(options.logs, f"seed-{seed}"))
-            Path(folder).mkdir(parents=True, exist_ok=True)
-        verdict = play(seed, options.seconds, folder)
+            Path(folder).mkdir(parents=True)
+        verdict = play(seed, options.seconds, folder, options.gateways)
         count += 1
         print(
-            f"seed {seed}: {verdict.served} of {verdict.asked} served, {verdict.hits}",
+            f"seed {seed}: {verdict.served} of {verdict.asked} served, "
+            f"{verdict.hits}, {verdict.answers}",
             flush=True,
         )
         if verdict.faults:
--- /dev/null
+++ b/bench/gatewaysoak/gates.py
@@ -0,0 +1,169 @@
+"""Gateway processes, and what happened to each of their lives."""
+
+import asyncio
+import os
+import re
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from test.ports import find_port
+
+GRACE_SECONDS = 5.0
+LOOK_SECONDS = 0.02
+# What a busy machine may take to end a process and to tell of it.
+END_SLACK_SECONDS = 0.5
+READ_ATTEMPT = re.compile(r'"request":"(\w+)"')
+SETTINGS = """\
+[gateway]
+name = entry-{number}
+domain = north
+listen = {listen}
+readiness = {readiness}
+address = 127.0.0.{number}
+news_port = {news_port}
+metrics_port = {news_port}
+objects_url = http://{store}
+grace_seconds = {grace}
+[log]
+format = json
+"""
+
+
+class Blow(msgspec.Struct, kw_only=True):
+    """A kill or a pause that nobody planned; times are steady."""
+
+    began: float
+    ended: float
+
+
+class Life(msgspec.Struct, kw_only=True):
+    """One process of a gate, from its start to its end; times are steady.
+
+    `told_at` is the time of SIGTERM, `is_overdue` tells that the process went on
+    beyond its grace.
+    """
+
+    began: float
+    told_at: float = float("inf")
+    ended: float = float("inf")
+    is_overdue: bool = False
+    blows: list[Blow] = msgspec.field(default_factory=list)
+
+    def was_hit(self, began: float, ended: float) -> bool:
+        """Tell whether something unplanned hit the process in this time."""
+        return any(one.began <= ended and one.ended >= began for one in self.blows)
+
+
+class Gate:
+    """One gateway process, started again under the same settings."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        news_port: int,
+        store: str,
+        folder: str,
+        grace: float = GRACE_SECONDS,
+    ) -> None:
+        self.listen = f"127.0.0.{number}:{find_port()}"
+        self.grace = grace
+        self.lives: list[Life] = []
+        self._log_path = Path(folder, f"entry-{number}.log")
+        self._path = Path(folder, f"entry-{number}.ini")
+        self._path.write_text(
+            SETTINGS.format(
+                number=number,
+                listen=self.listen,
+                readiness=f"127.0.0.{number}:{find_port()}",
+                news_port=news_port,
+                store=store,
+                grace=grace,
+            )
+        )
+        self.process: subprocess.Popen | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.is_up:
+            return
+        self._note_ended()
+        self.lives.append(Life(began=time.monotonic()))
+        with self._log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "eelgrassrack.gateway", str(self._path)],
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        if self.is_up:
+            os.kill(self.process.pid, number)
+
+    async def stop(self) -> None:
+        """Stop the process as planned, and start it again once it has ended."""
+        life = self.lives[-1]
+        now = time.monotonic()
+        if life.told_at <= now or not self.is_up:
+            return
+        life.told_at = now
+        self.send(signal.SIGTERM)
+        while self.is_up:
+            if time.monotonic() > life.told_at + self.grace + END_SLACK_SECONDS:
+                life.is_overdue = not life.was_hit(life.told_at, time.monotonic())
+                self.kill()
+                self.process.wait()
+            await asyncio.sleep(LOOK_SECONDS)
+        self.start()
+
+    def kill(self) -> None:
+        """Kill the process."""
+        now = time.monotonic()
+        self.lives[-1].blows.append(Blow(began=now, ended=now))
+        self.send(signal.SIGKILL)
+
+    def pause(self) -> None:
+        """Pause the process."""
+        blow = Blow(began=time.monotonic(), ended=float("inf"))
+        self.lives[-1].blows.append(blow)
+        self.send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Have a paused process go on."""
+        self.send(signal.SIGCONT)
+        now = time.monotonic()
+        for blow in self.lives[-1].blows:
+            blow.ended = min(blow.ended, now)
+
+    def close(self) -> None:
+        """End the process for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.process.wait()
+        self._note_ended()
+
+    def find_life(self, at: float) -> Life:
+        """Return the latest life that had begun by then."""
+        return max(
+            (life for life in self.lives if life.began <= at),
+            key=lambda life: life.began,
+        )
+
+    def list_read(self) -> set[str]:
+        """Return the attempts that the log names: those that were read whole."""
+        return set(READ_ATTEMPT.findall(self._log_path.read_text(errors="replace")))
+
+    def _note_ended(self) -> None:
+        if self.lives:
+            self.lives[-1].ended = min(self.lives[-1].ended, time.monotonic())
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -3,52 +3,57 @@
 import asyncio
 import collections
 import itertools
-import os
 import random
-import signal
-import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Callable
-from pathlib import Path
 
 import msgspec
 
 from eelgrassrack.platform.store import Kinds
-from eelgrassrack.standins.directengine import DirectEngine, Echo, Events
+from eelgrassrack.standins.directengine import DirectEngine
 from eelgrassrack.standins.metadatastore import Fault, MetadataStore
 from test.gateway.world import make_manifest
 from test.ports import find_port
 
-from .callers import EVENTS, Callers
+from .answers import Answers
+from .callers import Callers
+from .gates import Gate
 from .leavers import DRAIN_SECONDS, SLACK_SECONDS, Leavers, Outage
 from .links import Link, Trouble
+from .steps import Temper, make_script
 
 GATEWAYS = 3
-CALLERS = 8
+CALLERS_A_GATE = 3
+GRACES_SECONDS = (5.0, 6.5, 8.0)
 RECOVERY_SECONDS = 12.0
 CALM_SECONDS = 1.0
 START_SECONDS = 10.0
-SETTINGS = """\
-[gateway]
-name = entry-{number}
-domain = north
-listen = {listen}
-readiness = {readiness}
-address = 127.0.0.{number}
-news_port = {news_port}
-metrics_port = {news_port}
-objects_url = http://{store}
-grace_seconds = 5
-[log]
-format = json
-"""
-
-
-# Endpoints' services and what they do, by the first letter of their names.
+# Gates of a series are told to stop within this time.
+SERIES_SECONDS = 2.5
+SERIES_IN_A_ROW = 3
+
+# Endpoints' services, by the first letter of their names.
 SERVICES = {"p": "plain", "m": "models"}
-STEPS = {"p": Echo(delay=0.02), "m": Events(count=EVENTS, gap=0.03)}
+
+# What is tried until all of it is served.
+NEEDED = {"/look/1", "/issue/1", "/chat/1"}
+
+# How often each hit is drawn.
+WEIGHTS = {
+    "hit_gate": 4,
+    "hit_link": 4,
+    "hit_store": 2,
+    "configure": 1,
+    "replace": 2,
+    "hit_engine": 3,
+    "hit_all_gates": 1,
+}
+PLANNED_WEIGHTS = WEIGHTS | {"hit_gate": 0, "hit_link": 1, "hit_all_gates": 4}
+PLANNED_SHARE = 0.6
+
+# Statuses by which a gate says that a request surely hasn't run.
+NOT_RUN = {408, 421, 429, 503}
 
 
 class Verdict(msgspec.Struct, kw_only=True):
@@ -59,54 +64,17 @@
     asked: int
     served: int
     hits: dict[str, int]
-
-
-class Gate:
-    """One gateway process, started again under the same settings."""
-
-    def __init__(self, *, number: int, news_port: int, store: str, folder: str) -> None:
-        self.listen = f"127.0.0.{number}:{find_port()}"
-        self._log_path = Path(folder, f"entry-{number}.log")
-        self._path = Path(folder, f"entry-{number}.ini")
-        self._path.write_text(
-            SETTINGS.format(
-                number=number,
-                listen=self.listen,
-                readiness=f"127.0.0.{number}:{find_port()}",
-                news_port=news_port,
-                store=store,
-            )
-        )
-        self.process: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start the process unless it runs."""
-        if self.process is not None and self.process.poll() is None:
-            return
-        with self._log_path.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "eelgrassrack.gateway", str(self._path)],
-                stdout=log,
-                stderr=log,
-            )
-
-    def send(self, number: int) -> None:
-        """Send a signal, if the process still runs."""
-        if self.process.poll() is None:
-            os.kill(self.process.pid, number)
-
-    def close(self) -> None:
-        """End the process for good."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        self.process.wait()
+    answers: dict[str, int]
 
 
 class Soak:
     """The system of one seed."""
 
-    def __init__(self, *, seed: int, seconds: float, folder: str) -> None:
+    def __init__(
+        self, *, seed: int, seconds: float, folder: str, gateways: int
+    ) -> None:
         self.seed = seed
+        self._gateways = gateways
         self._seconds = seconds
         self._folder = folder
         # The faults have dice of their own, so that what callers draw, which
@@ -122,6 +90,7 @@
         self._later: set[asyncio.Task] = set()
         self._versions = itertools.count(2)
         self._hits: collections.Counter[str] = collections.Counter()
+        self._is_in_series = False
 
     async def run(self) -> Verdict:
         """Play the seed."""
@@ -130,7 +99,9 @@
             dice=random.Random(self.seed),
             addresses=lambda: [gate.listen for gate in self._gates],
         )
-        tasks = [asyncio.ensure_future(callers.run()) for _ in range(CALLERS)]
+        tasks = [
+            asyncio.ensure_future(callers.run()) for _ in self._gates * CALLERS_A_GATE
+        ]
         try:
             await self._wait_served(callers)
             await self._disturb()
@@ -142,7 +113,8 @@
             callers.is_over = True
             await asyncio.gather(*tasks)
             await self._stop()
-        faults = self._check(callers)
+        answers = Answers(told=callers.told, gates=self._gates)
+        faults = self._check(callers) + answers.list_faults()
         if not recovered:
             faults.append("nothing was served after all faults were over")
         served = sum(told.status == 200 for told in callers.told)
@@ -152,6 +124,7 @@
             asked=len(callers.told),
             served=served,
             hits=dict(self._hits),
+            answers=dict(answers.counts),
         )
 
     async def _start(self) -> None:
@@ -166,20 +139,24 @@
         await store.start()
         self._links.append(store)
         news_port = find_port()
+        grace = self._dice.choice(GRACES_SECONDS)
         self._gates = [
             Gate(
                 number=number,
                 news_port=news_port,
                 store=store.address,
                 folder=self._folder,
+                grace=grace,
             )
-            for number in range(1, GATEWAYS + 1)
+            for number in range(1, self._gateways + 1)
         ]
         for gate in self._gates:
             gate.start()
 
     async def _add_engine(self, name: str) -> None:
-        engine = DirectEngine(name=name, script=[STEPS[name[0]]])
+        temper = self._dice.choice([Temper.STEADY, Temper.STEADY, Temper.MIXED])
+        script = make_script(name[0], temper, self._dice)
+        engine = DirectEngine(name=name, script=script)
         await engine.start()
         link = Link(target=engine.address)
         await link.start()
@@ -203,19 +180,14 @@
     async def _disturb(self) -> None:
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + self._seconds
+        # In some seeds gates end by planned stops only, so that nothing excuses
+        # a request that isn't answered.
+        is_planned = self._dice.random() < PLANNED_SHARE
+        weights = PLANNED_WEIGHTS if is_planned else WEIGHTS
         while loop.time() < ends_at:
-            (hit,) = self._dice.choices(
-                [
-                    self._hit_gate,
-                    self._hit_link,
-                    self._hit_store,
-                    self._configure,
-                    self._replace,
-                ],
-                weights=[4, 4, 2, 1, 2],
-            )
-            self._hits[hit.__name__] += 1
-            hit()
+            (name,) = self._dice.choices([*weights], weights=weights.values())
+            self._hits[name] += 1
+            getattr(self, f"_{name}")()
             await asyncio.sleep(self._dice.uniform(0.05, 0.7))
 
     def _hit_gate(self) -> None:
@@ -223,18 +195,41 @@
         outage = self._leavers.begin_outage()
         match self._dice.choice(["kill", "stop", "pause"]):
             case "kill":
-                gate.send(signal.SIGKILL)
+                gate.kill()
                 self._after(self._dice.uniform(0.2, 1.5), gate.start, outage)
             case "stop":
-                gate.send(signal.SIGTERM)
-                self._after(6.0, gate.start, outage)
+                self._keep(asyncio.ensure_future(_stop_all([gate], 0.0, outage)))
             case "pause":
-                gate.send(signal.SIGSTOP)
-                self._after(
-                    self._dice.uniform(0.2, 2.5),
-                    lambda: gate.send(signal.SIGCONT),
-                    outage,
-                )
+                gate.pause()
+                self._after(self._dice.uniform(0.2, 2.5), gate.wake, outage)
+
+    def _hit_all_gates(self) -> None:
+        """Stop all gates one soon after the other, perhaps several times."""
+        if self._is_in_series:
+            return
+        self._is_in_series = True
+        series = self._stop_in_series(self._dice.randint(1, SERIES_IN_A_ROW))
+        self._keep(asyncio.ensure_future(series))
+
+    async def _stop_in_series(self, count: int) -> None:
+        # Other faults draw meanwhile, at times that depend on the machine.
+        dice = random.Random(self._dice.random())
+        for _ in range(count):
+            gates = dice.sample(self._gates, len(self._gates))
+            gap = dice.uniform(0.1, SERIES_SECONDS) / len(gates)
+            await _stop_all(gates, gap, self._leavers.begin_outage())
+            self._hits["series"] += 1
+            await asyncio.sleep(dice.uniform(0.0, 2.0))
+        self._is_in_series = False
+
+    def _hit_engine(self) -> None:
+        """Have an endpoint do its work badly for a while."""
+        name = self._dice.choice(sorted(self._engines))
+        engine = self._engines[name]
+        temper = self._dice.choice(list(Temper))
+        engine.play(*make_script(name[0], temper, self._dice))
+        steady = make_script(name[0], Temper.STEADY, self._dice)
+        self._after(self._dice.uniform(0.5, 6.0), lambda: engine.play(*steady))
 
     def _hit_link(self) -> None:
         link = self._dice.choice(self._links)
@@ -296,8 +291,10 @@
         self._store.fault = Fault.NONE
         for link in self._links:
             link.trouble = Trouble.NONE
+        for name, engine in self._engines.items():
+            engine.play(*make_script(name[0], Temper.STEADY, self._dice))
         for gate in self._gates:
-            gate.send(signal.SIGCONT)
+            gate.wake()
             gate.start()
 
     async def _wait_served(self, callers: Callers) -> bool:
@@ -310,7 +307,7 @@
                     good = {
                         one.path for one in callers.told[before:] if one.status == 200
                     }
-                    if len(good) == 3:
+                    if good >= NEEDED:
                         return True
         except TimeoutError:
             return False
@@ -334,12 +331,10 @@
             f"{told.attempt}: {told.fault}" for told in callers.told if told.fault
         ]
         for told in callers.told:
-            if told.path != "/issue/1":
-                continue
             count = runs[told.attempt]
-            if count > 1:
+            if count > 1 and told.path == "/issue/1":
                 faults.append(f"{told.attempt} ran {count} times")
-            if count and told.status in {408, 421, 429, 503}:
+            if count and told.status in NOT_RUN:
                 faults.append(f"{told.attempt} was refused with {told.status} and ran")
         times = {
             name: [run.at for run in engine.runs]
@@ -351,8 +346,24 @@
         return faults
 
 
-def play(seed: int, seconds: float, folder: str | None = None) -> Verdict:
+async def _stop_all(gates: list[Gate], gap: float, outage: Outage) -> None:
+    """Stop gates, each so many seconds after the one before."""
+
+    async def stop(gate: Gate, after: float) -> None:
+        await asyncio.sleep(after)
+        await gate.stop()
+
+    stops = (stop(gate, gap * number) for number, gate in enumerate(gates))
+    await asyncio.gather(*stops)
+    outage.ended = time.monotonic()
+
+
+def play(
+    seed: int, seconds: float, folder: str | None = None, gateways: int = GATEWAYS
+) -> Verdict:
     """Play one seed for so many seconds of faults; logs go to the folder."""
     with tempfile.TemporaryDirectory() as made:
-        soak = Soak(seed=seed, seconds=seconds, folder=folder or made)
+        soak = Soak(
+            seed=seed, seconds=seconds, folder=folder or made, gateways=gateways
+        )
         return asyncio.run(soak.run())
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -46,13 +46,16 @@
 class Events(msgspec.Struct, kw_only=True, frozen=True):
     """Answer with a stream of `count` events, `gap` seconds apart.
 
-    It breaks off in the middle of the event after `breaks_after` events.
+    It breaks off in the middle of the event after `breaks_after` events, and
+    pauses for `pause` seconds after `pauses_after` events.
     """
 
     count: int = 3
     gap: float = 0.0
     confidence: int | None = None
     breaks_after: int | None = None
+    pauses_after: int | None = None
+    pause: float = 0.0
 
 
 class Refuse(msgspec.Struct, kw_only=True, frozen=True):
@@ -143,9 +146,9 @@
         """Take no new connections; those that are open stay as they are."""
         self._server.close()
 
-    def play(self, step: Step) -> None:
-        """Do this with all requests from now on."""
-        self._steps = itertools.repeat(step)
+    def play(self, *steps: Step) -> None:
+        """Do this with requests from now on; the last step goes on for ever."""
+        self._steps = itertools.chain(steps, itertools.repeat(steps[-1]))
 
     async def stop(self) -> None:
         """Listen no more and reset all connections."""
@@ -287,7 +290,8 @@
             writer.write(machine.send(h11.Data(data=event)))
             await writer.drain()
             try:
-                async with asyncio.timeout(step.gap):
+                gap = step.pause if number == step.pauses_after else step.gap
+                async with asyncio.timeout(gap):
                     await self._wait_for_end(run, reader)
                 return False
             except TimeoutError:
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.gatewaysoak.play import Gate
+from bench.gatewaysoak.gates import Gate
 from eelgrassrack.gateway.listener import open_early, open_listener
 from eelgrassrack.standins.directengine import Echo
 from test.gateway.world import connect, make_world, run
