--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -12,13 +12,19 @@
 # The most that any route of the soak gives a request.
 ROUTE_SECONDS = 8.0
 MILLISECONDS = 1000.0
+# In which a caller sees that its endpoint broke off, over a slow link.
+BREAK_SECONDS = 0.5
 
 
 class Answers:
     """The requests of a seed, judged by the lives of the gates that got them."""
 
-    def __init__(self, *, told: Iterable[Told], gates: list[Gate]) -> None:
+    def __init__(
+        self, *, told: Iterable[Told], gates: list[Gate], broken: dict[str, float]
+    ) -> None:
         self._told = list(told)
+        # When endpoints last broke off an attempt's stream.
+        self._broken = broken
         self._gates = {gate.listen: gate for gate in gates}
         self._read = {gate.listen: gate.list_read() for gate in gates}
         # Late requests by what became of them, and those that nobody read.
@@ -44,7 +50,7 @@
         if told.is_whole or life.was_hit(told.sent_at, told.ended_at):
             return ""
         if told.has_part:
-            if not is_late or _had_its_time(told):
+            if not is_late or _had_its_time(told) or self._was_broken(told):
                 return ""
             return self._describe(told, life, "cut in the middle")
         if is_late and told.attempt not in self._read[told.gate]:
@@ -52,6 +58,15 @@
             return ""
         return self._describe(told, life, "no answer")
 
+    def _was_broken(self, told: Told) -> bool:
+        """Tell whether the request ended because its endpoint broke off.
+
+        It was relayed, as its own limit lay before the end, and no other attempt
+        was left: then a gate that goes on can do nothing else either.
+        """
+        at = self._broken.get(told.attempt)
+        return at is not None and 0.0 <= told.ended_at - at <= BREAK_SECONDS
+
     def _describe(self, told: Told, life: Life, what: str) -> str:
         was_read = "read" if told.attempt in self._read[told.gate] else "not read"
         return (
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -113,7 +113,9 @@
             callers.is_over = True
             await asyncio.gather(*tasks)
             await self._stop()
-        answers = Answers(told=callers.told, gates=self._gates)
+        engines = self._engines.values()
+        broken = dict(pair for one in engines for pair in one.broken.items())
+        answers = Answers(told=callers.told, gates=self._gates, broken=broken)
         faults = self._check(callers) + answers.list_faults()
         if not recovered:
             faults.append("nothing was served after all faults were over")
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -81,6 +82,28 @@
     run(main())
 
 
+def test_a_stop_while_the_process_loads_cuts_no_caller_that_waits(tmp_path):
+    """All gateways are stopped again while they come back from a stop.
+
+    The signal arrives before the process has a handler for it.  Ended by it, the
+    process would cut the callers that wait, and these couldn't know whether
+    their requests ran.
+    """
+
+    async def main():
+        async with start_gate(tmp_path) as gate:
+            caller = await connect_soon(gate.listen)
+            caller.send("/look/1", attempt="early")
+            told_at = time.monotonic()
+            gate.send(signal.SIGTERM)
+            assert (await caller.read()).is_whole
+            while gate.is_up:
+                await asyncio.sleep(0.02)
+            assert time.monotonic() < told_at + gate.grace
+
+    run(main())
+
+
 def test_the_socket_is_open_before_libraries_are_loaded(tmp_path):
     """A heavy import ahead of the socket would undo that silently."""
     settings = tmp_path / "gateway.ini"
