Carry out a stop that comes while a gateway still loads

Without a handler the signal ended the process and cut the callers in the socket's queue. It is noted from the first moment on, and the grace counts from then.

--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 
+from .earlystop import EarlyStop
 from .listener import open_early
 
 USAGE = 2
@@ -21,11 +22,13 @@
     # Told of changed settings while it loads, a process without a handler ends,
     # and callers in the socket's queue are cut.  It reads the settings later on.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    early = EarlyStop()
+    early.listen()
     listener = open_early(path)
     # Only now, with the socket open, what takes long to load.
     from .process import run_process
 
-    return run_process(path, listener)
+    return run_process(path, listener, early)
 
 
 if __name__ == "__main__":
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -11,6 +11,7 @@
 from ..errors import UserError
 from ..supervisor import Supervisor
 from .doors import Door
+from .earlystop import STOP_SIGNALS, EarlyStop
 from .fleet import Fleet
 from .follower import Contact, Store
 from .ingress import Ingress
@@ -197,16 +198,17 @@
             ),
         )
 
-    async def run(self) -> None:
-        """Serve until told to stop, then stop gracefully."""
+    async def run(self, early: EarlyStop) -> None:
+        """Serve until told to stop, perhaps before now, then stop gracefully."""
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, stopping.set)
-        loop.add_signal_handler(signal.SIGINT, stopping.set)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
-        await stopping.wait()
-        await self.stop()
+        if early.at is None:
+            await stopping.wait()
+        await self.stop(told_at=early.at)
 
     @property
     def is_ready(self) -> bool:
@@ -240,14 +242,18 @@
             "gateway: {} started in {}", self._settings.name, self._settings.domain
         )
 
-    async def stop(self) -> None:
-        """Leave the rotation, end what is under way, and close."""
+    async def stop(self, *, told_at: float | None = None) -> None:
+        """Leave the rotation, end what is under way, and close.
+
+        The grace counts from when the process was told, now if nothing else is
+        known.
+        """
         log.notice("gateway: stopping, {} open", self.ingress.open_requests)
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        began = loop.time() if told_at is None else told_at
         self._is_closing = True
         ends_at = began + self._settings.grace_seconds
-        await asyncio.sleep(ROTATION_SECONDS)
+        await asyncio.sleep(began + ROTATION_SECONDS - loop.time())
         # The balancer still sends callers here if too few others are ready.
         # They are served as long as that fits: a closed port would cost them
         # their try.
--- a/eelgrassrack/gateway/process.py
+++ b/eelgrassrack/gateway/process.py
@@ -9,13 +9,19 @@
 from ..platform import headers
 from ..platform.store import Kinds, PlatformStore
 from .daemon import Gateway
+from .earlystop import EarlyStop
 from .settings import GatewaySettings, read_gateway_settings
 
 
-def run_process(path: str, listener: socket.socket | None = None) -> int:
+def run_process(
+    path: str,
+    listener: socket.socket | None = None,
+    early: EarlyStop | None = None,
+) -> int:
     """Run until stopped, under the settings at `path`; return the exit code.
 
-    `listener` is the socket for callers, if it is open already.
+    `listener` is the socket for callers, if it is open already, and `early`
+    tells whether the process was told to stop meanwhile.
     """
     try:
         settings = read_gateway_settings(path)
@@ -23,7 +29,10 @@
         print(f"eelgrassrack: {error}", file=sys.stderr)
         return error.exit_code
     handler = install_bounded(settings.log)
-    asyncio.run(_run(settings, path=path, handler=handler, listener=listener))
+    early = early or EarlyStop()
+    asyncio.run(
+        _run(settings, path=path, handler=handler, listener=listener, early=early)
+    )
     return 0
 
 
@@ -33,6 +42,7 @@
     path: str,
     handler: BoundedHandler,
     listener: socket.socket | None,
+    early: EarlyStop,
 ) -> None:
     gateway = Gateway(
         settings=settings,
@@ -43,4 +53,4 @@
         read_settings=lambda: read_gateway_settings(path),
         listener=listener,
     )
-    await gateway.run()
+    await gateway.run(early)
