--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -29,6 +29,7 @@
         self._read = {gate.listen: gate.list_read() for gate in gates}
         # Late requests by what became of them, and those that nobody read.
         self.counts: collections.Counter[str] = collections.Counter()
+        self.unread: list[str] = []
 
     def list_faults(self) -> list[str]:
         """Return which requests weren't answered as they must be."""
@@ -54,7 +55,7 @@
                 return ""
             return self._describe(told, life, "cut in the middle")
         if is_late and told.attempt not in self._read[told.gate]:
-            self.counts["late unread"] += 1
+            self.unread.append(self._describe(told, life, "no answer"))
             return ""
         return self._describe(told, life, "no answer")
 
