--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -3,6 +3,9 @@
 import pytest
 
 from bench.gatewaysoak import leavers
+from bench.gatewaysoak.answers import Answers
+from bench.gatewaysoak.callers import Told
+from bench.gatewaysoak.gates import Blow, Life
 from bench.gatewaysoak.leavers import DRAIN_SECONDS, SLACK_SECONDS, Leavers
 from bench.gatewaysoak.play import play
 
@@ -25,8 +28,22 @@
     return clock
 
 
+# A seed's dice settle its faults, not the moments at which they strike: one that
+# failed once may pass on the same code.
+SEEDS = [
+    # 641b7b0: streams taken late in a stop by an estimate were cut; callers in the
+    # queue of a gate that was told to stop while it loaded were cut.
+    1,
+    3,
+    # d312df8: as above, of a gate that loads; kills and pauses besides.
+    6,
+    # A trial: endpoints that break off late in a stop were taken for a gate's fault.
+    7,
+]
+
+
 @pytest.mark.processes
-@pytest.mark.parametrize("seed", [7])
+@pytest.mark.parametrize("seed", SEEDS)
 def test_the_promises_hold_under_series_of_faults(seed):
     """Gateways are killed, stopped and paused; links and the store misbehave."""
     verdict = play(seed, 6.0)
@@ -35,6 +52,80 @@
     assert sum(verdict.hits.values()) > 5
 
 
+class Gate:
+    """A gate that read some attempts."""
+
+    listen = "127.0.0.1:1"
+
+    def __init__(self, *lives, read=()):
+        self.lives = lives
+        self._read = set(read)
+
+    def find_life(self, at):
+        return self.lives[-1]
+
+    def list_read(self):
+        return self._read
+
+
+def make_told(**changes):
+    usual = {
+        "attempt": "a1",
+        "path": "/chat/1",
+        "gate": Gate.listen,
+        "is_kept": False,
+        "patience_ms": 4_000,
+        "sent_at": 104.0,
+        "ended_at": 105.0,
+        "status": 0,
+        "is_whole": False,
+        "has_part": False,
+    }
+    return Told(**usual | changes)
+
+
+def judge(told, *blows, read=("a1",), broken=()):
+    """Return what is wrong with an answer of a gate that was told to stop at 100."""
+    life = Life(began=90.0, told_at=100.0, blows=list(blows))
+    gate = Gate(life, read=read)
+    return Answers(told=[told], gates=[gate], broken=dict(broken)).list_faults()
+
+
+def test_the_soak_notices_a_request_without_an_answer():
+    assert judge(make_told())
+    assert judge(make_told(sent_at=95.0))
+    assert judge(make_told(sent_at=101.0), read=())
+    assert not judge(make_told(status=503, is_whole=True))
+
+
+def test_a_late_request_that_nobody_read_is_named_only():
+    life = Life(began=90.0, told_at=100.0)
+    answers = Answers(told=[make_told()], gates=[Gate(life)], broken={})
+    assert not answers.list_faults()
+    assert answers.unread
+
+
+def test_the_soak_notices_a_late_answer_that_is_cut():
+    cut = make_told(status=200, has_part=True)
+    assert judge(cut)
+    assert not judge(make_told(status=200, has_part=True, sent_at=102.9))
+    # It had all the time that its caller gave it.
+    assert not judge(make_told(status=200, has_part=True, ended_at=108.0))
+    # Its endpoint broke off, just then or long before.
+    assert not judge(cut, broken=[("a1", 104.9)])
+    assert judge(cut, broken=[("a1", 104.1)])
+
+
+def test_only_an_unplanned_blow_at_the_time_excuses_a_gate():
+    assert not judge(make_told(), Blow(began=104.5, ended=104.6))
+    assert judge(make_told(), Blow(began=103.0, ended=103.9))
+
+
+def test_the_soak_notices_a_gate_that_goes_on_beyond_its_grace():
+    life = Life(began=90.0, told_at=100.0, is_overdue=True)
+    assert Answers(told=[], gates=[Gate(life)], broken={}).list_faults()
+
+
 def test_the_soak_notices_work_for_an_endpoint_that_left(clock):
     """A gateway that missed the news would go on sending there."""
     left = Leavers()
