--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -1,15 +1,21 @@
 """Graceful shutdown of a gateway."""
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from eelgrassrack.gateway.daemon import ROTATION_SECONDS
-from eelgrassrack.gateway.ingress import FIRST_SECONDS
+from eelgrassrack.gateway.ingress import FIRST_SECONDS, Ingress
 from eelgrassrack.standins.directengine import Events, Reply
 
-from .world import KEY, call, connect, make_world, run, wait_for
+from .world import HOST, KEY, call, connect, make_world, run, wait_for
+
+REQUEST = (
+    f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
+    "X-Attempt-Id: a1\r\n\r\n"
+).encode()
 
 
 def test_a_stop_cuts_no_request():
@@ -113,6 +119,38 @@
     run(main())
 
 
+def test_a_stop_that_finds_nothing_left_answers_who_connects_just_then(monkeypatch):
+    """A caller connects, and sends a request, while the stop looks a last time.
+
+    Its connection was made, so that it can't know whether a request ran that
+    gets no answer.
+    """
+    callers = []
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            host, port = world.settings[0].listen.rsplit(":", 1)
+            look = Ingress.is_occupied.fget
+
+            def come(ingress):
+                is_occupied = look(ingress)
+                if not is_occupied and not callers:
+                    # Nothing else runs in this process meanwhile.
+                    callers.append(socket.create_connection((host, int(port))))
+                    callers[0].sendall(REQUEST)
+                return is_occupied
+
+            monkeypatch.setattr(Ingress, "is_occupied", property(come))
+            await gateway.stop()
+            with callers[0] as caller:
+                assert caller.recv(12) == b"HTTP/1.1 200"
+
+    run(main())
+
+
 def test_a_stop_waits_for_a_request_that_lies_unread():
     """An entry has no request under way, and one has come that it hasn't read.
 
