Listen no more before a stopping gateway closes its connections

Now those in the queue are taken in, the socket is closed, and what is open then is answered before the end. One that can't connect knows that nothing ran.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -14,9 +14,9 @@
 from .earlystop import STOP_SIGNALS, EarlyStop
 from .fleet import Fleet
 from .follower import Contact, Store
-from .ingress import Ingress
+from .ingress import STOP_LOOK_SECONDS, Ingress
 from .knowledge import Kinds, Knowledge
-from .listener import open_listener
+from .listener import list_waiting, open_listener
 from .metrics import GatewayMetrics
 from .news import Audience, News, NewsExchange
 from .peerlist import PeerList
@@ -38,13 +38,11 @@
 # connections come until then, and a little later over its own links.
 ROTATION_SECONDS = 2.6
 
-# Between looks at what is still open during a stop.
-STOP_LOOK_SECONDS = 0.05
-
-# What is left of the grace once everything has its answer, and once connections
-# are closed: a slow instance needs some of it for the last bytes to leave, and
-# some to end.
+# What is left of the grace once everything has its answer, once callers can't
+# connect any more, and once connections are closed: a slow instance needs some of
+# it for the last bytes to leave, and some to end.
 ANSWERED_SECONDS = 0.7
+DEAF_SECONDS = 0.5
 CLOSED_SECONDS = 0.3
 
 # A body that takes longer comes from a caller that has long given up: no
@@ -235,7 +233,8 @@
         self._supervisor.start(name="rollouts", job=self.rollouts.run)
         self._supervisor.start(name="peers", job=self._peers.run)
         self._supervisor.start(name="sharing", job=self._sharing.run)
-        self._server.add_socket(self._listener or open_listener(self._settings.listen))
+        self._listener = self._listener or open_listener(self._settings.listen)
+        self._server.add_socket(self._listener)
         for door in self._doors:
             door.open()
         log.notice(
@@ -258,13 +257,24 @@
         # They are served as long as that fits: a closed port would cost them
         # their try.
         self._serving.stop_at(ends_at - ANSWERED_SECONDS)
-        self.ingress.close_idle()
-        while self.ingress.is_occupied and loop.time() < ends_at - CLOSED_SECONDS:
-            await asyncio.sleep(STOP_LOOK_SECONDS)
-            self.ingress.close_idle()
+        await self.ingress.wait_answered(ends_at - DEAF_SECONDS)
+        await self._stop_listening()
+        await self.ingress.wait_answered(ends_at - CLOSED_SECONDS)
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
         await self.close()
 
+    async def _stop_listening(self) -> None:
+        """Take in the callers that have connected, and refuse connections then.
+
+        Closed with the socket, a connection that was made looks to its caller as
+        if its request might have run.
+        """
+        for connection, address in list_waiting(self._listener):
+            self._server._handle_connection(connection, address)
+        self._server.stop()
+        # The library begins to read from them only when the loop goes on.
+        await asyncio.sleep(STOP_LOOK_SECONDS)
+
     async def close(self) -> None:
         """End all parts at once."""
         self._server.stop()
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -40,6 +40,9 @@
 # that are too long get an answer; it closes at once on those beyond.
 READ_FACTOR = 4
 
+# Between looks at what is still open during a stop.
+STOP_LOOK_SECONDS = 0.05
+
 LONG_HEAD = Refusal(status=431, reason="headers are too long")
 LONG_BODY = Refusal(status=413, reason="body is too long")
 SLOW_HEAD = (
@@ -171,6 +174,16 @@
             if not self._awaits_request(connection, pause):
                 connection.close()
 
+    async def wait_answered(self, until: float) -> None:
+        """Wait until no caller has a request here, or a time of the loop.
+
+        Idle connections are closed meanwhile.
+        """
+        self.close_idle()
+        while self.is_occupied and self._loop.time() < until:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
+            self.close_idle()
+
     def close_overdue(self) -> None:
         """Close what was idle for too long, or takes too long over a head.
 
--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import random
 
 import pytest
@@ -66,6 +67,34 @@
     run(main())
 
 
+def test_callers_that_come_until_the_end_are_all_answered_or_refused():
+    """All entries are stopping, and callers come to this one without a pause.
+
+    Up to the last moment one that connects gets an answer; then none connects.
+    """
+
+    async def keep_asking(world, answered):
+        with contextlib.suppress(ConnectionRefusedError):
+            while True:
+                answered.append((await world.call(attempt="late")).is_whole)
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(ROTATION_SECONDS - 0.1)
+            answered = []
+            await asyncio.gather(
+                *(keep_asking(world, answered) for _ in range(PERSISTENT_CALLERS))
+            )
+            await stopping
+            assert all(answered)
+
+    run(main())
+
+
 def test_a_request_that_is_never_answered_isnt_dropped_by_a_stop():
     """A stopping gateway takes a request and its endpoint falls silent."""
 
@@ -102,6 +131,7 @@
 )
 PATHS = ("/look/", "/issue/", "/chat/", "/final/", "/once/")
 CALLERS = 150
+PERSISTENT_CALLERS = 10
 
 
 async def add_moody_engines(world, dice):
