--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Iterable
 
+from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+
 from .callers import Told
 from .gates import Gate, Life
 
@@ -20,11 +22,18 @@
     """The requests of a seed, judged by the lives of the gates that got them."""
 
     def __init__(
-        self, *, told: Iterable[Told], gates: list[Gate], broken: dict[str, float]
+        self,
+        *,
+        told: Iterable[Told],
+        gates: list[Gate],
+        broken: dict[str, float],
+        resets: Iterable[float] = (),
     ) -> None:
         self._told = list(told)
         # When endpoints last broke off an attempt's stream.
         self._broken = broken
+        # When links to endpoints were reset.
+        self._resets = list(resets)
         self._gates = {gate.listen: gate for gate in gates}
         self._read = {gate.listen: gate.list_read() for gate in gates}
         # Late requests by what became of them, and those that nobody read.
@@ -54,19 +63,25 @@
             if not is_late or _had_its_time(told) or self._was_broken(told):
                 return ""
             return self._describe(told, life, "cut in the middle")
-        if is_late and told.attempt not in self._read[told.gate]:
-            self.unread.append(self._describe(told, life, "no answer"))
+        fault = self._describe(told, life, "no answer")
+        if told.attempt not in self._read[told.gate] and (
+            is_late or _was_idle(told, life)
+        ):
+            self.unread.append(fault)
             return ""
-        return self._describe(told, life, "no answer")
+        return fault
 
     def _was_broken(self, told: Told) -> bool:
-        """Tell whether the request ended because its endpoint broke off.
+        """Tell whether the request ended because its endpoint or link broke off.
 
         It was relayed, as its own limit lay before the end, and no other attempt
         was left: then a gate that goes on can do nothing else either.
         """
-        at = self._broken.get(told.attempt)
-        return at is not None and 0.0 <= told.ended_at - at <= BREAK_SECONDS
+        times = [*self._resets, self._broken.get(told.attempt, 0.0)]
+        return any(
+            max(told.sent_at, told.ended_at - BREAK_SECONDS) <= at <= told.ended_at
+            for at in times
+        )
 
     def _describe(self, told: Told, life: Life, what: str) -> str:
         was_read = "read" if told.attempt in self._read[told.gate] else "not read"
@@ -89,3 +104,11 @@
 
 def _find_limit(told: Told) -> float:
     return min(told.patience_ms / MILLISECONDS, ROUTE_SECONDS)
+
+
+def _was_idle(told: Told, life: Life) -> bool:
+    """Tell whether a stopping gate may have closed the connection as idle.
+
+    As with any server of HTTP, that may cross a request on its way.
+    """
+    return told.is_kept and told.sent_at >= life.told_at + ROTATION_SECONDS
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -85,6 +85,8 @@
         self._engines: dict[str, DirectEngine] = {}
         self._addresses: dict[str, str] = {}
         self._links: list[Link] = []
+        # When links to endpoints were reset.
+        self._resets: list[float] = []
         self._gates: list[Gate] = []
         self._leavers = Leavers()
         self._numbers = itertools.count(3)
@@ -116,7 +118,9 @@
             await self._stop()
         engines = self._engines.values()
         broken = dict(pair for one in engines for pair in one.broken.items())
-        answers = Answers(told=callers.told, gates=self._gates, broken=broken)
+        answers = Answers(
+            told=callers.told, gates=self._gates, broken=broken, resets=self._resets
+        )
         faults = self._check(callers) + answers.list_faults()
         if not recovered:
             faults.append("nothing was served after all faults were over")
@@ -239,6 +243,8 @@
         link = self._dice.choice(self._links)
         kind = self._dice.choice([*Trouble, "reset"])
         if kind == "reset":
+            if link.address in self._addresses.values():
+                self._resets.append(time.monotonic())
             link.reset()
             return
         link.trouble = kind
