--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+from eelgrassrack.gateway.ingress import FIRST_SECONDS
 
 from .callers import Told
 from .gates import Gate, Life
@@ -53,7 +54,7 @@
 
     def _judge(self, told: Told) -> str:
         """Return what is wrong with how a request ended, if anything is."""
-        life = self._gates[told.gate].find_life(told.sent_at)
+        life = self._gates[told.gate].find_life(told.connected_at)
         is_late = told.sent_at >= life.told_at + LATE_SECONDS
         if is_late:
             self.counts[f"late {told.status if told.is_whole else 'not whole'}"] += 1
@@ -89,7 +90,8 @@
             f"{what}, {told.path} at {told.gate}, {was_read}, sent "
             f"{told.sent_at - life.told_at:.2f} s from SIGTERM, over after "
             f"{told.ended_at - told.sent_at:.2f} of {_find_limit(told):.1f} s, "
-            f"{'kept' if told.is_kept else 'new'} connection"
+            f"{'kept' if told.is_kept else 'new'} connection of "
+            f"{told.sent_at - told.connected_at:.2f} s"
         )
 
 
@@ -111,4 +113,5 @@
 
     As with any server of HTTP, that may cross a request on its way.
     """
-    return told.is_kept and told.sent_at >= life.told_at + ROTATION_SECONDS
+    rested = told.is_kept or told.sent_at > told.connected_at + FIRST_SECONDS
+    return rested and told.sent_at >= life.told_at + ROTATION_SECONDS
--- a/bench/gatewaysoak/callers.py
+++ b/bench/gatewaysoak/callers.py
@@ -27,7 +27,8 @@
     """What a caller was told of one request, status 0 for nothing.
 
     `is_kept` tells that its connection had been used before.  `has_part` tells
-    that something of an answer came; times are steady.
+    that something of an answer came; times are steady, `connected_at` is that at
+    which the connection was asked for.
     """
 
     attempt: str
@@ -35,6 +36,7 @@
     gate: str
     is_kept: bool
     patience_ms: int
+    connected_at: float
     sent_at: float
     ended_at: float
     status: int
@@ -58,15 +60,17 @@
         caller: Caller | None = None
         gate = ""
         is_kept = False
+        connected_at = 0.0
         while not self.is_over:
             if caller is None:
                 gate = self._dice.choice(self._addresses())
+                connected_at = time.monotonic()
                 caller = await _connect(gate)
                 is_kept = False
             if caller is None:
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
-            told, keeps = await self._ask(caller, gate, is_kept)
+            told, keeps = await self._ask(caller, gate, is_kept, connected_at)
             self.told.append(told)
             await asyncio.sleep(self._draw_pause())
             is_kept = True
@@ -80,7 +84,9 @@
         rests = self._dice.random() < REST_SHARE
         return self._dice.random() * (REST_SECONDS if rests else PAUSE_SECONDS)
 
-    async def _ask(self, caller: Caller, gate: str, is_kept: bool) -> tuple[Told, bool]:
+    async def _ask(
+        self, caller: Caller, gate: str, is_kept: bool, connected_at: float
+    ) -> tuple[Told, bool]:
         attempt = f"a{next(self._numbers)}"
         path = self._dice.choice(PATHS)
         patience_ms = self._dice.choice(PATIENCES_MS)
@@ -107,6 +113,7 @@
             gate=gate,
             is_kept=is_kept,
             patience_ms=patience_ms,
+            connected_at=connected_at,
             sent_at=sent_at,
             ended_at=time.monotonic(),
             status=got.status if got else 0,
--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -76,6 +76,7 @@
         "gate": Gate.listen,
         "is_kept": False,
         "patience_ms": 4_000,
+        "connected_at": 103.9,
         "sent_at": 104.0,
         "ended_at": 105.0,
         "status": 0,
@@ -124,7 +125,8 @@
     soon = 100.0 + ROTATION_SECONDS
     assert not judge(make_told(sent_at=soon, is_kept=True), read=())
     assert judge(make_told(sent_at=soon, is_kept=True))
-    assert judge(make_told(sent_at=soon), read=())
+    assert judge(make_told(sent_at=soon, connected_at=soon - 0.1), read=())
+    assert not judge(make_told(sent_at=soon, connected_at=soon - 0.5), read=())
     assert judge(make_told(sent_at=soon - 0.1, is_kept=True), read=())
 
 
