--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -21,6 +21,8 @@
 
 LONG_PATIENCE_MS = 8_000
 
+PERSISTENT_CALLERS = 10
+
 # A prompt whose answer is expected to take a tenth of a second.
 SHORT_ANSWER = (("X-Token-Usage", "1000,20"),)
 
@@ -131,7 +133,6 @@
 )
 PATHS = ("/look/", "/issue/", "/chat/", "/final/", "/once/")
 CALLERS = 150
-PERSISTENT_CALLERS = 10
 
 
 async def add_moody_engines(world, dice):
