Tell every caller what became of its request when an entry ends

What callers saw: an entry that was told to stop closed, five seconds after its grace, the connections of all requests that were still under way. One that ran, one that waited at an agent, one whose session was looked up in the store and one that may not be repeated got no byte of an answer; a stream broke off in the middle without its error event; a caller that still sent its body, and one that read its whole answer slowly, were cut even in a stop that had time left.

Cause: the end of a stop was a guess of time ("a request that slipped in has five seconds") with nothing behind it, and "idle" counted flows, not callers: before the body is there and after the last byte was handed to the socket's buffer a request didn't count.

Ruled out: that agents don't say in time whether an attempt has started. They do; the entry didn't ask. Holding streams or refusing late requests doesn't help those that run already.

Now the entry's end is a time limit of each attempt. At the end of the grace attempts are withdrawn as at a caller's deadline, so agents say whether they had started, and callers get 503 (surely not run, Retry-After), 502 (ran) or 504 (unknown), streams their error event. Nothing is tried again that has no time left. Whoever waits for something else, as for the store, is told "unknown", which is true of everything. A caller counts as under way from its headers until its answer has left. What ran and was ended by the stop counts as cut, as before.

Evidence: the seven tests of test/entry/test_stop.py failed on the code before (status 0, no error event, 530,944 of 800,000 bytes) and pass now. The guard "draining of entries is needed" switches off the wait for callers in place of the five seconds that are gone, and still breaks its promise.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -13,7 +13,7 @@
 from .arrivals import Terms, find_caller, read_terms
 from .core import Core
 from .headers import Run
-from .refusals import CallerError
+from .refusals import STOPPING, CallerError, refuse_unavailable, report_unknown
 from .responder import HttpResponder
 
 log = logbook.Logger("callers")
@@ -50,6 +50,7 @@
         self.task: asyncio.Task | None = None
         self.refused = False
         self.is_counted = False
+        core.open.add(self)
         core.meter.note_arrival()
 
     def prepare(self) -> None:
@@ -85,10 +86,32 @@
     def on_connection_close(self) -> None:
         """Stop work for a caller that went away, where it may be stopped."""
         self.responder.has_ended = True
+        self.core.open.discard(self)
         if self.task is not None:
             self.core.meter.note_gone()
             self.task.cancel()
 
+    def finish(self, chunk: str | bytes | dict | None = None) -> asyncio.Future[None]:
+        """End the answer; the request is over once that has left."""
+        written = super().finish(chunk)
+        written.add_done_callback(lambda _: self.core.open.discard(self))
+        return written
+
+    @property
+    def is_gone(self) -> bool:
+        """Tell whether the caller has closed its connection."""
+        return self.responder.is_closed
+
+    def end(self) -> None:
+        """Answer now, as this entry ends."""
+        if self.responder.has_ended:
+            return
+        if self.task is None:
+            self._refuse(refuse_unavailable(reason="draining"))
+            return
+        self.task.cancel()
+        self._send_error(report_unknown(reason=STOPPING))
+
     def on_finish(self) -> None:
         """Count the request once its answer has been sent."""
         self._count_end()
@@ -155,7 +178,6 @@
 
     async def _run(self, work: Awaitable[None]) -> None:
         """Run a flow that ends when its caller goes away."""
-        self.core.open_requests += 1
         self.task = asyncio.ensure_future(work)
         try:
             await self.task
@@ -178,6 +200,5 @@
             )
         finally:
             self.task = None
-            self.core.open_requests -= 1
             if self.responder.error is not None:
                 self._count_end()
--- a/eelgrassrack/entry/channels.py
+++ b/eelgrassrack/entry/channels.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import logbook
@@ -28,6 +29,7 @@
     UnknownAttempt,
     Waits,
 )
+from .refusals import STOPPING
 
 log = logbook.Logger("channels")
 
@@ -45,6 +47,9 @@
 # say whether it had started.  The caller's answer waits for no more.
 LAST_WORD = 0.25
 
+# A caller whose request was withdrawn because this entry ends finds another.
+COME_BACK_SECONDS = 1.0
+
 
 class Whole(msgspec.Struct, kw_only=True, frozen=True):
     """The attempt ran and its whole answer is here."""
@@ -97,6 +102,7 @@
         "expected",
         "first_at",
         "heard_at",
+        "is_shortened",
         "keeps",
         "outcome",
         "pieces",
@@ -124,6 +130,7 @@
         self.address = address
         self.deadline = deadline
         self.heard_at = now
+        self.is_shortened = False
         self.begun = False
         self.first_at: float | None = None
         self.repeatable = repeatable
@@ -145,6 +152,12 @@
         """Tell whether bytes of this answer went to the caller."""
         return self.sink is not None and self.expected > 0
 
+    def end_by(self, time: float) -> None:
+        """Give the attempt until this entry ends."""
+        if time <= self.deadline:
+            self.deadline = time
+            self.is_shortened = True
+
     def take_piece(self, piece: Piece, now: float) -> None:
         """Take the next piece; ask again for one that is missing."""
         self.heard_at = now
@@ -175,6 +188,8 @@
             case Waits():
                 pass
             case NotStarted(refusal=refusal, retry_after=retry_after):
+                if self._was_stopped:
+                    retry_after = max(retry_after, COME_BACK_SECONDS)
                 self.settle(NeverRan(refusal=refusal, retry_after=retry_after))
             case UnknownAttempt():
                 self.settle(Lost(reason="the agent was restarted"))
@@ -182,6 +197,9 @@
                 self.begun = True
                 self._ended = message
                 self._finish_if_whole(message, now)
+            case Ended(finish=Finish.CANCELLED) if self._was_stopped:
+                self.begun = True
+                self._end_cancelled()
             case Ended(finish=finish, reason=reason):
                 self.begun = True
                 self.settle(Broken(finish=finish, reason=reason or finish.value))
@@ -196,7 +214,8 @@
         if self.outcome.done():
             return
         if self.cancelled_at is not None:
-            self._end_cancelled(now)
+            if now - self.cancelled_at >= LAST_WORD:
+                self._end_cancelled()
         elif now >= self.deadline - LAST_WORD:
             self.cancel(now)
         elif now - self.heard_at >= GONE_AFTER and not self.begun:
@@ -220,13 +239,18 @@
         )
         self._post(self.address, message)
 
-    def _end_cancelled(self, now: float) -> None:
-        if now - self.cancelled_at < LAST_WORD:
-            return
+    @property
+    def _was_stopped(self) -> bool:
+        """Tell whether the attempt was withdrawn because this entry ends."""
+        return self.is_shortened and self.cancelled_at is not None
+
+    def _end_cancelled(self) -> None:
+        reason = STOPPING if self.is_shortened else "deadline"
+        finish = Finish.CUT if self.is_shortened else Finish.DEADLINE
         if self.begun and self.repeatable:
-            self.settle(Broken(finish=Finish.DEADLINE, reason="deadline"))
+            self.settle(Broken(finish=finish, reason=reason))
         else:
-            self.settle(Lost(reason="deadline"))
+            self.settle(Lost(reason=reason))
 
     def _ask(self, now: float) -> None:
         if self._asked_at is not None and now - self._asked_at < ASK_AFTER:
@@ -279,10 +303,11 @@
 class Channels:
     """All channels of an entry, by attempt."""
 
-    __slots__ = ("_by_attempt", "_invariants")
+    __slots__ = ("_by_attempt", "_ends_at", "_invariants")
 
     def __init__(self, *, invariants: Invariants) -> None:
         self._by_attempt: dict[str, Channel] = {}
+        self._ends_at = math.inf
         self._invariants = invariants
 
     def __len__(self) -> int:
@@ -296,8 +321,15 @@
             channel.attempt not in self._by_attempt,
             "an attempt id was used twice",
         )
+        channel.end_by(self._ends_at)
         self._by_attempt[channel.attempt] = channel
 
+    def end_by(self, time: float) -> None:
+        """Have all attempts ended by the end of this entry."""
+        self._ends_at = time
+        for channel in self._by_attempt.values():
+            channel.end_by(time)
+
     def remove(self, channel: Channel) -> None:
         """Stop following an attempt; whatever still comes is dropped."""
         self._by_attempt.pop(channel.attempt, None)
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from typing import Protocol
 
 from ..decisions.rollout import Health, PlannedVersion, RolloutHealth, Verdict
 from ..document.snapshot import Snapshot
@@ -17,6 +18,17 @@
 from .services import ServiceFlow
 
 
+class Caller(Protocol):
+    """A caller that waits for its answer, or for the rest of it."""
+
+    @property
+    def is_gone(self) -> bool:
+        """Tell whether the caller has closed its connection."""
+
+    def end(self) -> None:
+        """Answer now, as this entry ends."""
+
+
 class Core:
     """The parts of an entry that serve callers."""
 
@@ -33,7 +45,7 @@
         "is_closing",
         "is_draining",
         "name",
-        "open_requests",
+        "open",
         "services",
     )
 
@@ -62,7 +74,7 @@
         self.invariants = invariants
         self.is_closing = False
         self.is_draining = False
-        self.open_requests = 0
+        self.open: set[Caller] = set()
         self.services = services
         self._kept: set[asyncio.Future] = set()
 
@@ -107,6 +119,17 @@
         """Tell whether no request is under way."""
         return not self.open_requests and not self._kept
 
+    @property
+    def open_requests(self) -> int:
+        """Return how many callers wait for an answer, or for the rest of it."""
+        self.open -= {caller for caller in self.open if caller.is_gone}
+        return len(self.open)
+
+    def end_rest(self) -> None:
+        """Answer all callers that still wait."""
+        for caller in tuple(self.open):
+            caller.end()
+
     def describe(self) -> EntryStatus:
         """Return what this entry knows, for operators."""
         now = asyncio.get_running_loop().time()
--- a/eelgrassrack/entry/dispatcher.py
+++ b/eelgrassrack/entry/dispatcher.py
@@ -219,7 +219,7 @@
             first_byte_sent=channel.has_delivered,
             tries=tries,
             most_tries=job.snapshot.limits.attempts,
-            within=job.deadline - self._loop.time(),
+            within=channel.deadline - self._loop.time(),
         )
         match verdict:
             case Retry():
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -1,6 +1,7 @@
 """The parts of an entry, wired and supervised."""
 
 import asyncio
+import math
 import random
 import secrets
 
@@ -31,6 +32,7 @@
 from .inbox import Inbox
 from .meter import Meter
 from .peers import Peers
+from .refusals import STOPPING
 from .serving import Serving
 from .suspects import Suspects
 
@@ -44,8 +46,9 @@
 FLUSH_SECONDS = 5.0
 DRAIN_POLL_SECONDS = 0.05
 
-# A request that slipped in while the door was being shut has this long.
-LAST_SECONDS = 5.0
+# After the grace: the time of the agents' last words, and that of answers to
+# reach their callers.
+LAST_SECONDS = 1.0
 
 # The largest body that is read before the document's own limit is known.
 MOST_BODY_BYTES = 3_500_000
@@ -57,6 +60,7 @@
     __slots__ = (
         "_beat_at",
         "_configuration",
+        "_ends_at",
         "_hurry",
         "_inbox",
         "_instances",
@@ -93,6 +97,7 @@
         self.invariants = invariants or Invariants()
         self.port = 0
         self._beat_at = float("-inf")
+        self._ends_at = math.inf
         self._hurry = asyncio.Event()
         self._instances = instances
         self._loop = asyncio.get_running_loop()
@@ -196,9 +201,11 @@
         """Drain: fail readiness, serve on, end what runs, flush, close.
 
         The balancer follows readiness with a lag, so the entry serves for
-        `lag_seconds` more.  Nothing waits longer than `grace_seconds`.
+        `lag_seconds` more.  What isn't answered after `grace_seconds` is
+        withdrawn, and its caller told what is known of it.
         """
         self.core.is_draining = True
+        self._end_by(self._loop.time() + self._settings.grace_seconds)
         self._peers.leaving = True
         self._beat()
         began = self._loop.time()
@@ -211,16 +218,26 @@
         await self._close()
 
     async def _shut_door(self) -> None:
-        """Take no more requests and end those that came meanwhile."""
+        """Take no more requests and end those that came."""
         self.core.is_closing = True
         if self._server is None:
             return
         self._server.stop()
-        began = self._loop.time()
-        while not self.core.is_idle and self._loop.time() - began < LAST_SECONDS:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self._wait_idle(LAST_SECONDS)
+        self.core.end_rest()
+        await self._wait_idle(2 * LAST_SECONDS)
+        self._report_cut()
         await self._server.close_all_connections()
 
+    async def _wait_idle(self, extra: float) -> None:
+        """Wait until no request is under way, or until so long after the end."""
+        while not self.core.is_idle and self._loop.time() < self._ends_at + extra:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _end_by(self, time: float) -> None:
+        self._ends_at = time
+        self._serving.end_by(time)
+
     async def kill(self) -> None:
         """Close at once, as a crash would; for tests and the demo."""
         if self._server is not None:
@@ -235,6 +252,7 @@
     def hurry(self) -> None:
         """End a stop that is under way at once."""
         self._hurry.set()
+        self._end_by(self._loop.time())
 
     def deliver(self, parcel: Parcel) -> None:
         """Take what an agent or another entry sent."""
@@ -329,14 +347,15 @@
         is_done = self.core.is_idle and not self.billing.waiting
         return is_done and waited >= self._settings.lag_seconds
 
-    def _report_rest(self) -> None:
-        if not self.core.is_idle:
-            log.error("entry: {} requests cut at the stop", self.core.open_requests)
+    def _report_cut(self) -> None:
+        cut = self.core.open_requests + self._meter.count_failed(STOPPING)
+        if cut:
+            log.error("entry: {} requests cut at the stop", cut)
         # A stop that was hurried isn't a planned one any more.
-        kept = self._hurry.is_set() or self.core.is_idle
-        self.invariants.check(
-            Promise.GRACEFUL_STOP, kept, f"{self.core.open_requests} cut"
-        )
+        kept = self._hurry.is_set() or (not cut and self.core.is_idle)
+        self.invariants.check(Promise.GRACEFUL_STOP, kept, f"{cut} cut")
+
+    def _report_rest(self) -> None:
         if self.billing.waiting:
             log.error("entry: {} bills left to the agents", self.billing.waiting)
 
--- a/eelgrassrack/entry/meter.py
+++ b/eelgrassrack/entry/meter.py
@@ -57,6 +57,10 @@
         self.counts[f"{kind}_{code}"] += 1
         self._metrics.count(REFUSED if is_refused else FAILED, label=code)
 
+    def count_failed(self, code: str) -> int:
+        """Return how many requests that may have run got this error."""
+        return self.counts[f"failed_{code}"]
+
     def note_gone(self) -> None:
         """Count a caller that went away."""
         self.counts["callers_gone"] += 1
--- a/eelgrassrack/entry/outcomes.py
+++ b/eelgrassrack/entry/outcomes.py
@@ -47,7 +47,7 @@
             return CallerError(status=GONE, code="version_withdrawn", text=text)
         case Refusal.FULL | Refusal.DEADLINE:
             return refuse_overload(reason=refusal.value, retry_after=retry_after)
-        case Refusal.CANCELLED:
+        case Refusal.CANCELLED if not retry_after:
             text = "The request was not run before its deadline."
             return CallerError(status=TIMED_OUT, code="deadline", text=text)
     return refuse_unavailable(reason=refusal.value, retry_after=max(retry_after, 1.0))
--- a/eelgrassrack/entry/refusals.py
+++ b/eelgrassrack/entry/refusals.py
@@ -49,6 +49,9 @@
 
 FIRST_SERVER_STATUS = 500
 
+# The code of a request that was begun and not ended because its entry ends.
+STOPPING = "stopping"
+
 
 def encode_error(error: CallerError) -> bytes:
     """Return the JSON body of an error."""
--- a/eelgrassrack/entry/responder.py
+++ b/eelgrassrack/entry/responder.py
@@ -48,6 +48,11 @@
         self.has_begun = False
         self.has_ended = False
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the connection is closed."""
+        return self._stream.closed()
+
     def begin(self, *, status: int, fields: list[tuple[str, str]]) -> None:
         """Send the status and the headers."""
         self.has_begun = True
--- a/eelgrassrack/entry/serving.py
+++ b/eelgrassrack/entry/serving.py
@@ -140,6 +140,10 @@
                 seconds=domain.ramp_seconds,
             )
 
+    def end_by(self, time: float) -> None:
+        """Have every caller answered by the end of this entry."""
+        self._channels.end_by(time)
+
     async def stop(self) -> None:
         """End what goes on behind the requests."""
         await self.ratings.stop()
--- /dev/null
+++ b/test/entry/test_stop.py
@@ -0,0 +1,188 @@
+"""Requests that are under way, or still come, when an entry's grace ends."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from eelgrassrack.agent.attempts import Phase
+from eelgrassrack.entry.sessions import Sessions
+from eelgrassrack.standins import system
+
+from ..promises.world import NOT_RUN, REGISTRY, TUTOR_EAST, World, make_narrow
+
+GRACE_SECONDS = 1.0
+LONG_GRACE_SECONDS = 10.0
+LONG_RUN_SECONDS = 7.0
+BODY_BYTES = 800_000
+BUFFER_BYTES = 65_536
+HEAD = (
+    "POST {path} HTTP/1.1\r\nHost: entry\r\n"
+    "Authorization: Bearer school-key\r\nContent-Length: {size}\r\n\r\n"
+)
+CHAT = "/v1/chat/completions"
+
+
+@pytest.fixture
+def world(monkeypatch):
+    monkeypatch.setattr(system, "QUICK_GRACE", GRACE_SECONDS)
+    world = World(monkeypatch)
+    try:
+        yield world
+    finally:
+        world.close()
+
+
+def stop(world):
+    """Tell entry 0 to stop; return its URL and the end of its stop."""
+    url = world.entry().url
+    task = world.loop.create_task(world.system.stop_entry("entry-0"))
+    world.run(asyncio.sleep(0.05))
+    return url, task
+
+
+async def connect(url):
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def build_request(body, path=CHAT):
+    return HEAD.format(path=path, size=len(body)).encode() + body
+
+
+def build_chat(prompt, *, tokens):
+    fields = {
+        "model": "tutor",
+        "messages": [{"role": "user", "content": prompt}],
+        "stream": True,
+        "max_tokens": tokens,
+    }
+    return build_request(json.dumps(fields).encode())
+
+
+async def read_all(url, request):
+    """Send a request over a connection of its own and read until it closes."""
+    reader, writer = await connect(url)
+    writer.write(request)
+    data = await reader.read()
+    writer.close()
+    return data
+
+
+def test_a_request_that_runs_at_the_end_of_the_grace_is_answered(world):
+    """A stop closes the connection of a request that runs, without a word."""
+    world.start(plans=[TUTOR_EAST])
+    world.hold_engines()
+    sent = world.ask("runs", stream=False)
+    world.wait(lambda: world.standin("tutor-east").started)
+    _, stopping = stop(world)
+    (answer,) = world.finish(sent)
+    world.run(stopping)
+    assert (answer.status, answer.run, answer.code) == (502, "ran", "stopping")
+
+
+def test_a_request_that_waits_at_the_end_of_the_grace_is_told_so(world):
+    """A stop closes the connection of a request that waits, without a word."""
+    world.start(plans=[TUTOR_EAST], document=make_narrow())
+    world.hold_engines()
+    world.ask("fills", entry=1)
+    world.wait(lambda: world.standin("tutor-east").started)
+    sent = world.ask("waits")
+    agent = world.agent("tutor-east")
+    world.wait(lambda: agent._attempts.has_phase(Phase.QUEUED))
+    _, stopping = stop(world)
+    (answer,) = world.finish(sent)
+    world.run(stopping)
+    world.release_engines()
+    world.finish()
+    assert (answer.status, answer.run) == (503, NOT_RUN)
+    assert answer.retry_after
+    assert not world.count_starts(prompt="waits")
+
+
+def test_a_stream_that_is_cut_at_the_end_of_the_grace_says_so(world):
+    """A stop ends a stream in the middle, without its error event."""
+    world.start(plans=[TUTOR_EAST])
+
+    async def read():
+        reader, writer = await connect(world.entry().url)
+        writer.write(build_chat("streams", tokens=200))
+        await reader.readuntil(b"data: ")
+        world.hold_engines()
+        stopping = asyncio.create_task(world.system.stop_entry("entry-0"))
+        data = await reader.read()
+        writer.close()
+        await stopping
+        return data
+
+    assert b'"error"' in world.run(read())
+
+
+def test_a_service_request_that_runs_at_the_end_of_the_grace_is_told_so(world):
+    """A stop leaves the caller of what may not be repeated without a word."""
+    world.start(plans=[REGISTRY])
+    world.standin("registry").answer_delay = LONG_RUN_SECONDS
+    sent = world.issue("key")
+    world.wait(lambda: world.count_effects("key"))
+    _, stopping = stop(world)
+    (answer,) = world.finish(sent)
+    world.run(stopping)
+    (resent,) = world.finish(world.issue("key", entry=1))
+    assert (answer.status, answer.run) == (504, "unknown")
+    assert resent.status == 200
+    assert world.count_effects("key") == 1
+
+
+def test_a_request_that_waits_for_the_store_at_the_end_is_answered(world, monkeypatch):
+    """A stop closes the connection of a caller whose session is looked up."""
+    world.start(plans=[TUTOR_EAST])
+
+    async def wait(*unused):
+        await asyncio.sleep(LONG_RUN_SECONDS)
+
+    monkeypatch.setattr(Sessions, "_pick", wait)
+    sent = world.ask("waits")
+    world.run(asyncio.sleep(0.1))
+    _, stopping = stop(world)
+    (answer,) = world.finish(sent)
+    world.run(stopping)
+    assert (answer.status, answer.run) == (504, "unknown")
+
+
+def test_a_request_that_is_still_being_sent_is_answered(world):
+    """A stop closes the connection of a caller that still sends its body."""
+    world.start(plans=[TUTOR_EAST])
+
+    async def read():
+        request = build_chat("half", tokens=8)[:-20]
+        reading = asyncio.create_task(read_all(world.entry().url, request))
+        await asyncio.sleep(0.1)
+        await world.system.stop_entry("entry-0")
+        return await reading
+
+    assert world.run(read()).startswith(b"HTTP/1.1 503")
+
+
+def test_a_slow_caller_gets_its_whole_answer_from_a_stopping_entry(world, monkeypatch):
+    """A stop cuts an answer that is whole but hasn't left yet."""
+    monkeypatch.setattr(system, "QUICK_GRACE", LONG_GRACE_SECONDS)
+    world.start(plans=[REGISTRY])
+    for listening in world.entry()._server._sockets.values():
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+    async def read():
+        reader, writer = await connect(world.entry().url)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES
+        )
+        writer.write(build_request(b"x" * BODY_BYTES, "/v1/services/registry/echo"))
+        await reader.readuntil(b"\r\n\r\n")
+        stopping = asyncio.create_task(world.system.stop_entry("entry-0"))
+        await asyncio.sleep(1.0)
+        data = await reader.read()
+        writer.close()
+        await stopping
+        return data
+
+    assert len(world.run(read())) > BODY_BYTES
--- a/test/promises/test_graceful_stop.py
+++ b/test/promises/test_graceful_stop.py
@@ -6,7 +6,6 @@
 from pytest_bdd import scenario, scenarios, then, when
 
 from eelgrassrack.agent.agent import Agent
-from eelgrassrack.entry import entry
 from eelgrassrack.entry.entry import Entry
 
 from .guards import breaks
@@ -19,8 +18,11 @@
 
 @pytest.fixture
 def entry_closes_at_once(monkeypatch, world):
+    async def wait_not(which, extra):
+        pass
+
     monkeypatch.setattr(Entry, "_may_close", lambda which, waited: True)
-    monkeypatch.setattr(entry, "LAST_SECONDS", 0.0)
+    monkeypatch.setattr(Entry, "_wait_idle", wait_not)
     world.call_seconds = NEVER_SECONDS
 
 
