Take late requests on terms when an entry stops

What callers saw: an entry that was told to stop went on taking everything until its door was shut, which in an outage of the object API or beside one long answer is the end of its grace. A stream that came with less time left than it takes was begun and cut in the middle; a request that may not be repeated was run and its caller left with "unknown".

Cause: nothing compared a late request's time with the entry's.

Ruled out: that the balancer's lag bounds it; the door stays open until all is idle and all bills are written.

Now the door, where requests are let in, asks the decision that the gateway asks (decisions/stopping.py): what is surely over before the end is served as ever; what is only expected to be is kept back until whole, and gets the entry's end as its limit, which agents and the admission then heed; everything else, and what may not be repeated, is refused with 503, not run. Streams that haven't begun when the stop does are kept back too. No answer that began because of an estimate can be cut.

Evidence: the four tests of streams and requests that can't end in time failed on the code before (200 and a stream without end; 200 "ran") and pass now; two tests that a stopping entry still serves what ends in time passed before and pass now.

--- a/eelgrassrack/entry/answers.py
+++ b/eelgrassrack/entry/answers.py
@@ -50,6 +50,9 @@
     error: CallerError | None
     has_begun: bool
 
+    def keep_back(self) -> None:
+        """Give the caller nothing until the answer is whole."""
+
     def begin(self, *, status: int, fields: list[tuple[str, str]]) -> None:
         """Send the status and the headers."""
 
--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -1,6 +1,7 @@
 """What all handlers for callers share: who calls, on which terms, and its end."""
 
 import asyncio
+import math
 from collections.abc import Awaitable
 
 import logbook
@@ -50,6 +51,7 @@
         self.task: asyncio.Task | None = None
         self.refused = False
         self.is_counted = False
+        self.deadline = math.inf
         core.open.add(self)
         core.meter.note_arrival()
 
@@ -102,6 +104,11 @@
         """Tell whether the caller has closed its connection."""
         return self.responder.is_closed
 
+    def end_by(self, time: float) -> None:
+        """Keep back an answer that may not be whole before this entry ends."""
+        if self.deadline > time:
+            self.responder.keep_back()
+
     def end(self) -> None:
         """Answer now, as this entry ends."""
         if self.responder.has_ended:
@@ -174,6 +181,7 @@
         )
         if isinstance(terms, CallerError):
             return terms
+        self.deadline = asyncio.get_running_loop().time() + terms.within
         return Entered(organisation=found, terms=terms)
 
     async def _run(self, work: Awaitable[None]) -> None:
--- a/eelgrassrack/entry/chat.py
+++ b/eelgrassrack/entry/chat.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from ..decisions.cascade import CascadePlan, Chooser, Deliver
+from ..decisions.stopping import Terms
 from ..document.sections import Organisation
 from ..document.snapshot import Snapshot
 from .answers import Labels, Responder, write_chat_body, write_error
@@ -64,7 +65,7 @@
         responder: Responder,
     ) -> None:
         """Send a request's answer, or the error in its place."""
-        request = self._prepare(arrival, organisation, snapshot)
+        request = self._prepare(arrival, organisation, snapshot, responder)
         if isinstance(request, Failed):
             write_error(responder=responder, labels=request.labels, error=request.error)
             return
@@ -79,7 +80,11 @@
                 self._deliver(request, result, responder)
 
     def _prepare(
-        self, arrival: ChatArrival, organisation: Organisation, snapshot: Snapshot
+        self,
+        arrival: ChatArrival,
+        organisation: Organisation,
+        snapshot: Snapshot,
+        responder: Responder,
     ) -> Request | Failed:
         labels = Labels(
             request=self._identity.make_request(), revision=snapshot.revision
@@ -89,16 +94,18 @@
         )
         if isinstance(route, CallerError):
             return Failed(labels=labels, error=route)
-        refused = self._admit(arrival, organisation, snapshot, route)
-        if refused is not None:
-            return Failed(labels=labels, error=refused)
+        admitted = self._admit(arrival, organisation, snapshot, route)
+        if isinstance(admitted, CallerError):
+            return Failed(labels=labels, error=admitted)
+        if admitted is Terms.HOLD:
+            responder.keep_back()
         return Request(
             identity=labels.request,
             arrival=arrival,
             organisation=organisation,
             snapshot=snapshot,
             route=route,
-            deadline=self._clock() + arrival.terms.within,
+            deadline=self._door.find_deadline(within=arrival.terms.within),
             ledger=self._ledger(),
         )
 
@@ -108,7 +115,7 @@
         organisation: Organisation,
         snapshot: Snapshot,
         route: Route,
-    ) -> CallerError | None:
+    ) -> CallerError | Terms:
         return self._door.admit(
             organisation=organisation,
             snapshot=snapshot,
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -25,6 +25,9 @@
     def is_gone(self) -> bool:
         """Tell whether the caller has closed its connection."""
 
+    def end_by(self, time: float) -> None:
+        """Learn when this entry ends."""
+
     def end(self) -> None:
         """Answer now, as this entry ends."""
 
@@ -125,6 +128,11 @@
         self.open -= {caller for caller in self.open if caller.is_gone}
         return len(self.open)
 
+    def end_by(self, time: float) -> None:
+        """Learn when this entry ends."""
+        for caller in self.open:
+            caller.end_by(time)
+
     def end_rest(self) -> None:
         """Answer all callers that still wait."""
         for caller in tuple(self.open):
--- a/eelgrassrack/entry/doors.py
+++ b/eelgrassrack/entry/doors.py
@@ -6,24 +6,37 @@
 """
 
 import collections
+import math
 import random
 from collections.abc import Callable
 
-from ..decisions.admission import Admission, Admitted, Arrival, Backlog, Refused
+from ..decisions.admission import (
+    SECONDS_PER_TOKEN,
+    Admission,
+    Admitted,
+    Arrival,
+    Backlog,
+    Refused,
+    estimate_wait,
+)
+from ..decisions.stopping import Terms, choose_terms
 from ..decisions.waiting import count_ahead, is_patient
 from ..document.sections import Organisation
 from ..document.snapshot import Snapshot
 from .directory import Absence, Directory
-from .refusals import CallerError, refuse_overload
+from .refusals import CallerError, refuse_overload, refuse_unavailable
 
 # Seconds taken for a backlog whose drain rate nobody has measured yet.
 UNKNOWN_SECONDS = 0.0
 
 
 class Door:
-    """Admit requests by their organisation's limits and the backlog."""
+    """Admit requests by their organisation's limits and the backlog.
 
-    __slots__ = ("_admission", "_clock", "_directory", "_random")
+    `ends_at` is when this entry ends, once it was told to stop.
+    """
+
+    __slots__ = ("_admission", "_clock", "_directory", "_random", "ends_at")
 
     def __init__(
         self,
@@ -36,6 +49,11 @@
         self._directory = directory
         self._random = chance
         self._clock = clock
+        self.ends_at = math.inf
+
+    def find_deadline(self, *, within: float) -> float:
+        """Return when a request that comes now has its answer at the latest."""
+        return min(self._clock() + within, self.ends_at)
 
     def admit(
         self,
@@ -46,33 +64,45 @@
         within: float,
         versions: list[tuple[str, ...]],
         service: str = "",
-    ) -> CallerError | None:
+        repeatable: bool = True,
+    ) -> CallerError | Terms:
         """Let a request in, to be released later, or say why not.
 
         `versions` holds the versions of each step it may begin with.
         """
         now = self._clock()
+        limit, within = within, min(within, self.ends_at - now)
         patient = is_patient(tokens=tokens, within=within)
         backlogs = [
             self._sum_backlog(organisation, snapshot, names, service, patient)
             for names in versions
         ]
+        backlog = min(backlogs, key=_estimate_seconds)
+        arrival = Arrival(
+            organisation=organisation.name,
+            priority=organisation.priority,
+            tokens=tokens,
+            within=within,
+            usual=snapshot.limits.default_deadline,
+        )
+        terms = choose_terms(
+            left=self.ends_at - now,
+            limit=limit,
+            expected=_expect(arrival, organisation, backlog),
+            is_repeatable=repeatable,
+        )
+        if terms is Terms.REFUSE:
+            return refuse_unavailable(reason="draining")
         verdict = self._admission.judge(
-            arrival=Arrival(
-                organisation=organisation.name,
-                priority=organisation.priority,
-                tokens=tokens,
-                within=within,
-                usual=snapshot.limits.default_deadline,
-            ),
+            arrival=arrival,
             organisation=organisation,
-            backlog=min(backlogs, key=_estimate_seconds),
+            backlog=backlog,
             now=now,
             chance=self._random.random(),
         )
         match verdict:
             case Admitted():
-                return None
+                return terms
             case Refused(reason=reason, retry_after=retry_after):
                 return refuse_overload(reason=reason.value, retry_after=retry_after)
 
@@ -114,6 +144,12 @@
         )
 
 
+def _expect(arrival: Arrival, organisation: Organisation, backlog: Backlog) -> float:
+    """Return the seconds that a request is expected to take."""
+    wait = estimate_wait(arrival=arrival, weight=organisation.weight, backlog=backlog)
+    return wait + arrival.tokens * SECONDS_PER_TOKEN
+
+
 def _sum_weights(snapshot: Snapshot, names: set[str]) -> float:
     found = (snapshot.organisations.get(name) for name in names)
     return sum(each.weight for each in found if each is not None)
--- a/eelgrassrack/entry/responder.py
+++ b/eelgrassrack/entry/responder.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import logbook
+import msgspec
 from tornado import web
 from tornado.iostream import IOStream
 
@@ -20,12 +21,24 @@
 STALL_SECONDS = 30.0
 
 
+class Held(msgspec.Struct, kw_only=True):
+    """An answer that is kept back: its head, and its body so far."""
+
+    status: int = 0
+    fields: list[tuple[str, str]] = []
+    pieces: list[bytes] = []
+
+
 class HttpResponder:
-    """The caller's side of one HTTP request."""
+    """The caller's side of one HTTP request.
+
+    `has_begun` tells whether the caller has a part of its answer.
+    """
 
     __slots__ = (
         "_blocked_since",
         "_handler",
+        "_held",
         "_is_chunked",
         "_loop",
         "_stream",
@@ -38,6 +51,7 @@
 
     def __init__(self, *, handler: web.RequestHandler) -> None:
         self._handler = handler
+        self._held: Held | None = None
         self._loop = asyncio.get_running_loop()
         self._blocked_since: float | None = None
         self._is_chunked = False
@@ -53,8 +67,22 @@
         """Tell whether the connection is closed."""
         return self._stream.closed()
 
+    def keep_back(self) -> None:
+        """Give the caller nothing until the answer is whole.
+
+        One that has begun goes on as it is.
+        """
+        if not self.has_begun:
+            self._held = Held()
+
     def begin(self, *, status: int, fields: list[tuple[str, str]]) -> None:
-        """Send the status and the headers."""
+        """Send the status and the headers.
+
+        An answer that is kept back is forgotten for the one that begins.
+        """
+        if self._held is not None:
+            self._held = Held(status=status, fields=fields)
+            return
         self.has_begun = True
         if self.has_ended:
             return
@@ -70,6 +98,9 @@
         # An empty chunk would say that the body is at its end.
         if self.has_ended or not data:
             return
+        if self._held is not None:
+            self._held.pieces.append(data)
+            return
         stream = self._stream
         if stream.writing():
             self._note_blocked()
@@ -84,6 +115,8 @@
         """End the body."""
         if self.has_ended:
             return
+        if self._held is not None:
+            self._release(self._held)
         self.has_ended = True
         self._handler.finish()
 
@@ -94,6 +127,11 @@
         self.has_ended = True
         asyncio.ensure_future(_close_when_written(self._stream))
 
+    def _release(self, held: Held) -> None:
+        self._held = None
+        self.begin(status=held.status, fields=held.fields)
+        self.write(b"".join(held.pieces))
+
     def _find_chunked(self, status: int, fields: list[tuple[str, str]]) -> bool:
         """Tell whether tornado sends this body in chunks, for sure."""
         request = self._handler.request
--- a/eelgrassrack/entry/services.py
+++ b/eelgrassrack/entry/services.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ..decisions.stopping import Terms
 from ..document.sections import Organisation
 from ..document.snapshot import Snapshot
 from .answers import Labels, Responder, write_body, write_error
@@ -23,7 +24,7 @@
 class ServiceFlow:
     """Answer requests for plain services."""
 
-    __slots__ = ("_clock", "_dispatcher", "_door", "_identity", "_ledger", "_once")
+    __slots__ = ("_dispatcher", "_door", "_identity", "_ledger", "_once")
 
     def __init__(
         self,
@@ -33,9 +34,7 @@
         identity: Identity,
         ledger: Callable[[], str],
         once: Once,
-        clock: Callable[[], float],
     ) -> None:
-        self._clock = clock
         self._dispatcher = dispatcher
         self._door = door
         self._identity = identity
@@ -55,7 +54,7 @@
             request=self._identity.make_request(), revision=snapshot.revision
         )
         result = self._check(arrival, organisation, snapshot)
-        if result is None:
+        if isinstance(result, Terms):
             try:
                 result = await self._run(
                     arrival, organisation, snapshot, labels.request
@@ -76,7 +75,7 @@
 
     def _check(
         self, arrival: ServiceArrival, organisation: Organisation, snapshot: Snapshot
-    ) -> CallerError | None:
+    ) -> CallerError | Terms:
         if arrival.service not in organisation.services:
             return CallerError(
                 status=FORBIDDEN,
@@ -98,6 +97,7 @@
             within=arrival.terms.within,
             versions=[("",)],
             service=arrival.service,
+            repeatable=arrival.repeatable,
         )
 
     async def _run(
@@ -111,7 +111,7 @@
             request=request,
             organisation=organisation.name,
             snapshot=snapshot,
-            deadline=self._clock() + arrival.terms.within,
+            deadline=self._door.find_deadline(within=arrival.terms.within),
             ledger=self._ledger(),
             service=arrival.service,
             priority=organisation.priority,
--- a/eelgrassrack/entry/serving.py
+++ b/eelgrassrack/entry/serving.py
@@ -57,6 +57,7 @@
         "_channels",
         "_clock",
         "_directory",
+        "_door",
         "_identity",
         "_invariants",
         "_meter",
@@ -99,7 +100,7 @@
         claims = Claims(store=store, clock=time.time, invariants=invariants)
         pins = Pins(store=store, invariants=invariants)
         dispatcher = self._build_dispatcher(settings, suspects)
-        door = Door(directory=directory, chance=chance, clock=clock)
+        self._door = door = Door(directory=directory, chance=chance, clock=clock)
         chooser = Chooser()
         health = RolloutHealth()
         self.ratings = Ratings(
@@ -142,7 +143,9 @@
 
     def end_by(self, time: float) -> None:
         """Have every caller answered by the end of this entry."""
+        self._door.ends_at = time
         self._channels.end_by(time)
+        self.core.end_by(time)
 
     async def stop(self) -> None:
         """End what goes on behind the requests."""
@@ -217,7 +220,6 @@
             identity=self._identity,
             ledger=self._find_ledger,
             once=self.once,
-            clock=self._clock,
         )
 
     def _find_ledger(self) -> str:
--- a/test/entry/test_stop.py
+++ b/test/entry/test_stop.py
@@ -15,6 +15,7 @@
 GRACE_SECONDS = 1.0
 LONG_GRACE_SECONDS = 10.0
 LONG_RUN_SECONDS = 7.0
+SHORT_DEADLINE = {"Eelgrassrack-Deadline": "0.8"}
 BODY_BYTES = 800_000
 BUFFER_BYTES = 65_536
 HEAD = (
@@ -70,6 +71,12 @@
     return data
 
 
+def ask_late(world, url, **fields):
+    """Ask an entry that is stopping a short question."""
+    work = world.callers["school"].chat(url=url, model="tutor", prompt="late", **fields)
+    return world.run(work)
+
+
 def test_a_request_that_runs_at_the_end_of_the_grace_is_answered(world):
     """A stop closes the connection of a request that runs, without a word."""
     world.start(plans=[TUTOR_EAST])
@@ -164,6 +171,84 @@
     assert world.run(read()).startswith(b"HTTP/1.1 503")
 
 
+def test_a_stream_that_hasnt_begun_when_the_stop_does_isnt_cut(world):
+    """A stopping entry begins a stream that its end then cuts."""
+    world.start(plans=[TUTOR_EAST])
+    engine = world.standin("tutor-east")
+    world.hold_engines()
+
+    async def read():
+        request = build_chat("slow", tokens=2_000)
+        reading = asyncio.create_task(read_all(world.entry().url, request))
+        while not engine.started:
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(world.system.stop_entry("entry-0"))
+        await asyncio.sleep(0.1)
+        world.release_engines()
+        data = await reading
+        await stopping
+        return data
+
+    assert world.run(read()).startswith(b"HTTP/1.1 502")
+
+
+def test_a_late_stream_that_cant_end_in_time_is_refused(world):
+    """A stopping entry takes a stream that its end then cuts."""
+    world.start(plans=[TUTOR_EAST])
+    url, stopping = stop(world)
+    data = world.run(read_all(url, build_chat("late", tokens=2_000)))
+    world.run(stopping)
+    assert data.startswith(b"HTTP/1.1 503")
+    assert not world.count_starts()
+
+
+def test_a_late_stream_that_takes_longer_than_expected_isnt_cut(world, monkeypatch):
+    """A stopping entry passes on a stream because of an estimate."""
+    monkeypatch.setattr(system, "QUICK_GRACE", 3.0)
+    world.start(plans=[TUTOR_EAST])
+    engine = world.standin("tutor-east")
+    engine.slow_factor = 200.0
+    url, stopping = stop(world)
+    data = world.run(read_all(url, build_chat("late", tokens=8)))
+    world.run(stopping)
+    assert engine.started
+    assert data.startswith(b"HTTP/1.1 5")
+
+
+def test_a_late_request_that_may_not_be_repeated_is_refused(world):
+    """A stopping entry takes what it may cut and nobody may send again."""
+    world.start(plans=[REGISTRY])
+    url, stopping = stop(world)
+    work = world.callers["school"].send(
+        url=f"{url}/v1/services/registry/credentials",
+        body=b"late",
+        fields={"Idempotency-Key": "late"},
+    )
+    answer = world.run(work)
+    world.run(stopping)
+    assert (answer.status, answer.run) == (503, NOT_RUN)
+    assert not world.count_effects("late")
+
+
+def test_a_late_request_with_little_time_is_served(world):
+    """A stopping entry refuses what is surely over before it ends."""
+    world.start(plans=[TUTOR_EAST])
+    url, stopping = stop(world)
+    answer = ask_late(world, url, fields=SHORT_DEADLINE, max_tokens=1)
+    world.run(stopping)
+    assert answer.is_whole
+
+
+def test_a_late_request_that_is_expected_to_end_in_time_is_served(world, monkeypatch):
+    """A stopping entry refuses everything, and callers spend their tries."""
+    monkeypatch.setattr(system, "QUICK_GRACE", LONG_GRACE_SECONDS)
+    world.start(plans=[TUTOR_EAST])
+    url, stopping = stop(world)
+    answer = ask_late(world, url)
+    world.run(stopping)
+    assert answer.is_whole
+
+
 def test_a_slow_caller_gets_its_whole_answer_from_a_stopping_entry(world, monkeypatch):
     """A stop cuts an answer that is whole but hasn't left yet."""
     monkeypatch.setattr(system, "QUICK_GRACE", LONG_GRACE_SECONDS)
