Cut what runs before a stopping agent settles its bills

What happened: the grace of an agent is over and no entry has settled its bills, so it settles them alone, which may take five seconds. What ran went on meanwhile. An answer that became whole then was relayed, and its bill came after the last look at bills: with the agent it was gone, and the log said nothing of it.

Cause: the order. The settlement was taken for an instant, in which nothing ends.

Ruled out: that entries have the bill from the answer's end. It is settled alone only when no entry has settled anything in the whole grace.

Now what runs is cut first, and its callers' entries are told; nothing can become whole after that, so the settlement sees all bills there are. What was cut is counted before.

--- a/eelgrassrack/agent/agent.py
+++ b/eelgrassrack/agent/agent.py
@@ -216,10 +216,12 @@
         began = self._clock()
         while not self._may_close(self._clock() - began):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        await self._settle_rest()
-        self._report_rest()
+        cut = len(self._attempts.running)
+        # What became whole while bills are settled would add another one.
         self._runner.cut_all("the agent stopped")
         self._outbox.flush()
+        await self._settle_rest()
+        self._report_rest(cut)
         await self._close()
 
     async def _settle_rest(self) -> None:
@@ -364,13 +366,12 @@
         done = self._core.is_idle and not self._attempts.unsettled
         return done and waited >= self._settings.lag_seconds
 
-    def _report_rest(self) -> None:
-        running = len(self._attempts.running)
+    def _report_rest(self, cut: int) -> None:
         unsettled = len(self._attempts.unsettled)
-        if running:
-            log.error("agent: {} attempts cut at the stop", running)
+        if cut:
+            log.error("agent: {} attempts cut at the stop", cut)
         # A stop that was hurried isn't a planned one any more.
-        kept = self._hurry.is_set() or not running
-        self.invariants.check(Promise.GRACEFUL_STOP, kept, f"{running} cut")
+        kept = self._hurry.is_set() or not cut
+        self.invariants.check(Promise.GRACEFUL_STOP, kept, f"{cut} cut")
         if unsettled:
             log.error("agent: {} bills unsettled at the stop", unsettled)
--- a/test/agent/test_agent.py
+++ b/test/agent/test_agent.py
@@ -4,12 +4,13 @@
 import contextlib
 import itertools
 import json
+import time
 
 import pytest
 
 from eelgrassrack.agent.agent import Agent
 from eelgrassrack.agent.relay import digest_pieces
-from eelgrassrack.invariants import Invariants
+from eelgrassrack.invariants import Invariants, Promise
 from eelgrassrack.mailbox.messages import (
     Ask,
     Begun,
@@ -32,6 +33,7 @@
 from eelgrassrack.standins.answers import expected_text
 from eelgrassrack.standins.engine import Engine
 from eelgrassrack.standins.instancelist import InstanceTable
+from eelgrassrack.standins.objects import ObjectTable, TableStore
 from eelgrassrack.standins.service import PlainService
 from eelgrassrack.store.instances import Instance, Role
 
@@ -92,7 +94,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_agent(endpoint, *, entries=1, grace_seconds=20.0):
+async def run_agent(endpoint, *, entries=1, grace_seconds=20.0, store=None):
     """Run an endpoint with its agent and some entries that greeted it."""
     await endpoint.start()
     table = InstanceTable()
@@ -110,7 +112,9 @@
         lag_seconds=0.1,
     )
     invariants = Invariants(strict=True)
-    agent = Agent(settings=settings, instances=table, invariants=invariants)
+    agent = Agent(
+        settings=settings, instances=table, invariants=invariants, store=store
+    )
     await agent.start()
     for entry in known:
         entry.greet(agent)
@@ -399,6 +403,43 @@
     asyncio.run(play())
 
 
+class SlowStore(TableStore):
+    """An object API that takes its time for each read."""
+
+    async def read(self, **key):
+        await asyncio.sleep(1.0)
+        return await super().read(**key)
+
+
+def test_no_answer_becomes_whole_while_a_stopped_agent_settles_bills():
+    """An answer becomes whole after the last look at bills and goes unbilled.
+
+    The grace of an agent is over, no entry has settled its bills, and it does
+    so itself; meanwhile another answer comes to its end.
+    """
+
+    async def play():
+        engine = make_engine()
+        table = ObjectTable(clock=time.monotonic)
+        store = SlowStore(table=table, caller="x")
+        async with run_agent(engine, grace_seconds=0.5, store=store) as running:
+            agent, _, (entry,) = running
+            agent.invariants.strict = False
+            entry.send(agent, make_chat(agent, "short"))
+            await entry.wait(Ended, "short")
+            entry.send(agent, make_chat(agent, "long", tokens=200))
+            await entry.wait(Begun, "long")
+            await agent.stop()
+            await wait_until(lambda: entry.find(Ended, "long"))
+            ended = entry.find(Ended, "long")[0]
+            assert (ended.finish, ended.reason) == (Finish.CUT, "the agent stopped")
+            assert not agent._attempts.unsettled
+            assert agent.invariants.broken == {Promise.GRACEFUL_STOP: 1}
+            agent.invariants.broken.clear()
+
+    asyncio.run(play())
+
+
 def test_bills_of_a_lost_entry_go_to_another():
     """An entry dies before the bill of an ended answer is in its ledger.
 
