Let only answers to its own question end an entry's doubt after a pause

What callers could see: a request admitted by a document that was not in force any more, and, where the agent had been frozen with its entry, an answer of a withdrawn version.

Cause, the same as at the agents: a pause of 0.2 s after which any word counted as new. A peer's heartbeat that came later ended the doubt; so did the end of a watch that had begun before the pause ("unchanged"); and an entry in doubt itself answered agents that asked, as if it knew.

Ruled out: that agents make up for all of it. They refuse by the highest revision that either side knows, so they do for one paused entry, not for an agent that asks that entry.

Now the question that peers are asked is another one after each pause and their answers repeat it; a watch or a read counts only if there was no pause since it began; and an entry in doubt answers once it is sure. That nobody may answer for a second is as it was (docs/DESIGN.md).

Evidence: in test/entry/test_configuration.py the tests of a watch from before a pause, of late words and of an entry in doubt failed before and pass now.

--- a/eelgrassrack/entry/configuration.py
+++ b/eelgrassrack/entry/configuration.py
@@ -4,9 +4,12 @@
 and, while the object API is away, from peers.  An entry that was paused
 doesn't trust what it knew: it serves nobody until the head or a peer has
 confirmed the revision, because a version may have been withdrawn meanwhile.
+What peers said before the pause may come long after it, so only the answer to
+a question that was asked since confirms a revision.
 """
 
 import asyncio
+import secrets
 from collections.abc import Callable
 
 import logbook
@@ -30,10 +33,7 @@
 # under the few seconds within which a withdrawal must be in force.
 LONGEST_GAP = 2.0
 
-# What peers said during a pause still waits in the socket's buffer and may be
-# as old as the pause.  It is read within this time; only what comes later
-# confirms a revision.
-DRAIN_SECONDS = 0.2
+QUESTION_BITS = 53
 
 # Nobody may be there to confirm: the object API is away and no peer lives.
 # Then no document can have been accepted either, as far as this entry can
@@ -63,12 +63,13 @@
         "_ask_peers",
         "_head",
         "_newer",
+        "_question",
         "_revisions",
         "_loop",
         "_seen_at",
         "_sure",
         "_version",
-        "_woke_at",
+        "_waiting",
         "snapshot",
     )
 
@@ -79,20 +80,22 @@
         invariants: Invariants,
         announce: Announce,
         ask_peer: Callable[[str, int], None],
-        ask_peers: Callable[[int], None],
+        ask_peers: Callable[[int, int], None],
     ) -> None:
+        """Call `ask_peers` with the revision known and a question."""
         self._announce = announce
         self._ask_peers = ask_peers
         self._head = head
         self._revisions = Revisions(invariants=invariants)
         self._ask_peer = ask_peer
         self._newer: Newer | None = None
+        self._question = 0
         self._loop = asyncio.get_running_loop()
         self._seen_at = self._loop.time()
         self._sure = asyncio.Event()
         self._sure.set()
         self._version = 0
-        self._woke_at = float("-inf")
+        self._waiting: set[asyncio.Task] = set()
         self.snapshot = Snapshot()
 
     @property
@@ -100,9 +103,15 @@
         """Tell whether any document is in force."""
         return self.snapshot.revision > 0
 
+    @property
+    def is_sure(self) -> bool:
+        """Tell whether the revision is known to be in force."""
+        return self._sure.is_set()
+
     async def follow(self) -> None:
         """Follow the document's head for ever."""
         while True:
+            question = self._question
             found = await self._head.watch(
                 known_version=self._version, timeout=WATCH_SECONDS
             )
@@ -110,14 +119,14 @@
                 case HeadState():
                     self._version = found.version
                     self.take(found.snapshot)
-                    self._sure.set()
+                    self._note_sure(question)
                 case NoDocument():
                     await asyncio.sleep(NO_DOCUMENT_SECONDS)
                 case Unavailable(retry_after=seconds):
-                    self._ask_peers(self.snapshot.revision)
+                    self._ask_peers(self.snapshot.revision, self._question)
                     await asyncio.sleep(seconds)
                 case Unchanged():
-                    self._sure.set()
+                    self._note_sure(question)
 
     def take(self, snapshot: Snapshot) -> bool:
         """Put a snapshot in force if it is newer; return whether it was."""
@@ -141,20 +150,21 @@
             return
         if snapshot.revision == copy.revision:
             self.take(snapshot)
-            self._note_confirmed()
+            self._note_sure(copy.answers)
 
-    def confirm(self, revision: int, address: str) -> None:
+    def confirm(self, revision: int, address: str, answers: int) -> None:
         """Note that the peer at an address has this revision in force."""
         if revision <= self.snapshot.revision:
-            self._note_confirmed()
+            self._note_sure(answers)
         elif self._newer is None:
             self._newer = Newer(address=address, seen_at=self._loop.time())
 
-    def build_copy(self) -> DocumentCopy:
-        """Return the document for a peer."""
+    def build_copy(self, *, answers: int = 0) -> DocumentCopy:
+        """Return the document for a peer, perhaps as an answer."""
         return DocumentCopy(
             revision=self.snapshot.revision,
             snapshot=msgspec.msgpack.encode(self.snapshot),
+            answers=answers,
         )
 
     def tick(self) -> None:
@@ -163,7 +173,7 @@
         gap, self._seen_at = now - self._seen_at, now
         if gap > LONGEST_GAP and self.is_known:
             log.warning("configuration: paused for {:.1f} s", gap)
-            self._woke_at = now
+            self._question = 1 + secrets.randbits(QUESTION_BITS)
             self._sure.clear()
         if self._newer is not None and now - self._newer.seen_at > WATCH_LAG:
             self._ask_peer(self._newer.address, self.snapshot.revision)
@@ -172,18 +182,25 @@
     async def wait_sure(self) -> None:
         """Wait until the revision is known to be in force, within bounds."""
         self.tick()
-        if self._sure.is_set():
+        while not self.is_sure:
+            question = self._question
+            self._ask_peers(self.snapshot.revision, question)
+            try:
+                async with asyncio.timeout(CONFIRM_SECONDS):
+                    await self._confirm()
+            except TimeoutError:
+                log.warning("configuration: nobody confirms the revision")
+            self._note_sure(question)
+
+    def call_when_sure(self, call: Callable[[], None]) -> None:
+        """Call once the revision is known to be in force, within bounds."""
+        if self.is_sure:
+            call()
             return
-        drained_at = self._woke_at + DRAIN_SECONDS
-        asked = self._loop.call_at(drained_at, self._ask_peers, self.snapshot.revision)
-        try:
-            async with asyncio.timeout(CONFIRM_SECONDS):
-                await self._confirm()
-        except TimeoutError:
-            log.warning("configuration: nobody confirms the revision")
-        finally:
-            asked.cancel()
-        self._sure.set()
+        task = self._loop.create_task(self.wait_sure())
+        self._waiting.add(task)
+        task.add_done_callback(self._waiting.discard)
+        task.add_done_callback(lambda done: done.cancelled() or call())
 
     async def _confirm(self) -> None:
         read = asyncio.ensure_future(self._head.read())
@@ -198,7 +215,8 @@
             read.cancel()
             waited.cancel()
 
-    def _note_confirmed(self) -> None:
-        """Take a peer's word, unless it may be as old as the pause."""
-        if self._loop.time() - self._woke_at > DRAIN_SECONDS:
+    def _note_sure(self, question: int) -> None:
+        """End the doubt by what was asked with a question, unless before a pause."""
+        self.tick()
+        if question == self._question:
             self._sure.set()
--- a/eelgrassrack/entry/inbox.py
+++ b/eelgrassrack/entry/inbox.py
@@ -91,10 +91,12 @@
         match message:
             case Load():
                 self._take_load(message, parcel, now)
-            case Presence(revision=revision):
-                self._configuration.confirm(revision, parcel.address)
+            case Presence(revision=revision, answers=answers):
+                self._configuration.confirm(revision, parcel.address, answers)
             case Hello(question=question):
-                self._answer_hello(question, parcel)
+                self._configuration.call_when_sure(
+                    lambda: self._answer_hello(question, parcel)
+                )
             case Crash():
                 self._suspects.take_crash(message)
             case Cleared():
@@ -103,8 +105,10 @@
                 self._suspects.merge(fingerprints)
             case Custody():
                 self._billing.take_custody(custody=message, address=parcel.address)
-            case WantDocument(revision=revision):
-                self._answer_want(revision, parcel.address)
+            case WantDocument():
+                self._configuration.call_when_sure(
+                    lambda: self._answer_want(message, parcel.address)
+                )
             case DocumentCopy():
                 self._configuration.take_copy(message)
             case _:
@@ -135,9 +139,10 @@
             )
         self._post(parcel.address, self.build_presence(answers=question))
 
-    def _answer_want(self, revision: int, address: str) -> None:
-        if self._configuration.snapshot.revision > revision:
-            self._post(address, self._configuration.build_copy())
+    def _answer_want(self, want: WantDocument, address: str) -> None:
+        if self._configuration.snapshot.revision > want.revision:
+            copy = self._configuration.build_copy(answers=want.question)
+            self._post(address, copy)
             return
         # A peer that was paused asks whether its revision is in force still.
-        self._post(address, self.build_presence())
+        self._post(address, self.build_presence(answers=want.question))
--- a/eelgrassrack/entry/peers.py
+++ b/eelgrassrack/entry/peers.py
@@ -198,10 +198,10 @@
         """Ask one entry for a document newer than this revision."""
         self._post(address, WantDocument(revision=revision))
 
-    def ask_document(self, revision: int) -> None:
+    def ask_document(self, revision: int, question: int) -> None:
         """Ask the neighbours for a document newer than this revision."""
         for address in self.addresses:
-            self._post(address, WantDocument(revision=revision))
+            self._post(address, WantDocument(revision=revision, question=question))
 
 
 def _are_equal(before: Facts, after: Facts) -> bool:
--- a/eelgrassrack/mailbox/messages.py
+++ b/eelgrassrack/mailbox/messages.py
@@ -302,16 +302,24 @@
 
 
 class WantDocument(Message, kw_only=True):
-    """Ask a peer for the document it has in force."""
+    """Ask a peer for the document it has in force.
+
+    `question` is repeated in the answer.
+    """
 
     revision: int
+    question: int = 0
 
 
 class DocumentCopy(Message, kw_only=True):
-    """A peer's whole document, as MessagePack of a snapshot."""
+    """A peer's whole document, as MessagePack of a snapshot.
+
+    `answers` is the question that it answers.
+    """
 
     revision: int
     snapshot: bytes
+    answers: int = 0
 
 
 class Hello(Message, kw_only=True):
