Drop what waits for a peer that can't be reached

What could happen: a request that may not be repeated runs twice. An entry's start waits in the messaging library while the way to its agent is cut. The entry gives it up, the caller's resend through another entry makes the agent vow never to start it, and it is run elsewhere. Agents keep vows for an hour, "since no entry sends a start that old"; the library sends one as soon as the way is open again, however old.

Cause: a bound of time (an hour) that nothing held: the mailbox keeps up to 256 parcels for a peer without a bound, and sends the oldest first.

Ruled out: that the cancellation which follows the start protects: with 256 parcels waiting it is the newer one that is lost. That idle sockets are closed: heartbeats keep them in use.

Now a peer that can't be reached for 30 s loses what waits for it.

Evidence: the new test in test/mailbox failed before (the old message came first) and passes now. The way to a second run is by reading; it wasn't played to its end.

--- a/eelgrassrack/mailbox/socket.py
+++ b/eelgrassrack/mailbox/socket.py
@@ -36,6 +36,11 @@
 # A peer's socket is closed after this many seconds without a message.
 IDLE_SECONDS = 120.0
 
+# What waits for a peer that can't be reached for this many seconds is dropped.
+# The library would keep it for as long as the way is cut, and a start that
+# comes hours late finds an agent that has forgotten that it refused it.
+UNREACHED_SECONDS = 30.0
+
 # Largest parcel: the longest body a caller may send, with room around it.
 PARCEL_BYTES = 4_000_000
 
@@ -63,13 +68,21 @@
 class Peer:
     """The sending side towards one receiver."""
 
-    __slots__ = ("messages", "socket", "used_at")
+    __slots__ = ("messages", "reached_at", "socket", "used_at")
 
     def __init__(self, *, socket: pynng.Push0, now: float) -> None:
         self.socket = socket
         self.messages: list[AnyMessage] = []
+        self.reached_at = now
         self.used_at = now
 
+    def is_of_use(self, now: float) -> bool:
+        """Tell whether the peer is written to and can be reached."""
+        if self.socket.pipes:
+            self.reached_at = now
+        is_reached = now - self.reached_at <= UNREACHED_SECONDS
+        return is_reached and now - self.used_at <= IDLE_SECONDS
+
 
 class Mailbox:
     """Send messages to peers by address and deliver what they send."""
@@ -142,9 +155,9 @@
             self._loop.call_soon(self._flush)
 
     def forget_idle(self) -> None:
-        """Close the sockets of peers that nothing was sent to for long."""
-        horizon = self._loop.time() - IDLE_SECONDS
-        idle = [name for name, peer in self._peers.items() if peer.used_at < horizon]
+        """Close the sockets of peers not written to, or not reached, for long."""
+        now = self._loop.time()
+        idle = [name for name, peer in self._peers.items() if not peer.is_of_use(now)]
         for address in idle:
             self._peers.pop(address).socket.close()
 
--- a/test/mailbox/test_socket.py
+++ b/test/mailbox/test_socket.py
@@ -5,6 +5,7 @@
 import pynng
 import pytest
 
+from eelgrassrack.mailbox import socket
 from eelgrassrack.mailbox.codec import decode_parcel, encode_parcel
 from eelgrassrack.mailbox.errors import MailboxError
 from eelgrassrack.mailbox.messages import Cancel, Parcel, Piece
@@ -61,8 +62,8 @@
         await wait_until(lambda: right.counts["unreadable"] == 1)
         left.post(to=right.address, message=Cancel(attempt="a"))
         await wait_until(lambda: received)
-        for socket in (stranger, right, left):
-            socket.close()
+        for each in (stranger, right, left):
+            each.close()
         return received
 
     assert asyncio.run(scenario())[0].messages == [Cancel(attempt="a")]
@@ -94,6 +95,40 @@
     asyncio.run(asyncio.wait_for(scenario(), PATIENCE))
 
 
+def test_what_waits_for_a_peer_isnt_kept_until_others_have_forgotten_it(monkeypatch):
+    """A start comes hours late, when its agent has forgotten that it refused it.
+
+    The way from one entry to an agent is cut for hours, and the library
+    keeps the start. The entry gave it up, a resend through another entry made
+    the agent vow never to start it and was run elsewhere.
+    """
+    monkeypatch.setattr(socket, "UNREACHED_SECONDS", 0.2, raising=False)
+
+    async def scenario():
+        received = []
+        left, right = make_mailbox("left", []), make_mailbox("right", [])
+        left.open()
+        right.open()
+        address = right.address
+        right.close()
+        left.post(to=address, message=Cancel(attempt="old"))
+        for _ in range(10):
+            await asyncio.sleep(0.05)
+            left.forget_idle()
+        right = Mailbox(address=address, incarnation="new", deliver=received.append)
+        right.open()
+        while not received:
+            left.post(to=address, message=Cancel(attempt="new"))
+            await asyncio.sleep(0.02)
+        left.forget_idle()
+        left.close()
+        right.close()
+        return received
+
+    received = asyncio.run(asyncio.wait_for(scenario(), PATIENCE))
+    assert received[0].messages == [Cancel(attempt="new")]
+
+
 def test_another_protocol_is_refused():
     parcel = Parcel(protocol=99, address="tcp://x", incarnation="i", messages=[])
     with pytest.raises(MailboxError):
