Test that a hurried stop answers callers

A second signal ended the wait and closed connections five seconds later without a word; the end of the entry is its time limit now, so a hurried end is one too.

--- a/test/entry/test_stop.py
+++ b/test/entry/test_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 
 import pytest
 
@@ -192,6 +193,23 @@
     assert world.run(read()).startswith(b"HTTP/1.1 502")
 
 
+def test_a_stop_that_is_hurried_answers_too(world, monkeypatch):
+    """A second signal ends the wait and closes connections without a word."""
+    monkeypatch.setattr(system, "QUICK_GRACE", LONG_GRACE_SECONDS)
+    world.start(plans=[TUTOR_EAST])
+    world.hold_engines()
+    sent = world.ask("runs", stream=False)
+    world.wait(lambda: world.standin("tutor-east").started)
+    entry = world.entry()
+    _, stopping = stop(world)
+    began = time.monotonic()
+    entry.hurry()
+    (answer,) = world.finish(sent)
+    world.run(stopping)
+    assert (answer.status, answer.run, answer.code) == (502, "ran", "stopping")
+    assert time.monotonic() - began < LONG_GRACE_SECONDS / 2
+
+
 def test_a_late_stream_that_cant_end_in_time_is_refused(world):
     """A stopping entry takes a stream that its end then cuts."""
     world.start(plans=[TUTOR_EAST])
