Look at an idle endpoint before a burst gets more than its floor

What callers could see: an engine that turned cold while nothing ran was given all that it had borne when warm, fell over, and every request of the burst was lost.

Cause: the agent's knowledge of the endpoint is as old as its last look, up to half a second. A restart under load shows at once, by answers that break off; one of an idle endpoint doesn't.

Ruled out: a shorter pause between looks; it makes the gap smaller and looks dearer. Asking before each start: an engine under load answers late, and its callers would wait for that.

Now an endpoint that was idle gets its floor until it has been looked at; the look is made when more than that waits, once for all of it. An engine that empties its caches while it runs something is still found out at the next look only: nothing shows it sooner.

What a burst loses by the look, a call on the same instance, wasn't measured.

--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -5,6 +5,7 @@
 is sent; up to then it can still be refused truthfully.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import logbook
@@ -44,7 +45,15 @@
 class Runner:
     """Attempts from their start to their end."""
 
-    __slots__ = ("_announce", "_core", "_crashes", "_engine", "_intake")
+    __slots__ = (
+        "_announce",
+        "_core",
+        "_crashes",
+        "_engine",
+        "_intake",
+        "_is_alive",
+        "_look",
+    )
 
     def __init__(
         self,
@@ -60,6 +69,8 @@
         self._intake = intake
         self._engine = engine
         self._announce = announce
+        self._is_alive = is_alive
+        self._look: asyncio.Task[None] | None = None
         self._crashes = CrashWatch(
             endpoint=core.standing.endpoint,
             attempts=core.attempts,
@@ -77,6 +88,8 @@
             self._core.reserve.start(
                 organisation=attempt.start.organisation, now=self._core.clock()
             )
+        if self._core.window.needs_look and len(self._core.room) and not self._look:
+            self._look = asyncio.get_running_loop().create_task(self._see())
 
     def tick(self) -> None:
         """End what takes too long and start what may start."""
@@ -110,6 +123,21 @@
         for attempt in list(self._core.attempts.running.values()):
             self._stop(attempt, Finish.CUT, reason)
 
+    async def _see(self) -> None:
+        """Look at the endpoint, and start what may start then."""
+        await self._is_alive(self._core.clock())
+        if self._look is asyncio.current_task():
+            self._look = None
+            self._core.window.is_unseen = False
+            self.pump()
+
+    def _free(self, attempt: Attempt) -> None:
+        self._core.slots.free(attempt)
+        if not len(self._core.slots):
+            # A look that is under way began before the endpoint was idle.
+            self._look = None
+            self._core.window.is_unseen = True
+
     async def _run(self, attempt: Attempt, exchange: Exchange) -> None:
         bind_request(attempt.start.request)
         try:
@@ -125,7 +153,7 @@
             log.exception("runner: attempt failed: {}", attempt.key)
             self._abandon(attempt, str(error))
         finally:
-            self._core.slots.free(attempt)
+            self._free(attempt)
             self._core.reserve.end(organisation=attempt.start.organisation)
             self.pump()
 
@@ -152,7 +180,7 @@
             case Hold():
                 return Refusal.STALE
         # The window may have closed while the connection was made.
-        if len(self._core.attempts.running) >= self._core.window.size:
+        if len(self._core.attempts.running) >= self._core.window.limit:
             return Refusal.FULL
         return None
 
@@ -161,7 +189,7 @@
         standing = self._core.standing
         version = attempt.start.version
         running = len(self._core.attempts.running)
-        fits = running < self._core.window.size
+        fits = running < self._core.window.limit
         check(Promise.WITHDRAWN, not standing.is_withdrawn(attempt.start), version)
         check(Promise.DOMAIN_OUT, not standing.is_out(), standing.domain)
         check(Promise.LEAVING, not standing.is_leaving(), standing.endpoint)
--- a/eelgrassrack/decisions/coldstart.py
+++ b/eelgrassrack/decisions/coldstart.py
@@ -10,6 +10,10 @@
 a cold start.  An agent that is itself new knows nothing of the engine, so
 it begins cold too.  While the engine itself says that it is cold, whole
 answers prove nothing and the window stays at its floor.
+
+What an engine bore before it was idle says nothing of what it bears now: it may
+have restarted between two looks at it, and no answer broke off.  So work that
+finds it idle gets the floor until the engine has been looked at.
 """
 
 import enum
@@ -38,15 +42,25 @@
 class Window:
     """How many requests an endpoint is given at once.
 
-    It doesn't grow while `is_held`: the endpoint reports a cold start.
+    It doesn't grow while `is_held`: the endpoint reports a cold start.  While
+    `is_unseen` the endpoint hasn't been looked at since it was idle.
     """
 
-    __slots__ = ("_exact", "_since", "ceiling", "floor", "is_held", "reason")
+    __slots__ = (
+        "_exact",
+        "_since",
+        "ceiling",
+        "floor",
+        "is_held",
+        "is_unseen",
+        "reason",
+    )
 
     def __init__(self, *, floor: int, ceiling: int, now: float) -> None:
         self.floor = max(floor, 1)
         self.ceiling = max(ceiling, self.floor)
         self.is_held = False
+        self.is_unseen = False
         self.reason = Collapse.AGENT_NEW
         self._exact = float(self.floor)
         self._since = now
@@ -61,9 +75,19 @@
         """Tell whether the endpoint gets less than a warm one."""
         return self.size < self.ceiling
 
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once by what is known just now."""
+        return min(self.size, self.floor) if self.is_unseen else self.size
+
+    @property
+    def needs_look(self) -> bool:
+        """Tell whether a look at the endpoint may let more requests start."""
+        return self.limit < self.size
+
     def room(self, *, running: int) -> int:
         """Return how many more requests may start."""
-        return max(self.size - running, 0)
+        return max(self.limit - running, 0)
 
     def complete(self, *, now: float, began: float | None = None) -> None:
         """Grow after a whole answer.
--- a/test/promises/cold_start.feature
+++ b/test/promises/cold_start.feature
@@ -41,6 +41,18 @@
     Then the engine never fell over
     And every answer, refusal and bill is true
 
+  Scenario: An idle engine turns cold just before a burst
+    The engine restarts while nothing runs, between two looks at its health, and
+    a whole class of candidates asks right after. It gets no more than it bears.
+
+    Given two entries and one engine in a cold start
+    When the engine has become warm
+    And the engine turns cold and sixteen questions come at once
+    And every caller has an answer
+    Then the engine never fell over
+    And each caller got its own whole answer
+    And every answer, refusal and bill is true
+
   Scenario: A poison request crashes each engine that runs it
     One request crashes the engine. Its caller sends it again and again, through
     both entries. After it has crashed a few engines it is refused; the engines
--- a/test/promises/test_cold_start.py
+++ b/test/promises/test_cold_start.py
@@ -1,12 +1,15 @@
 """An endpoint in a cold start gets no more than it bears, under failure."""
 
+import asyncio
+
 import pytest
 from pytest_bdd import given, scenario, scenarios, then, when
 
+from eelgrassrack.agent import agent
 from eelgrassrack.decisions.coldstart import Window
 
 from .guards import breaks
-from .world import TUTOR_EAST, check
+from .world import LOOK_SECONDS, TUTOR_EAST, check
 
 scenarios("cold_start.feature")
 
@@ -15,6 +18,7 @@
 COLD_COMPLETIONS = 4
 RESTART_SECONDS = 0.3
 POISON = "poison"
+NEVER_SECONDS = 600.0
 
 
 @pytest.fixture
@@ -110,6 +114,14 @@
     ask(world)
 
 
+@when("the engine turns cold and sixteen questions come at once")
+def turn_cold(world, monkeypatch):
+    monkeypatch.setattr(agent, "POLL_SECONDS", NEVER_SECONDS)
+    world.run(asyncio.sleep(2 * LOOK_SECONDS))
+    world.standin("tutor-east").make_cold()
+    ask(world)
+
+
 @when("a poison request is sent five times while others ask")
 def ask_poison(world):
     for engine in world.engines:
