Let the entry and the gateway share the decision of what a stop takes

The entry keeps answers back that it takes by an estimate; the gateway takes nothing by one, since streams that are kept back come late there.

--- a/eelgrassrack/decisions/stopping.py
+++ b/eelgrassrack/decisions/stopping.py
@@ -8,15 +8,23 @@
 most likely take is no bound: an endpoint may be slower than expected, fall
 silent, or be unsure so that another is asked, and the process would end in the
 middle of an answer.  So a request is taken if its limit is over before the
-process ends, and refused at once otherwise, while it surely hasn't run.
+process ends, and refused at once otherwise, while it surely hasn't run.  Where
+an answer can be kept back until it is whole, one may also be taken by an estimate:
+if that was wrong its caller gets a failure that says so, and nothing is cut.
 
 A caller that is refused has few tries.  Sent on at once while next to all entries
 are stopping, it meets the next one that refuses; told to come when they are
 back, it is served late.
 """
 
+import enum
+
 import msgspec
 
+# What isn't expected to be whole with this part of the time to spare is better
+# asked of another entry.
+SPARE_FACTOR = 1.3
+
 # A caller comes to another entry soon, or once one that was stopped is back: it
 # has to end, to start, and to be asked by the balancer.
 SOON_SECONDS = 0.3
@@ -48,6 +56,29 @@
     return limit <= left
 
 
+class Terms(enum.Enum):
+    """On what terms a request is taken."""
+
+    RELAY = "its answer is passed on as it comes"
+    HOLD = "its answer is kept back until it is whole"
+    REFUSE = "it isn't taken"
+
+
+def choose_terms(
+    *, left: float, limit: float, expected: float, is_repeatable: bool
+) -> Terms:
+    """Return on what terms a process takes a request whose answer it can keep back.
+
+    `expected` is the estimate of the seconds that it takes.  What may not be
+    repeated isn't taken by an estimate: its caller couldn't ask again.
+    """
+    if may_take(left=left, limit=limit):
+        return Terms.RELAY
+    if is_repeatable and expected * SPARE_FACTOR <= left:
+        return Terms.HOLD
+    return Terms.REFUSE
+
+
 def find_return(readiness: Readiness) -> float:
     """Return after how many seconds a refused caller best comes again."""
     if readiness.near_ready >= readiness.near * READY_SHARE:
--- a/test/decisions/test_stopping.py
+++ b/test/decisions/test_stopping.py
@@ -7,6 +7,8 @@
     BACK_SECONDS,
     SOON_SECONDS,
     Readiness,
+    Terms,
+    choose_terms,
     find_return,
     may_take,
 )
@@ -20,6 +22,24 @@
     assert may_take(left=left, limit=limit) == (limit <= left)
 
 
+@given(left=seconds, limit=seconds, expected=seconds, is_repeatable=st.booleans())
+def test_no_estimate_lets_an_answer_begin_that_may_be_cut(
+    left, limit, expected, is_repeatable
+):
+    """An answer is expected to be short, is passed on as it comes, and is cut."""
+    terms = choose_terms(
+        left=left, limit=limit, expected=expected, is_repeatable=is_repeatable
+    )
+    assert (terms is Terms.RELAY) == (limit <= left)
+
+
+@given(left=seconds, limit=seconds, expected=seconds)
+def test_what_may_not_be_repeated_isnt_taken_by_an_estimate(left, limit, expected):
+    """A submission's process ends before its answer; nobody knows whether it ran."""
+    terms = choose_terms(left=left, limit=limit, expected=expected, is_repeatable=False)
+    assert terms is not Terms.HOLD
+
+
 def test_a_refused_caller_isnt_sent_on_to_entries_that_are_stopping_too():
     """All entries are being stopped, and each sends its callers to the next."""
     none = Readiness(near=3, near_ready=0, far_ready=0)
