Know the end of a process from the signal on

And in the first 2.6 s of a stop models were chosen, and endpoints given time, as if the process went on: what hadn't begun to be answered when it ended depended on luck.

Cause: the end became known only when the rotation was over.

Change: it is every request's limit from the signal on; only what may be refused waits for the rotation. A stopping gateway doesn't wait to be told of a configuration. The log names the end as the reason of an attempt that it cut.

--- a/eelgrassrack/decisions/stopping.py
+++ b/eelgrassrack/decisions/stopping.py
@@ -2,7 +2,9 @@
 
 Load pattern: all entries of a failure domain are stopped one soon after the
 other, as for an update.  The balancer finds too few of them ready and goes on
-sending callers to those that are stopping.
+sending callers to those that are stopping.  What comes before an entry has left
+the rotation is served as ever, and has until the process ends; here it is decided
+what may still come afterwards.
 
 Only a request's own time limit bounds how long it takes.  How long it will
 most likely take is no bound: an endpoint may be slower than expected, fall
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -252,11 +252,12 @@
         began = loop.time() if told_at is None else told_at
         self._is_closing = True
         ends_at = began + self._settings.grace_seconds
+        self._serving.end_by(ends_at - ANSWERED_SECONDS)
         await asyncio.sleep(began + ROTATION_SECONDS - loop.time())
         # The balancer still sends callers here if too few others are ready.
-        # They are served as long as that fits: a closed port would cost them
+        # They are served if that surely fits: a closed port would cost them
         # their try.
-        self._serving.stop_at(ends_at - ANSWERED_SECONDS)
+        self._serving.refuse_unbounded()
         await self.ingress.wait_answered(ends_at - DEAF_SECONDS)
         await self._stop_listening()
         await self.ingress.wait_answered(ends_at - CLOSED_SECONDS)
--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requestlog.py
@@ -39,17 +39,17 @@
     )
 
 
-def log_cut(job: Job, *, seconds: float) -> None:
-    """Tell at which endpoint an attempt stood when the time limit passed."""
+def log_cut(job: Job, *, reason: str, seconds: float) -> None:
+    """Tell at which endpoint an attempt stood when its time was over, and why."""
     log.info(
-        "serving: attempt {attempt} of {request} at {endpoint} cut by the time limit "
-        "after {seconds} s",
+        "serving: attempt {attempt} of {request} at {endpoint} cut after {seconds} s: "
+        "{reason}",
         attempt=job.attempts,
         request=job.arrival.id,
         endpoint=job.tried[-1],
         model=job.model,
         outcome="Cut",
-        reason="time limit",
+        reason=reason,
         seconds=round(seconds, 4),
         expected=round(job.expected, 4),
         news_age=round(job.placement.news_age, 3),
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from ..decisions.modelchoice import choose_first
@@ -56,6 +57,7 @@
     __slots__ = (
         "_attempts",
         "_ends_at",
+        "_is_bounded",
         "_is_learning",
         "_loop",
         "_metrics",
@@ -94,7 +96,8 @@
         self._settings = settings
         self._sends: dict[str, RecentSends] = {}
         self._loop = asyncio.get_running_loop()
-        self._ends_at: float | None = None
+        self._ends_at = math.inf
+        self._is_bounded = False
         self._open: dict[asyncio.Timeout, Job] = {}
 
     def take_settings(self, settings: GatewaySettings) -> None:
@@ -115,11 +118,12 @@
             deadline=_find_deadline(arrival, verdict),
         )
         self._find_sends(verdict.service.name).note_request(self._loop.time())
-        if job.has_choice:
-            job.model = self._choose_model(job)
         if not self._may_take(job):
             await self.refuse(arrival, reply, self._refuse_stopping())
             return
+        job.deadline = min(job.deadline, self._ends_at)
+        if job.has_choice:
+            job.model = self._choose_model(job)
         try:
             await self._run_in_time(job, reply)
         except TimeoutError:
@@ -138,15 +142,21 @@
                 del self._open[limit]
 
     async def _wait_learned(self, arrival: Arrival) -> None:
-        """Wait until what the store tells at a start has come, for a moment."""
+        """Wait until what the store tells at a start has come, for a moment.
+
+        A process that is told to stop has no moment for it.
+        """
         last = arrival.arrived + LEARN_SECONDS
-        while self._is_learning() and self._loop.time() < last:
+        while self._may_learn() and self._loop.time() < last:
             await asyncio.sleep(LEARN_LOOK_SECONDS)
 
-    def stop_at(self, time: float) -> None:
+    def _may_learn(self) -> bool:
+        return self._is_learning() and math.isinf(self._ends_at)
+
+    def end_by(self, time: float) -> None:
         """Have everything answered by a time of the loop, at which this process ends.
 
-        What is under way and might take longer is given until then.
+        What is under way or comes, and might take longer, is given until then.
         """
         self._ends_at = time
         for limit, job in self._open.items():
@@ -154,6 +164,10 @@
                 job.deadline = time
                 limit.reschedule(time)
 
+    def refuse_unbounded(self) -> None:
+        """Take from now on only what is surely over before this process ends."""
+        self._is_bounded = True
+
     def _refuse_stopping(self, *, status: int = 503) -> Refusal:
         """Send a caller on to the entries that are ready, or will be."""
         return Refusal(
@@ -164,7 +178,7 @@
 
     def _may_take(self, job: Job) -> bool:
         """Tell whether a request's time is over before this process ends."""
-        if self._ends_at is None:
+        if not self._is_bounded:
             return True
         now = self._loop.time()
         left = self._ends_at - now
@@ -295,9 +309,10 @@
         """Answer a request whose time is over."""
         if reply.is_over:
             return
-        if job.tried:
-            log_cut(job, seconds=self._loop.time() - job.sent_at)
         refusal = self._refuse_late(job)
+        if job.tried:
+            seconds = self._loop.time() - job.sent_at
+            log_cut(job, reason=refusal.reason, seconds=seconds)
         if reply.is_begun:
             self._note_end(job, "broken_off", refusal.reason)
             reply.abort()
--- a/test/gateway/test_news.py
+++ b/test/gateway/test_news.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from eelgrassrack.decisions.stopping import Readiness
 from eelgrassrack.gateway.beliefs import Peer
 from eelgrassrack.gateway.news import Audience, News, NewsExchange
 from eelgrassrack.gateway.sharing import Known, make_path, read_path
@@ -241,3 +242,40 @@
             assert any('kind="answers"' in line for line in lines)
 
     run(main())
+
+
+def test_what_is_ready_is_told_by_domain_and_at_once():
+    """A stopping gateway sends callers on, and where to hangs on who is ready."""
+
+    async def main():
+        exchange, teller, line = make_exchange(near=2, far=14)
+        assert exchange.readiness == Readiness(near=3, near_ready=2, far_ready=14)
+        for domain, address in (("north", "10.0.1.0"), ("south", "10.0.2.0")):
+            news = News(address, "life", 7, 2, 1, True, domain=domain, is_ready=False)
+            exchange.datagram_received(msgspec.msgpack.encode(news), (address, 7))
+        assert exchange.readiness == Readiness(near=3, near_ready=1, far_ready=13)
+        exchange.send()
+        before = len(line.list_for("10.0.2.0"))
+        teller.changes = {"is_ready": False}
+        exchange.send()
+        assert len(line.list_for("10.0.2.0")) == before + 1
+
+    run(main())
+
+
+def test_a_stopping_gateway_tells_that_it_isnt_ready():
+    """A caller is sent on to a gateway that is stopping as well."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            first = await world.start_gateway()
+            second = await world.start_gateway(number=2)
+            await world.wait_ready()
+            await world.wait_ready(1)
+            await wait_for(lambda: first._news.readiness.near_ready == 1)
+            stopping = asyncio.ensure_future(second.stop())
+            await wait_for(lambda: first._news.readiness.near_ready == 0)
+            await stopping
+
+    run(main())
