Say "not run" of what ended before its endpoint could be connected to

What callers saw: 504 though nothing had been sent, since the attempt counted from the moment at which its connection was asked for; one that may not be repeated couldn't be sent again.

Now it counts once there is a connection. test_a_request_that_was_never_sent_is_said_not_to_have_run fails without the change to attempts.py (504) and passes with it.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -76,6 +76,9 @@
             )
             return Lost(reason=str(error))
         except asyncio.CancelledError:
+            if connection is None:
+                # Its time was over before anything was sent.
+                job.attempts -= 1
             self._note_silence(job, endpoint)
             raise
         finally:
--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from eelgrassrack.gateway import pool
 from eelgrassrack.gateway.daemon import DEAF_SECONDS, ROTATION_SECONDS
 from eelgrassrack.standins.directengine import (
     Break,
@@ -122,6 +123,31 @@
     run(main())
 
 
+def test_a_request_that_was_never_sent_is_said_not_to_have_run(monkeypatch):
+    """A stopping gateway ends while an endpoint still takes no connection."""
+
+    async def never_open(**_):
+        await asyncio.sleep(LONG_PATIENCE_MS / 1_000)
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            await world.add_engine("e2", Events(count=80, gap=0.1), service="models")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            keeping = await connect(world.settings[0].listen)
+            keeping.send("/once/keep", patience_ms=LONG_PATIENCE_MS)
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr(pool, "open_connection", never_open)
+            stopping = asyncio.ensure_future(gateway.stop())
+            await asyncio.sleep(ROTATION_SECONDS - 0.3)
+            assert (await world.call("/chat/late", patience_ms=8_000)).status == 503
+            await stopping
+            keeping.close()
+
+    run(main())
+
+
 def test_a_request_that_waits_to_be_learned_isnt_dropped_by_a_stop():
     """A gateway that knows no configuration yet ends while a whole request waits."""
 
