--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -88,8 +88,8 @@
             self._core.reserve.start(
                 organisation=attempt.start.organisation, now=self._core.clock()
             )
-        if self._core.window.needs_look and len(self._core.room) and not self._look:
-            self._look = asyncio.get_running_loop().create_task(self._see())
+        if self._core.window.needs_look and len(self._core.room):
+            self._begin_look()
 
     def tick(self) -> None:
         """End what takes too long and start what may start."""
@@ -123,6 +123,10 @@
         for attempt in list(self._core.attempts.running.values()):
             self._stop(attempt, Finish.CUT, reason)
 
+    def _begin_look(self) -> None:
+        if self._look is None or self._look.done():
+            self._look = asyncio.get_running_loop().create_task(self._see())
+
     async def _see(self) -> None:
         """Look at the endpoint, and start what may start then."""
         await self._is_alive(self._core.clock())
