--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -381,3 +381,22 @@
             assert (await world.call(body=b"good", attempt="a3")).status == 200
 
     run(main())
+
+
+def test_answers_lost_at_once_cost_one_connection_more():
+    """An endpoint breaks the connections of ten requests and is up."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Break(), slots=100)
+            await world.start_gateway()
+            await world.wait_ready()
+            calls = (world.call("/issue/1", attempt=f"a{n}") for n in range(10))
+            answers = await asyncio.gather(*calls)
+            assert [one.status for one in answers] == [502] * 10
+            await asyncio.sleep(0.5)
+            assert engine.connections == 11
+            assert (await world.call("/issue/1", attempt="b")).status == 502
+            assert engine.connections == 11
+
+    run(main())
