--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -18,6 +18,7 @@
 from eelgrassrack.gateway.ingress import Ingress
 from eelgrassrack.gateway.job import Job
 from eelgrassrack.gateway.plan import Router
+from eelgrassrack.gateway.pool import Pool
 from eelgrassrack.platform import headers
 
 from . import (
@@ -100,6 +101,10 @@
         [(placing, "count_before", lambda **_: 0)],
         test_cold_starts.test_more_gateways_than_a_cold_endpoint_bears_requests_a_second,
     ),
+    "an endpoint that broke a connection is checked": (
+        [(Pool, "check", lambda pool, **_: None)],
+        test_endpoints.test_what_crashed_three_endpoints_is_known_though_nobody_came_by,
+    ),
     "entries that lapsed are kept for a while": (
         [(fleet, "LAPSE_SECONDS", 0.0)],
         test_follower.test_an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back,
