--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -35,10 +35,10 @@
 
 
 @pytest.mark.processes
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [7, *SEEDS])
 def test_the_promises_hold_under_series_of_faults(seed):
     """Gateways are killed, stopped and paused; links and the store misbehave."""
-    assert seed in PRODUCT
+    assert {*SEEDS} <= {*PRODUCT}
     verdict = play(seed, 6.0)
     assert not verdict.faults
     assert verdict.served > 50
