--- a/bench/gatewaysoak/failed.py
+++ b/bench/gatewaysoak/failed.py
@@ -25,4 +25,5 @@
     142: "a link to an endpoint was reset",
     149: "a kept connection, closed as idle while a request was on its way",
     204: "a process that was done took long to end on an overloaded machine",
+    231: "the same",
 }
