--- /dev/null
+++ b/test/gateway/test_crashes.py
@@ -0,0 +1,58 @@
+"""Endpoints that crash, and what is learned from it."""
+
+import asyncio
+
+from eelgrassrack.standins.directengine import (
+    Break,
+)
+
+from .world import make_world, run, wait_for
+
+
+async def crash_when_run(engine):
+    await wait_for(lambda: engine.runs)
+    await engine.stop()
+
+
+def test_what_crashed_three_endpoints_is_known_though_nobody_came_by():
+    """A request crashes three endpoints, and no other goes there meanwhile.
+
+    It comes again some seconds later and would crash the fourth.
+    """
+
+    async def main():
+        async with make_world() as world:
+            crashing = []
+            for number in range(3):
+                engine = await world.add_engine(f"e{number}", Break())
+                crashing.append(asyncio.ensure_future(crash_when_run(engine)))
+            last = await world.add_engine("e3", zone="south")
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call(body=b"bad")).status == 502
+            await asyncio.gather(*crashing)
+            await asyncio.sleep(2.2)
+            assert (await world.call(body=b"bad", attempt="a2")).status == 502
+            assert not last.runs
+            assert (await world.call(body=b"good", attempt="a3")).status == 200
+
+    run(main())
+
+
+def test_answers_lost_at_once_cost_one_connection_more():
+    """An endpoint breaks the connections of ten requests and is up."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Break(), slots=100)
+            await world.start_gateway()
+            await world.wait_ready()
+            calls = (world.call("/issue/1", attempt=f"a{n}") for n in range(10))
+            answers = await asyncio.gather(*calls)
+            assert [one.status for one in answers] == [502] * 10
+            await asyncio.sleep(0.5)
+            assert engine.connections == 11
+            assert (await world.call("/issue/1", attempt="b")).status == 502
+            assert engine.connections == 11
+
+    run(main())
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -23,11 +23,13 @@
 
 from . import (
     test_cold_starts,
+    test_crashes,
     test_endpoints,
     test_follower,
     test_limits,
     test_serving,
     test_stop,
+    test_streams,
 )
 
 # What a test of a failure ends with when the failure comes about: a check that
@@ -63,7 +65,7 @@
     ),
     "events are held back until they are whole": (
         [(EventSplitter, "feed", feed_at_once)],
-        test_serving.test_a_stream_goes_on_at_another_endpoint,
+        test_streams.test_a_stream_goes_on_at_another_endpoint,
     ),
     "one lost answer is told to all": (
         [(placing, "avoid_doubtful", lambda found, **_: list(found))],
@@ -75,7 +77,7 @@
     ),
     "an organisation's burst gives way": (
         [(Usage, "find_heavy", lambda usage, told: frozenset())],
-        test_serving.test_one_organisation_s_burst_gives_way_at_all_gateways,
+        test_streams.test_one_organisation_s_burst_gives_way_at_all_gateways,
     ),
     "the endpoint is named to which a request goes": (
         [(headers, "encode_request", encode_for_anyone)],
@@ -103,7 +105,7 @@
     ),
     "an endpoint that broke a connection is checked": (
         [(Pool, "check", lambda pool, **_: None)],
-        test_endpoints.test_what_crashed_three_endpoints_is_known_though_nobody_came_by,
+        test_crashes.test_what_crashed_three_endpoints_is_known_though_nobody_came_by,
     ),
     "entries that lapsed are kept for a while": (
         [(fleet, "LAPSE_SECONDS", 0.0)],
--- /dev/null
+++ b/test/gateway/test_streams.py
@@ -0,0 +1,227 @@
+"""Streams of events, and the models that write them."""
+
+import asyncio
+
+from eelgrassrack.platform.store import Kinds
+from eelgrassrack.standins.directengine import (
+    Events,
+)
+
+from .world import (
+    ASK,
+    call,
+    connect,
+    make_manifest,
+    make_world,
+    run,
+    wait_for,
+)
+
+
+def test_a_stream_goes_on_at_another_endpoint():
+    """An endpoint crashes in the middle of an event.
+
+    The caller gets each event once and in order, and the end of the stream.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            first = await world.add_engine(
+                "e1", Events(count=6, breaks_after=2), slots=100, **rest
+            )
+            second = await world.add_engine("e2", Events(count=6), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1")
+            assert got.is_whole
+            lines = got.body.decode().split("\n")
+            assert [line for line in lines if line.startswith("id")] == [
+                f"id: {number}" for number in range(1, 7)
+            ]
+            assert second.runs[0].headers["last-event-id"] == "2"
+            assert len(first.runs) == 1
+
+    run(main())
+
+
+def test_a_caller_that_has_all_events_gets_the_end():
+    """A caller's connection broke after the last event and before the end.
+
+    It comes back with the last event's id, and the endpoint has no more events.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", Events(count=3), service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=[("Last-Event-Id", "3")])
+            assert (got.status, got.body, got.is_whole) == (200, b"", True)
+
+    run(main())
+
+
+def test_a_broken_stream_that_may_not_go_on_never_looks_whole():
+    """An endpoint crashes in a stream that may run once only."""
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            await world.add_engine("e1", Events(count=6, breaks_after=2), **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/once/1")
+            assert got.status == 200
+            assert not got.is_whole
+            assert got.body.count(b"\n\n") == 2
+
+    run(main())
+
+
+def test_an_unsure_model_is_followed_by_a_better_one():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1",
+                Events(count=50, gap=0.01, confidence=10),
+                Events(count=3, confidence=90),
+                service="models",
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=ASK)
+            assert got.is_whole
+            assert got.body.count(b"\n\n") == 3
+            assert [one.model for one in engine.runs] == ["small", "large"]
+
+    run(main())
+
+
+def test_engines_are_told_to_read_short_prompts_first():
+    """Engines are full, and a question waits behind long documents.
+
+    What a caller says of its own rank is not passed on.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Events(), service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            for tokens in (50_000, 300):
+                usage = ("X-Token-Usage", f"{tokens},50")
+                headers = [("X-Model", "*"), usage, ("X-Request-Priority", "0")]
+                assert (await world.call("/chat/1", headers=headers)).status == 200
+            ranks = [int(run.headers["x-request-priority"]) for run in engine.runs]
+            assert ranks[0] > ranks[1]
+
+    run(main())
+
+
+def test_one_organisation_s_burst_gives_way_at_all_gateways():
+    """One of five organisations sends sixty times what the others do.
+
+    Its callers come through one gateway.  Another gateway's engines read the
+    prompts of the others first, too, so that nobody waits for the burst.
+    """
+    names = [f"org{number}" for number in range(5)]
+    ask = (("X-Model", "*"), ("X-Token-Usage", "450,50"))
+
+    def make_tenants():
+        return [{"name": name, "apiKeys": [f"key-{name}"]} for name in names]
+
+    async def main():
+        async with make_world() as world:
+            manifest = {**make_manifest(version=2), "tenants": make_tenants()}
+            world.store.put(kind=Kinds.CONFIGURATION, name="main", spec=manifest)
+            engine = await world.add_engine("e1", Events(), service="models")
+            for number in (1, 2):
+                await world.start_gateway(number=number)
+                await world.wait_ready(number - 1)
+            await wait_for(
+                lambda: all(one.router.version == 2 for one in world.gateways)
+            )
+
+            async def rank(name, number):
+                """Send a prompt and return the rank that the engine was told."""
+                key = f"key-{name}"
+                got = await world.call("/chat/1", number=number, key=key, headers=ask)
+                assert got.status == 200
+                return int(engine.runs[-1].headers["x-request-priority"])
+
+            before = [await rank(name, 1) for name in names]
+            assert len(set(before)) == 1
+            for _ in range(60):
+                await rank("org3", 0)
+            async with asyncio.timeout(4.0):
+                while await rank("org3", 1) <= before[0]:
+                    await asyncio.sleep(0.1)
+            address = f"{world.settings[1].address}:{world.settings[1].metrics_port}"
+            told = await call(address, "/metrics", method="GET", body=b"")
+            assert b"gateway_heavy_organisations 1.0" in told.body
+            assert b"gateway_slow_endpoints 0.0" in told.body
+            assert await rank("org1", 1) == before[0]
+
+    run(main())
+
+
+def test_a_caller_that_names_its_model_gets_it():
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=3, confidence=0), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1", headers=[("X-Model", "middle")])
+            assert got.is_whole
+            assert [one.model for one in engine.runs] == ["middle"]
+
+    run(main())
+
+
+def test_the_work_for_a_caller_that_left_is_given_up():
+    """A caller closes its connection in the middle of a stream.
+
+    The endpoint would go on working for nobody.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Events(count=500, gap=0.02), service="models"
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/chat/1")
+            await caller.reader.readuntil(b"\n\n")
+            caller.close()
+            await wait_for(lambda: engine.cancelled, seconds=0.5)
+
+    run(main())
+
+
+def test_a_begun_stream_goes_on_though_its_key_was_taken_away():
+    """An endpoint breaks off, and meanwhile the caller's key was taken away.
+
+    The caller was permitted when it came and has half of its stream.
+    """
+
+    async def main():
+        async with make_world() as world:
+            broken = Events(count=6, gap=0.2, breaks_after=3)
+            await world.add_engine("e1", broken, service="models", slots=100)
+            await world.add_engine("e2", Events(count=6), service="models", slots=1)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: gateway.ingress.open_requests)
+            world.configure(version=2, keys=("another",))
+            await wait_for(lambda: gateway.router.version == 2)
+            got = await calling
+            assert got.is_whole
+            assert got.body.count(b"id: ") == 6
+
+    run(main())
