Answer callers that still send their body when a gateway ends

What callers saw: one whose head had been read and whose body was still coming when a stopping gateway ended got no answer, so it couldn't know whether its request ran.

Cause: a request that is being read has no time limit, as only those that are served have one; the connection was closed under it.

Ruled out: that the end was too short for an answer; none was ever begun.

Change: at the end of a stop such a request is refused like all late ones, "503, stopping" with Retry-After, which is true as it can't have been passed on; its connection is closed for writing and read on, so that the rest of the body doesn't reset the answer away.

Evidence: test_a_caller_that_is_still_sending_a_body_is_told failed before (no bytes came).

--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -43,6 +43,7 @@
 
 # Between looks at what is still open during a stop.
 STOP_LOOK_SECONDS = 0.05
+END_LOOK_SECONDS = 0.01
 
 LONG_HEAD = Refusal(status=431, reason="headers are too long")
 LONG_BODY = Refusal(status=413, reason="body is too long")
@@ -74,6 +75,9 @@
     async def refuse(self, arrival: Arrival, reply: Reply, refusal: Refusal) -> None:
         """Answer one request with a refusal."""
 
+    def tell_stopping(self) -> Refusal:
+        """Return what callers are told that come too late in a stop."""
+
 
 class Pause:
     """A connection on which no request is under way.
@@ -189,11 +193,18 @@
             self.close_idle()
 
     async def end(self, until: float) -> None:
-        """Tell all callers that nothing more is taken, and end their connections.
+        """Give all callers their last answers, and end their connections.
 
         That is over at a time of the loop.
         """
+        for message in tuple(self._reading):
+            message.end()
         self._dismiss_all()
+        while (self._idle or self._serving) and self._loop.time() < until:
+            await asyncio.sleep(END_LOOK_SECONDS)
+            self._dismiss_all()
+        for message in tuple(self._reading):
+            self._dismiss(message.connection, b"")
         await self._lingering.wait_closed(until)
 
     def _dismiss_all(self) -> None:
@@ -321,6 +332,11 @@
         self._chunks.clear()
         self._start(self._make_reply())
 
+    def end(self) -> None:
+        """Answer now, as the rest of the request won't be waited for."""
+        if self._refused is None:
+            self._refuse(self._ingress._service.tell_stopping())
+
     def _refuse(self, refusal: Refusal) -> None:
         """Answer before the request is whole, and read on without keeping it."""
         self._chunks.clear()
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -119,7 +119,7 @@
         )
         self._find_sends(verdict.service.name).note_request(self._loop.time())
         if not self._may_take(job):
-            await self.refuse(arrival, reply, self._refuse_stopping())
+            await self.refuse(arrival, reply, self.tell_stopping())
             return
         job.deadline = min(job.deadline, self._ends_at)
         if job.has_choice:
@@ -168,7 +168,7 @@
         """Take from now on only what is surely over before this process ends."""
         self._is_bounded = True
 
-    def _refuse_stopping(self, *, status: int = 503) -> Refusal:
+    def tell_stopping(self, *, status: int = 503) -> Refusal:
         """Send a caller on to the entries that are ready, or will be."""
         return Refusal(
             status=status,
@@ -323,7 +323,7 @@
         """Return the answer to a request whose time is over."""
         status = 503 if job.attempts == 0 else 504
         if job.deadline == self._ends_at:
-            return self._refuse_stopping(status=status)
+            return self.tell_stopping(status=status)
         return Refusal(
             status=status, reason="time limit", retry_after=COME_BACK_SECONDS
         )
--- a/test/gateway/test_last_words.py
+++ b/test/gateway/test_last_words.py
@@ -128,6 +128,24 @@
     run(main())
 
 
+def test_a_caller_that_is_still_sending_a_body_is_told():
+    """The rest of its body comes when the process is about to end, or later."""
+
+    async def main():
+        async with make_stopping(after=1.0) as (world, engine, stopping):
+            caller = await connect(world.settings[0].listen)
+            caller.writer.write(HALF.encode())
+            await stopping
+            caller.writer.write(b"cdefghi")
+            got = await caller.read()
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            assert not engine.runs
+            caller.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("is_kept", [True, False])
 def test_a_request_that_crosses_the_close_of_its_connection_is_said_not_to_have_run(
     is_kept,
