Let a gateway that was held up in its stop write the answers that are due

What callers saw: nothing at all, for requests that were under way, had come unread or waited in the queue of the port, when a busy instance ran nothing of a stopping gateway for a second near the end of its grace.

Cause: each step of the end had its time (0.7, 0.5 and 0.3 s before the kill) and was passed over when the process came late: woken at the last one, it closed all connections in the same pass of the loop in which their answers became due. A promise rested on the loop being punctual.

Ruled out: that the time limits themselves weren't noticed (each answer was begun, and cut); a longer margin (the same at another moment).

Change: the end takes twenty looks at least, whatever the clock says, or until nothing is under way. An answer that is due needs a few passes of the loop, so being held up again uses up none of them. A gateway that was held up says so in its log and in gateway_held_up_seconds_total, so that it isn't taken for its endpoints.

Evidence: test_a_stop_that_is_held_up_cuts_nothing, held up for a second before each of the three deadlines, failed at all three before (no bytes came); the one in the middle of the stop passed. A caller that is gone before its answer now has a line at the usual level.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -34,6 +34,10 @@
 # Chores such as closing idle connections.
 CHORE_SECONDS = 0.2
 
+# A loop that goes on so much later than it was to has been held up: its instance
+# was paused, or had no processor for it.
+HELD_UP_SECONDS = 0.25
+
 # The balancer takes an instance out after two misses a second apart; new
 # connections come until then, and a little later over its own links.
 ROTATION_SECONDS = 2.6
@@ -314,9 +318,12 @@
 
     async def _do_chores(self) -> None:
         next_look = 0.0
+        now = asyncio.get_running_loop().time()
         while True:
+            due = now + CHORE_SECONDS
             await asyncio.sleep(CHORE_SECONDS)
             now = asyncio.get_running_loop().time()
+            self._note_held_up(now - due)
             self._pool.prune(now=now)
             self._pool.probe_silent(now=now, note_dark=self._placing.evidence.note_dark)
             self.fleet.sweep()
@@ -329,6 +336,12 @@
                 next_look = now + SETTINGS_SECONDS
             self._placing.note_news()
 
+    def _note_held_up(self, seconds: float) -> None:
+        if seconds < HELD_UP_SECONDS:
+            return
+        self._metrics.held_up.inc(seconds)
+        log.warning("gateway: held up for {seconds} s", seconds=round(seconds, 2))
+
     def _make_news(
         self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
     ) -> News:
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -1,6 +1,7 @@
 """Callers' connections: requests are read, answers are written."""
 
 import asyncio
+import itertools
 import socket
 import weakref
 from collections.abc import Callable
@@ -45,6 +46,10 @@
 STOP_LOOK_SECONDS = 0.05
 END_LOOK_SECONDS = 0.01
 
+# Looks that the end of a stop takes at least: a process that was held up until
+# then has no time left, and still has to write the answers that are due.
+LEAST_LOOKS = 20
+
 LONG_HEAD = Refusal(status=431, reason="headers are too long")
 LONG_BODY = Refusal(status=413, reason="body is too long")
 
@@ -195,14 +200,16 @@
     async def end(self, until: float) -> None:
         """Give all callers their last answers, and end their connections.
 
-        That is over at a time of the loop.
+        That is over at a time of the loop, or after a few looks if that is later.
         """
         for message in tuple(self._reading):
             message.end()
-        self._dismiss_all()
-        while (self._idle or self._serving) and self._loop.time() < until:
-            await asyncio.sleep(END_LOOK_SECONDS)
+        looks = itertools.count(1)
+        while self._idle or self._serving:
             self._dismiss_all()
+            if next(looks) > LEAST_LOOKS and self._loop.time() >= until:
+                break
+            await asyncio.sleep(END_LOOK_SECONDS)
         for message in tuple(self._reading):
             self._dismiss(message.connection, b"")
         await self._lingering.wait_closed(until)
@@ -252,7 +259,7 @@
                 return
             await self._service.serve(arrival=arrival, reply=reply)
         except CallerGoneError:
-            log.debug("ingress: caller of {} is gone", arrival.id)
+            log.info("ingress: the caller of {request} is gone", request=arrival.id)
         except asyncio.CancelledError:
             raise
         except Exception:
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -18,6 +18,7 @@
         "dropped_lines",
         "entries",
         "heavy",
+        "held_up",
         "registry",
         "slow",
         "store",
@@ -40,6 +41,10 @@
             buckets=BUCKETS,
             registry=self.registry,
         )
+        self.held_up = self._count(
+            "gateway_held_up_seconds",
+            "Seconds in which the process couldn't go on with what was due.",
+        )
         self.version = self._show(
             "gateway_configuration_version", "Configuration in force."
         )
--- a/test/gateway/test_last_words.py
+++ b/test/gateway/test_last_words.py
@@ -4,13 +4,22 @@
 import collections
 import contextlib
 import itertools
+import time
 
 import pytest
 
-from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+from eelgrassrack.gateway.daemon import (
+    ANSWERED_SECONDS,
+    CLOSED_SECONDS,
+    DEAF_SECONDS,
+    ROTATION_SECONDS,
+)
 from eelgrassrack.gateway.ingress import FIRST_SECONDS
+from eelgrassrack.standins.directengine import Hang, Reply
 
-from .world import KEY, connect, make_world, run, wait_for
+from .world import KEY, call, connect, make_world, run, wait_for
+
+GRACE_SECONDS = 6.0
 
 # What says that a request hasn't run and never will.
 NOT_RUN = {408, 503}
@@ -171,3 +180,69 @@
             caller.close()
 
     run(main())
+
+
+MOMENTS = [
+    GRACE_SECONDS - left - 0.1
+    for left in (ANSWERED_SECONDS, DEAF_SECONDS, CLOSED_SECONDS)
+]
+
+
+@pytest.mark.parametrize("after", [ROTATION_SECONDS - 0.1, *MOMENTS])
+def test_a_stop_that_is_held_up_cuts_nothing(after):
+    """A busy instance runs nothing of a gateway for a second of its stop.
+
+    Requests are under way, have come unread, or wait in the queue of the port
+    meanwhile, and the time for all of that is over when the process goes on.
+    """
+
+    async def main():
+        async with make_stopping(Hang(), Reply(), after=1.0) as (world, _, stopping):
+            address = world.settings[0].listen
+            working = await connect(address)
+            working.send("/issue/1", attempt="working", patience_ms=20_000)
+            halfway = await connect(address)
+            halfway.writer.write(HALF.encode())
+            await asyncio.sleep(after - 1.2)
+            unread, *unused = [await connect(address) for _ in range(3)]
+            await asyncio.sleep(0.2)
+            unread.send("/look/2", attempt="unread")
+            unused[0].writer.write(b"POST")
+            queued = []
+            with contextlib.suppress(ConnectionRefusedError):
+                # They connect to the kernel only: the gateway's loop is this one.
+                queued = [await connect(address) for _ in range(3)]
+                queued[0].send("/look/3", attempt="queued")
+            # The loop of the gateway and of all others.
+            time.sleep(1.0)
+            if queued:
+                queued[1].send("/look/4", attempt="late")
+            callers = [working, halfway, unread, *unused, *queued]
+            told = [await caller.read() for caller in callers]
+            assert told[0].status == 504 or after < GRACE_SECONDS / 2
+            assert told[1].status == 503
+            assert all(got.is_whole for got in told)
+            await stopping
+            for caller in callers:
+                caller.close()
+
+    run(main())
+
+
+def test_operators_see_that_a_gateway_was_held_up():
+    """Its callers waited, and nothing else shows that it wasn't its endpoints."""
+
+    async def main():
+        async with make_world() as world:
+            await world.start_gateway()
+            await world.wait_ready()
+            settings = world.settings[0]
+            address = f"{settings.address}:{settings.metrics_port}"
+            time.sleep(0.8)
+            await asyncio.sleep(0.3)
+            got = await call(address, "/metrics", method="GET", body=b"")
+            name = b"\ngateway_held_up_seconds_total "
+            (seconds, *_) = got.body.split(name)[1].split(b"\n")
+            assert 0.5 < float(seconds) < 1.5
+
+    run(main())
