--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -1,10 +1,12 @@
 """What a caller must be told by a gate that stops, and which requests weren't."""
 
 import collections
+import time
 from collections.abc import Iterable
 
 from .callers import Told
 from .gates import Gate, Life
+from .lateness import Lateness
 
 # From so long after SIGTERM on a request is late: the balancer has taken the
 # gate out, and the gate knows when its process ends.
@@ -26,7 +28,9 @@
         gates: list[Gate],
         broken: dict[str, float],
         resets: Iterable[float] = (),
+        lateness: Lateness | None = None,
     ) -> None:
+        self._lateness = lateness or Lateness()
         self._told = list(told)
         # When endpoints last broke off an attempt's stream.
         self._broken = broken
@@ -34,6 +38,7 @@
         self._resets = list(resets)
         self._gates = {gate.listen: gate for gate in gates}
         self._read = {gate.listen: gate.list_read() for gate in gates}
+        self._started = {gate.listen: gate.list_started() for gate in gates}
         # Late requests by what became of them.
         self.counts: collections.Counter[str] = collections.Counter()
 
@@ -60,8 +65,17 @@
             if not is_late or _had_its_time(told) or self._was_broken(told):
                 return ""
             return self._describe(told, life, "cut in the middle")
+        if told.gave_up and not self._had_started(told, life):
+            # On an overloaded machine a process may load for longer than its
+            # callers wait; nothing has refused or closed what they sent.
+            self.counts["given up before the start"] += 1
+            return ""
         return self._describe(told, life, "no answer")
 
+    def _had_started(self, told: Told, life: Life) -> bool:
+        """Tell whether the process had loaded when the request was over."""
+        return any(life.began <= at <= told.ended_at for at in self._started[told.gate])
+
     def _was_broken(self, told: Told) -> bool:
         """Tell whether the request ended because its endpoint or link broke off.
 
@@ -81,10 +95,17 @@
             f"{told.sent_at - life.told_at:.2f} s from SIGTERM, over after "
             f"{told.ended_at - told.sent_at:.2f} of {_find_limit(told):.1f} s, "
             f"{'kept' if told.is_kept else 'new'} connection of "
-            f"{told.sent_at - told.connected_at:.2f} s"
+            f"{told.sent_at - told.connected_at:.2f} s, {told.error}, sent at "
+            f"{_tell_time(told.sent_at)}, the soak was held up for "
+            f"{self._lateness.sum_within(told.connected_at, told.ended_at):.2f} s"
         )
 
 
+def _tell_time(at: float) -> str:
+    """Return a steady time as that of the gates' logs."""
+    return f"{time.time() - time.monotonic() + at:.3f}"
+
+
 def _had_its_time(told: Told) -> bool:
     """Tell whether a request had all the time that its caller gave it.
 
--- a/bench/gatewaysoak/gates.py
+++ b/bench/gatewaysoak/gates.py
@@ -18,6 +18,7 @@
 # What a busy machine may take to end a process and to tell of it.
 END_SLACK_SECONDS = 0.5
 READ_ATTEMPT = re.compile(r'"request":"(\w+)"')
+STARTED = re.compile(r'^{"time":([\d.]+),.*"gateway: \S+ started in', re.MULTILINE)
 SETTINGS = """\
 [gateway]
 name = entry-{number}
@@ -94,6 +95,12 @@
         """Tell whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def grace_left(self) -> float:
+        """Return the seconds that a stopping process has left; 0 if none is."""
+        left = self.lives[-1].told_at + self.grace - time.monotonic()
+        return left if self.is_up and left <= self.grace else 0.0
+
     def start(self) -> None:
         """Start the process unless it runs."""
         if self.is_up:
@@ -166,11 +173,26 @@
 
     def list_read(self) -> set[str]:
         """Return the attempts that the log names: those that were read whole."""
-        return set(READ_ATTEMPT.findall(self._log_path.read_text(errors="replace")))
+        return set(READ_ATTEMPT.findall(self._read_log()))
+
+    def list_started(self) -> list[float]:
+        """Return the steady times at which processes had loaded, by the log."""
+        ahead = time.time() - time.monotonic()
+        return [float(at) - ahead for at in STARTED.findall(self._read_log())]
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the process that runs has loaded."""
+        return self.is_up and any(
+            at >= self.lives[-1].began for at in self.list_started()
+        )
+
+    def _read_log(self) -> str:
+        return self._log_path.read_text(errors="replace")
 
     def _has_closed(self) -> bool:
         """Tell whether the process was done and had only to be left by the system."""
-        text = self._log_path.read_text(errors="replace")
+        text = self._read_log()
         return text.rfind("gateway: stopped") > text.rfind("gateway: stopping")
 
     def _note_ended(self) -> None:
