Tell callers that nothing ran before an entry closes their connection

What callers saw: the same on the other face as from a gateway. A request sent on a connection that an ending entry had open (new, kept, or with part of a head on it) got no answer, and neither did a caller in the queue of its port.

Cause: an entry's stop ended with close_all_connections, for connections too on which a request was on its way, and closed its port with whoever was in its queue.

Change: as at the gateway, by the same code. The queue of the port is taken in (listening.py has what stood in the gateway), then callers without a request under way get "408, close", and their connections are read on for a second at most.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 from tornado import web
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from ..document.sections import Organisation
 from .answers import Labels, write_error
@@ -99,6 +99,11 @@
         written.add_done_callback(lambda _: self.core.open.discard(self))
         return written
 
+    @property
+    def stream(self) -> IOStream:
+        """Return the caller's connection."""
+        return self.request.connection.stream
+
     @property
     def is_gone(self) -> bool:
         """Tell whether the caller has closed its connection."""
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -4,9 +4,12 @@
 from collections.abc import Awaitable
 from typing import Protocol
 
+from tornado.iostream import IOStream
+
 from ..decisions.rollout import Health, PlannedVersion, RolloutHealth, Verdict
 from ..document.snapshot import Snapshot
 from ..invariants import Invariants
+from ..lingering import Lingering
 from ..statuses import EndpointStatus, EntryStatus, VersionStatus
 from .billing import Billing
 from .chat import ChatFlow
@@ -21,6 +24,10 @@
 class Caller(Protocol):
     """A caller that waits for its answer, or for the rest of it."""
 
+    @property
+    def stream(self) -> IOStream:
+        """Return its connection."""
+
     @property
     def is_gone(self) -> bool:
         """Tell whether the caller has closed its connection."""
@@ -47,6 +54,7 @@
         "invariants",
         "is_closing",
         "is_draining",
+        "lingering",
         "name",
         "open",
         "services",
@@ -77,6 +85,7 @@
         self.invariants = invariants
         self.is_closing = False
         self.is_draining = False
+        self.lingering = Lingering()
         self.open: set[Caller] = set()
         self.services = services
         self._kept: set[asyncio.Future] = set()
@@ -128,6 +137,10 @@
         self.open -= {caller for caller in self.open if caller.is_gone}
         return len(self.open)
 
+    def list_streams(self) -> set[IOStream]:
+        """Return the connections of callers that wait."""
+        return {caller.stream for caller in self.open}
+
     def end_by(self, time: float) -> None:
         """Learn when this entry ends."""
         for caller in self.open:
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -4,6 +4,7 @@
 import math
 import random
 import secrets
+import socket
 
 import logbook
 from tornado.httpserver import HTTPServer
@@ -12,6 +13,8 @@
 from ..document.snapshot import Snapshot
 from ..incarnations import make_incarnation
 from ..invariants import Invariants, Promise
+from ..lingering import NOT_READ
+from ..listening import stop_listening
 from ..mailbox.messages import AnyMessage, Bill, Parcel
 from ..mailbox.socket import Mailbox
 from ..metrics import Metrics
@@ -50,6 +53,9 @@
 # reach their callers.
 LAST_SECONDS = 1.0
 
+# In so many passes of the loop what has been read of a request is seen.
+LAST_LOOKS = 3
+
 # The largest body that is read before the document's own limit is known.
 MOST_BODY_BYTES = 3_500_000
 
@@ -64,6 +70,7 @@
         "_hurry",
         "_inbox",
         "_instances",
+        "_listeners",
         "_loop",
         "_mailbox",
         "_meter",
@@ -100,6 +107,7 @@
         self._ends_at = math.inf
         self._hurry = asyncio.Event()
         self._instances = instances
+        self._listeners: list[socket.socket] = []
         self._loop = asyncio.get_running_loop()
         self._metrics = Metrics(settings=settings.metrics)
         self._meter = Meter(metrics=self._metrics)
@@ -222,13 +230,26 @@
         self.core.is_closing = True
         if self._server is None:
             return
-        self._server.stop()
+        await stop_listening(self._server, self._listeners)
         await self._wait_idle(LAST_SECONDS)
         self.core.end_rest()
         await self._wait_idle(2 * LAST_SECONDS)
         self._report_cut()
+        await self._dismiss_callers()
         await self._server.close_all_connections()
 
+    async def _dismiss_callers(self) -> None:
+        """Tell callers without a request here that nothing more is taken."""
+        for _ in range(LAST_LOOKS):
+            busy = self.core.list_streams()
+            for connection in tuple(self._server._connections):
+                stream = connection.stream
+                # A head that was read and that nobody has seen yet is a request.
+                if stream.reading() and stream not in busy:
+                    self.core.lingering.dismiss(stream, NOT_READ)
+            await asyncio.sleep(0)
+        await self.core.lingering.wait_closed(self._loop.time() + LAST_SECONDS)
+
     async def _wait_idle(self, extra: float) -> None:
         """Wait until no request is under way, or until so long after the end."""
         while not self.core.is_idle and self._loop.time() < self._ends_at + extra:
@@ -281,17 +302,17 @@
     def _listen(self) -> None:
         host, _, port = self._settings.listen.rpartition(":")
         try:
-            sockets = bind_sockets(int(port), address=host, backlog=1024)
+            self._listeners = bind_sockets(int(port), address=host, backlog=1024)
         except OSError as error:
             text = f"can't listen on {self._settings.listen}: {error.strerror}"
             raise EntryError(text) from error
-        self.port = sockets[0].getsockname()[1]
+        self.port = self._listeners[0].getsockname()[1]
         self._server = HTTPServer(
             build_application(core=self.core),
             max_body_size=MOST_BODY_BYTES,
             idle_connection_timeout=300,
         )
-        self._server.add_sockets(sockets)
+        self._server.add_sockets(self._listeners)
 
     def _beat(self) -> None:
         self._beat_at = self._loop.time()
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -9,14 +9,15 @@
 from tornado.httpserver import HTTPServer
 
 from ..errors import UserError
+from ..listening import stop_listening
 from ..supervisor import Supervisor
 from .doors import Door
 from .earlystop import STOP_SIGNALS, EarlyStop
 from .fleet import Fleet
 from .follower import Contact, Store
-from .ingress import STOP_LOOK_SECONDS, Ingress
+from .ingress import Ingress
 from .knowledge import Kinds, Knowledge
-from .listener import list_waiting, open_listener
+from .listener import open_listener
 from .metrics import GatewayMetrics
 from .news import Audience, News, NewsExchange
 from .peerlist import PeerList
@@ -264,24 +265,12 @@
         # their try.
         self._serving.refuse_unbounded()
         await self.ingress.wait_answered(ends_at - DEAF_SECONDS)
-        await self._stop_listening()
+        await stop_listening(self._server, [self._listener])
         await self.ingress.wait_answered(ends_at - CLOSED_SECONDS)
         await self.ingress.end(ends_at - LINGERED_SECONDS)
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
         await self.close()
 
-    async def _stop_listening(self) -> None:
-        """Take in the callers that have connected, and refuse connections then.
-
-        Closed with the socket, a connection that was made looks to its caller as
-        if its request might have run.
-        """
-        for connection, address in list_waiting(self._listener):
-            self._server._handle_connection(connection, address)
-        self._server.stop()
-        # The library begins to read from them only when the loop goes on.
-        await asyncio.sleep(STOP_LOOK_SECONDS)
-
     async def close(self) -> None:
         """End all parts at once."""
         self._server.stop()
--- a/eelgrassrack/gateway/listener.py
+++ b/eelgrassrack/gateway/listener.py
@@ -10,7 +10,6 @@
 
 import configparser
 import socket
-from collections.abc import Iterator
 
 # Callers who come while the process loads, and in a burst afterwards.
 BACKLOG = 1_024
@@ -43,12 +42,3 @@
         listener.close()
         raise
     return listener
-
-
-def list_waiting(listener: socket.socket) -> Iterator[tuple[socket.socket, object]]:
-    """Accept the connections that wait in a socket's queue, with their addresses."""
-    while True:
-        try:
-            yield listener.accept()
-        except BlockingIOError:
-            return
