Read on after an entry has answered half a request

What callers saw: a connection that was reset instead of the answer (413, 404 or 503) when it came before their body was whole, as from an entry that ends.

Cause: the HTTP library closes such a connection once the answer has been written; what the caller still sends resets it, and a caller that sends all before it reads loses the answer.

Ruled out: the order of the answer and the close; the answer had left.

Change: the connection's other descriptor is kept, closed for writing after the library has closed its own, and read on while bytes come (at most 30 s, a second without any).

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -160,6 +160,9 @@
     def _refuse(self, error: CallerError) -> None:
         self.refused = True
         self.set_header("Connection", "close")
+        # The library closes connections on which half a request has been read:
+        # what still comes would reset the answer away.
+        self.core.lingering.follow(self.stream)
         self._send_error(error)
 
     def _send_error(self, error: CallerError) -> None:
--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -9,14 +9,21 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Coroutine
 
 import logbook
 from tornado.iostream import IOStream
 
 log = logbook.Logger("lingering")
 
-# For callers that look at their connections only when they next use them.
+# Without a byte: for callers that look at their connections only when they next
+# use them.  And in all, for those that go on sending.
 LINGER_SECONDS = 1.0
+MOST_SECONDS = 30.0
+
+# How often, and how many times, it is looked whether an answer has left.
+FOLLOW_SECONDS = 0.01
+FOLLOW_LOOKS = 100
 
 READ_BYTES = 65_536
 
@@ -40,16 +47,19 @@
 
         The stream is closed at once, so that nobody else reads from it.
         """
-        if stream.closed():
-            return
-        try:
-            rest = stream.socket.dup()
-        except OSError as error:
-            log.warning("lingering: a connection is closed at once: {}", error)
-            stream.close()
-            return
+        rest = _copy_socket(stream)
         stream.close()
-        task = asyncio.ensure_future(_linger(rest, answer))
+        if rest is not None:
+            self._keep(_linger(rest, answer))
+
+    def follow(self, stream: IOStream) -> None:
+        """Read on when the stream is closed after an answer to half a request."""
+        rest = _copy_socket(stream)
+        if rest is not None:
+            self._keep(_linger_after(stream, rest))
+
+    def _keep(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -64,11 +74,35 @@
         await asyncio.gather(*open_tasks, return_exceptions=True)
 
 
+def _copy_socket(stream: IOStream) -> socket.socket | None:
+    """Return another descriptor of a stream's connection, if it is open."""
+    if stream.closed():
+        return None
+    try:
+        return stream.socket.dup()
+    except OSError as error:
+        log.warning("lingering: a connection is closed at once: {}", error)
+        return None
+
+
+async def _linger_after(stream: IOStream, rest: socket.socket) -> None:
+    for _ in range(FOLLOW_LOOKS):
+        if stream.closed():
+            break
+        await asyncio.sleep(FOLLOW_SECONDS)
+    await _linger(rest, b"")
+
+
 async def _linger(rest: socket.socket, answer: bytes) -> None:
     loop = asyncio.get_running_loop()
     with rest, contextlib.suppress(OSError, TimeoutError):
-        async with asyncio.timeout(LINGER_SECONDS):
+        async with asyncio.timeout(MOST_SECONDS):
             await loop.sock_sendall(rest, answer)
             rest.shutdown(socket.SHUT_WR)
-            while await loop.sock_recv(rest, READ_BYTES):
+            while await _read(rest):
                 pass
+
+
+async def _read(rest: socket.socket) -> bytes:
+    async with asyncio.timeout(LINGER_SECONDS):
+        return await asyncio.get_running_loop().sock_recv(rest, READ_BYTES)
--- a/test/entry/test_last_words.py
+++ b/test/entry/test_last_words.py
@@ -1,11 +1,13 @@
 """What callers are told whose requests come as an entry ends their connection."""
 
 import asyncio
+import itertools
 import socket
+import time
 
 import pytest
 
-from eelgrassrack.entry.entry import Entry
+from eelgrassrack.entry.entry import LAST_SECONDS, Entry
 from eelgrassrack.standins import system
 
 from ..promises.world import REGISTRY, TUTOR_EAST, World
@@ -17,6 +19,10 @@
     "Idempotency-Key: late\r\nContent-Length: {size}\r\n\r\n"
 )
 REQUEST = HEAD.format(size=4).encode() + b"late"
+# More than a connection takes in before anyone reads from it.
+LONG_BODY = 8_000_000
+PIECES = 50
+PIECE = b"x" * 10_000
 NOT_RUN = b"HTTP/1.1 408 "
 
 
@@ -80,3 +86,40 @@
     with callers[0] as caller:
         assert caller.recv(12) == b"HTTP/1.1 503"
     assert not world.count_effects("late")
+
+
+def send_at_leisure(world, pieces, pause=0.0):
+    """Send everything before reading, as simple callers do; return what comes."""
+    host, _, port = world.entry().url.removeprefix("http://").rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        for piece in pieces:
+            caller.sendall(piece)
+            time.sleep(pause)
+        return caller.recv(13)
+
+
+def test_a_caller_that_sends_on_gets_the_answer_to_half_a_request(world):
+    """Its body is refused as too long, and it reads only once it has sent all.
+
+    The rest of the body would reset the connection, and the answer away.
+    """
+    data = HEAD.format(size=LONG_BODY).encode() + b"x" * LONG_BODY
+    work = asyncio.to_thread(send_at_leisure, world, [data])
+    assert world.run(work) == b"HTTP/1.1 413 "
+
+
+def test_a_caller_that_sends_on_is_told_that_the_entry_ends(world):
+    """Its body comes slowly, and goes on coming when it has been refused."""
+    head = HEAD.format(size=PIECES * len(PIECE)).encode()
+
+    async def ask():
+        pieces = [head, *itertools.repeat(PIECE, PIECES - 1)]
+        seconds = (GRACE_SECONDS + LAST_SECONDS + 0.5) / PIECES
+        sending = asyncio.create_task(
+            asyncio.to_thread(send_at_leisure, world, pieces, seconds)
+        )
+        await asyncio.sleep(0.1)
+        await world.system.stop_entry("entry-0")
+        return await sending
+
+    assert world.run(ask()) == b"HTTP/1.1 503 "
