Wait for what a peer or the store tells as long as bytes of it come

What callers saw: 404 and 401 by a replaced configuration for as long as the gateway lived, where the new one takes longer over its link than 0.6 s from a peer (375 KB over 5 Mbit/s, less where several ask at once) or 1.2 s from the store.

Cause: an answer was given up after a time in all, however fast it came. Asked anew each time, it filled both links with what was thrown away.

Change: an answer is given up when no byte of it came for so long (0.6 and 1.2 s as before), and after 4 and 8 s in all.

--- a/eelgrassrack/gateway/sharing.py
+++ b/eelgrassrack/gateway/sharing.py
@@ -27,8 +27,10 @@
 # at once.
 GATHER_SECONDS = 0.2
 
-# A peer answers within milliseconds; a silent one is passed over for another.
+# A peer answers within milliseconds; one that is silent for so long is passed over
+# for another.  Over a thin link a whole answer may take far longer.
 ANSWER_SECONDS = 0.6
+MOST_ANSWER_SECONDS = 4.0
 
 # The store's own watch gets this long to tell what a peer knows already.
 PATIENCE_SECONDS = 0.4
@@ -172,7 +174,9 @@
                 url=url, max_clients=MOST_CONNECTIONS
             )
         answer = await caller.fetch(
-            path=make_path(self._find_known()), timeout=ANSWER_SECONDS
+            path=make_path(self._find_known()),
+            timeout=MOST_ANSWER_SECONDS,
+            stall=ANSWER_SECONDS,
         )
         if not isinstance(answer, Answer) or answer.status != 200:
             return False
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -40,6 +40,9 @@
 # given up but still waits there, and calls beside them.
 MOST_CONNECTIONS = 16
 
+# For a page of a megabyte over a thin link.
+MOST_PAGE_SECONDS = 8.0
+
 JSON = {"Content-Type": "application/json"}
 
 
@@ -97,7 +100,10 @@
     async def list(
         self, *, kind: str, timeout: float, is_stale_fine: bool = False
     ) -> Listed | Away:
-        """Return all objects of a kind, within `timeout` seconds a page."""
+        """Return all objects of a kind.
+
+        A page is given up after `timeout` seconds without a byte of it.
+        """
         objects: dict[str, object] = {}
         newest = 0
         after = ""
@@ -106,7 +112,9 @@
             if is_stale_fine:
                 query[STALE_QUERY] = "1"
             outcome = await self._http.fetch(
-                path=_make_path(kind, query=query), timeout=timeout
+                path=_make_path(kind, query=query),
+                timeout=MOST_PAGE_SECONDS,
+                stall=timeout,
             )
             page = _read(outcome, WirePage)
             if not isinstance(page, WirePage):
--- a/eelgrassrack/store/http.py
+++ b/eelgrassrack/store/http.py
@@ -37,6 +37,28 @@
     sent: bool
 
 
+class Pieces:
+    """The pieces of an answer's body as they come."""
+
+    __slots__ = ("_pieces",)
+
+    def __init__(self) -> None:
+        self._pieces: list[bytes] = []
+
+    @property
+    def count(self) -> int:
+        """Return how many have come."""
+        return len(self._pieces)
+
+    def add(self, piece: bytes) -> None:
+        """Take one."""
+        self._pieces.append(piece)
+
+    def join(self) -> bytes:
+        """Return the body so far."""
+        return b"".join(self._pieces)
+
+
 class HttpCaller:
     """Send requests to one base URL; a call never raises for a failure."""
 
@@ -60,10 +82,12 @@
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
         repeatable: bool = True,
+        stall: float | None = None,
     ) -> Answer | NoAnswer:
         """Send one request and return its response, within `timeout` seconds.
 
-        A request that isn't `repeatable` is sent once at most.
+        A request that isn't `repeatable` is sent once at most.  With `stall` an
+        answer is given up as soon as no byte of it came for so many seconds.
         """
         if self._closing is not None and self._closing.done():
             return NoAnswer(reason="closed", sent=False)
@@ -77,14 +101,26 @@
             follow_redirects=False,
             prepare_curl_callback=use_any_connection if repeatable else use_new_one,
         )
+        pieces = Pieces()
+        if stall is not None:
+            request.streaming_callback = pieces.add
         fetching = self._open().fetch(request, raise_error=False)
         fetching.add_done_callback(retrieve)
-        await asyncio.wait(
-            {fetching, self._closing}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not fetching.done():
-            return NoAnswer(reason="closed", sent=True)
-        return read_outcome(fetching)
+        await self._wait(fetching, pieces, stall)
+        if fetching.done():
+            return read_outcome(fetching, pieces.join())
+        reason = "closed" if self._closing.done() else "silent"
+        return NoAnswer(reason=reason, sent=True)
+
+    async def _wait(
+        self, fetching: asyncio.Future, pieces: "Pieces", stall: float | None
+    ) -> None:
+        """Wait until a call is over, stalls, or all of them are closed."""
+        ends = {fetching, self._closing}
+        count = -1
+        while count < pieces.count and not any(end.done() for end in ends):
+            count = pieces.count
+            await asyncio.wait(ends, timeout=stall, return_when=asyncio.FIRST_COMPLETED)
 
     def close(self) -> None:
         """Close all connections; calls under way end without an answer."""
@@ -136,8 +172,10 @@
         fetching.exception()
 
 
-def read_outcome(fetching: "asyncio.Future[HTTPResponse]") -> Answer | NoAnswer:
-    """Turn the client's result or error into a value."""
+def read_outcome(
+    fetching: "asyncio.Future[HTTPResponse]", body: bytes = b""
+) -> Answer | NoAnswer:
+    """Turn the client's result or error into a value; `body` came in pieces."""
     error = fetching.exception()
     match error:
         case None:
@@ -148,4 +186,4 @@
         case _:
             return NoAnswer(reason=str(error), sent=True)
     headers = {name.lower(): value for name, value in response.headers.get_all()}
-    return Answer(status=response.code, headers=headers, body=response.body or b"")
+    return Answer(status=response.code, headers=headers, body=response.body or body)
