Say that a version is withdrawn whatever an agent in doubt says

What callers saw: 503 "stale", come again in a second, for a request of a withdrawn version, where 410 would have spared them the way. Listed as test_an_agent_is_frozen_while_the_version_is_withdrawn, once beside a load of 22.

Cause: an agent that was paused holds each attempt for a second at most until its question is answered, and refuses it as stale. The entry tried again by the document of when the request came, up to three times, and then passed on the last refusal, though it knew the version to be withdrawn. So it takes three holds of a second without an answer to the agent's question: requests have to get through and the entries' answers not, or the agent's loop has to be held up each time.

Ruled out: slowness of the steps alone (as tried before, 1 to 8 s: then an agent has all its messages at once, the facts among them); the refusal itself, which is true.

Change: the document in force is looked at before each attempt, and again when a step ends that hasn't run; what was withdrawn meanwhile gets 410 at once, without another attempt. A step that ran, or may have, is told so as before. Gateways have asked their configuration anew before each attempt all along.

Evidence: the new scenario sets the order on purpose (an agent wakes and gets requests only) and gave 503 "stale" in three runs of three before; four cases of test/entry/test_dispatcher.py failed too.

--- a/eelgrassrack/entry/dispatcher.py
+++ b/eelgrassrack/entry/dispatcher.py
@@ -13,6 +13,7 @@
 from ..decisions.quarantine import RunAlone
 from ..decisions.retries import GiveUp, Retry, RetryBudget
 from ..decisions.retries import Outcome as Standing
+from ..document.snapshot import Snapshot
 from ..invariants import Invariants, Promise
 from ..mailbox.messages import Crash, Finish, Refusal
 from .channels import (
@@ -26,11 +27,12 @@
     Whole,
 )
 from .directory import Known
+from .headers import Run
 from .identity import Identity
 from .jobs import Dispatched, Job, Placed, Reserve, build_start
 from .meter import Meter
 from .picker import Picker
-from .refusals import CallerError
+from .refusals import CallerError, refuse_withdrawn
 from .suspects import Suspects
 
 log = logbook.Logger("dispatcher")
@@ -44,6 +46,7 @@
     __slots__ = (
         "_budget",
         "_channels",
+        "_find_snapshot",
         "_identity",
         "_invariants",
         "_loop",
@@ -57,6 +60,7 @@
         self,
         *,
         channels: Channels,
+        find_snapshot: Callable[[], Snapshot],
         identity: Identity,
         budget: RetryBudget,
         invariants: Invariants,
@@ -68,6 +72,7 @@
         self._meter = meter
         self._suspects = suspects
         self._channels = channels
+        self._find_snapshot = find_snapshot
         self._identity = identity
         self._budget = budget
         self._invariants = invariants
@@ -89,12 +94,21 @@
         outcome.  `reserve` is awaited before each attempt is sent and may
         refuse it.
         """
+        last = await self._try(job, sink, keeps, reserve)
+        if not _has_run(last) and self._is_withdrawn(job):
+            return refuse_withdrawn()
+        return last
+
+    async def _try(
+        self, job: Job, sink: Sink | None, keeps: bool, reserve: Reserve | None
+    ) -> Dispatched | CallerError:
+        """Send attempts until one's end is to be told, or none can be sent."""
         tried: list[str] = []
         last: Dispatched | None = None
         while True:
             known = self._picker.choose(job=job, tried=tried)
             standing = self._suspects.judge(fingerprint=job.fingerprint)
-            refused = _find_refusal(known, standing)
+            refused = self._find_refusal(job, known, standing)
             if refused is None:
                 placed = self._place(known)
                 refused = await reserve(placed) if reserve else None
@@ -112,6 +126,20 @@
                 return last
             self._meter.note_retry()
 
+    def _find_refusal(
+        self, job: Job, known: Known | CallerError, standing: object
+    ) -> CallerError | None:
+        """Return why no attempt is sent now, if none is."""
+        if self._is_withdrawn(job):
+            return refuse_withdrawn()
+        found = (one for one in (known, standing) if isinstance(one, CallerError))
+        return next(found, None)
+
+    def _is_withdrawn(self, job: Job) -> bool:
+        """Tell whether a job's version was withdrawn since the job was made."""
+        current = self._find_snapshot()
+        return bool(job.version) and not current.is_active(version=job.version)
+
     def _place(self, known: Known) -> Placed:
         return Placed(
             attempt=self._identity.make_attempt(),
@@ -248,8 +276,8 @@
     return new
 
 
-def _find_refusal(known: Known | CallerError, standing: object) -> CallerError | None:
-    for verdict in (known, standing):
-        if isinstance(verdict, CallerError):
-            return verdict
-    return None
+def _has_run(end: Dispatched | CallerError) -> bool:
+    """Tell whether a step has run, or may have."""
+    if isinstance(end, CallerError):
+        return end.run is not Run.NOT_RUN
+    return not isinstance(end.outcome, NeverRan)
--- a/eelgrassrack/entry/outcomes.py
+++ b/eelgrassrack/entry/outcomes.py
@@ -8,12 +8,12 @@
     CallerError,
     refuse_overload,
     refuse_unavailable,
+    refuse_withdrawn,
     report_broken,
     report_unknown,
 )
 from .suspects import refuse_quarantined
 
-GONE = 410
 TIMED_OUT = 504
 
 
@@ -43,8 +43,7 @@
         case Refusal.QUARANTINED:
             return refuse_quarantined()
         case Refusal.WITHDRAWN:
-            text = "The request was not run: its version is withdrawn."
-            return CallerError(status=GONE, code="version_withdrawn", text=text)
+            return refuse_withdrawn()
         case Refusal.FULL | Refusal.DEADLINE:
             return refuse_overload(reason=refusal.value, retry_after=retry_after)
         case Refusal.CANCELLED if not retry_after:
--- a/eelgrassrack/entry/refusals.py
+++ b/eelgrassrack/entry/refusals.py
@@ -82,6 +82,15 @@
     )
 
 
+def refuse_withdrawn() -> CallerError:
+    """Return the refusal of a request whose version was withdrawn."""
+    return CallerError(
+        status=410,
+        code="version_withdrawn",
+        text="The request was not run: its version is withdrawn.",
+    )
+
+
 def report_broken(*, reason: str) -> CallerError:
     """Return the answer to a request that ran but ended without a result."""
     return CallerError(
--- a/eelgrassrack/entry/serving.py
+++ b/eelgrassrack/entry/serving.py
@@ -164,6 +164,7 @@
         )
         return Dispatcher(
             channels=self._channels,
+            find_snapshot=lambda: self.core.snapshot,
             identity=self._identity,
             picker=picker,
             budget=RetryBudget(ratio=Limits().retry_ratio, floor=RETRY_FLOOR),
--- a/test/entry/test_dispatcher.py
+++ b/test/entry/test_dispatcher.py
@@ -3,12 +3,18 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from eelgrassrack.decisions.domains import DomainRamp
 from eelgrassrack.decisions.placement import Placement
 from eelgrassrack.decisions.retries import RetryBudget
-from eelgrassrack.document.sections import Organisation, Pool, Version
+from eelgrassrack.document.sections import (
+    Organisation,
+    Pool,
+    Version,
+    VersionState,
+)
 from eelgrassrack.document.snapshot import Snapshot
 from eelgrassrack.entry.channels import LAST_WORD, Channels
 from eelgrassrack.entry.directory import Directory
@@ -51,6 +57,7 @@
         loop = asyncio.get_running_loop()
         self.words = list(words)
         self.started = []
+        self.snapshot = SNAPSHOT
         self.channels = Channels(invariants=Invariants(strict=True))
         self.directory = Directory(lose=lambda agent, reason: None)
         self.directory.take_listing(
@@ -79,6 +86,7 @@
         )
         self.dispatcher = Dispatcher(
             channels=self.channels,
+            find_snapshot=lambda: self.snapshot,
             identity=Identity(incarnation="e.1"),
             picker=picker,
             budget=RetryBudget(ratio=0.1, floor=10.0),
@@ -110,11 +118,24 @@
     return UnknownAttempt(attempt=attempt)
 
 
-def ask(*words):
-    """Return what the caller is told and how often the step was sent."""
+def withdraw(entry):
+    """Have the entry know that the version is withdrawn."""
+    version = Version(name=VERSION, state=VersionState.WITHDRAWN)
+    entry.snapshot = msgspec.structs.replace(
+        SNAPSHOT, revision=2, versions={VERSION: version}
+    )
+
+
+def ask(*words, is_withdrawn=False):
+    """Return what the caller is told and how often the step was sent.
+
+    With `is_withdrawn` its version is withdrawn as soon as the step was sent.
+    """
 
     async def play():
         entry = Entry(words)
+        if is_withdrawn:
+            asyncio.get_running_loop().call_soon(withdraw, entry)
         job = Job(
             request="r",
             organisation="o",
@@ -155,6 +176,23 @@
     assert sent == 2
 
 
+@pytest.mark.parametrize("refusal", [Refusal.STALE, Refusal.FULL, Refusal.ENGINE_DOWN])
+def test_a_withdrawn_version_is_told_as_such_whatever_an_agent_says(refusal):
+    """An agent is in doubt after a pause, and its entry knows what is in force.
+
+    Told "stale", a caller would come again and again for what is gone for good.
+    """
+    told, sent = ask(*[refuse(refusal)] * 3, is_withdrawn=True)
+    assert (told.status, told.code, told.run) == (410, "version_withdrawn", Run.NOT_RUN)
+    assert sent == 1
+
+
+def test_a_request_that_ran_is_said_so_though_its_version_is_withdrawn():
+    told, sent = ask(end(Finish.ENGINE_CRASHED), is_withdrawn=True)
+    assert told.run is Run.RAN
+    assert sent == 1
+
+
 @pytest.mark.parametrize("finish", [Finish.CANCELLED, Finish.DEADLINE])
 def test_an_answer_cut_by_its_deadline_is_told_as_such(finish):
     """A request's deadline passes while it runs.
--- a/test/promises/test_withdrawn.py
+++ b/test/promises/test_withdrawn.py
@@ -5,6 +5,7 @@
 
 from eelgrassrack.agent.gate import Standing
 from eelgrassrack.agent.pause import PauseWatch
+from eelgrassrack.mailbox.messages import Start
 
 from .guards import breaks
 from .world import NOT_RUN, check
@@ -78,6 +79,19 @@
     world.wait(lambda: not agent._core.slots)
 
 
+@when("the agent wakes, reads requests only, and the engine goes on")
+def wake_in_doubt(world):
+    agent = world.agent("tutor-east")
+    world.links.find(agent.address).holds = lambda message: (
+        not isinstance(message, Start)
+    )
+    world.clocks["tutor-east"].ahead += FROZEN_SECONDS
+    world.standin("tutor-east").never_answer = False
+    world.wait(lambda: world.standin("tutor-east").whole >= 1)
+    world.wait(lambda: all(sent.task.done() for sent in world.sent[1:]))
+
+
+@then("the agent reads its messages")
 @when("the agent reads its messages")
 def read_messages(world):
     world.heal(world.agent("tutor-east").address)
--- a/test/promises/withdrawn.feature
+++ b/test/promises/withdrawn.feature
@@ -30,6 +30,21 @@
     And the engine was given tutor/2 once
     And every answer, refusal and bill is true
 
+  Scenario: An agent stays in doubt after a pause
+    The agent wakes, and the answers to its question are held up on their way,
+    while requests reach it. It doesn't know what is in force and holds each for a
+    second, but the entries know that the version is withdrawn, and tell callers.
+
+    Given two entries and one engine that runs one request at a time
+    When a request for tutor/2 runs and three more wait
+    And the agent freezes
+    And tutor/2 is withdrawn
+    And the agent wakes, reads requests only, and the engine goes on
+    Then the three were refused as withdrawn and not run
+    And the engine was given tutor/2 once
+    And the agent reads its messages
+    And every answer, refusal and bill is true
+
   Scenario: An entry starts in an outage of the object API after a withdrawal
     A version is withdrawn, then the object API goes down and an entry is lost.
     The entry that replaces it learns the document from the other one and
