Log large answers of the store, fetched store views and spent retry budgets

The incident's logs show that two gateways receive far more bytes than the others, and not what these bytes are; nor do they say what a retry budget counted when a stream was broken off for want of it. Large answers are logged with their size, time and end, also those that broke off; so are store views, and the counts behind a refused retry.

--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requestlog.py
@@ -74,6 +74,21 @@
     )
 
 
+def log_spent_budget(job: Job, *, requests: int, repeats: int) -> None:
+    """Log that the retry budget allows a request no further attempt.
+
+    `requests` and `repeats` are this gateway's counts within the budget's window.
+    """
+    log.info(
+        "serving: no retry for {request}: {repeats} retries for {requests} requests of "
+        "{service}",
+        request=job.arrival.id,
+        repeats=repeats,
+        requests=requests,
+        service=job.permit.service.name,
+    )
+
+
 def log_refusal(
     arrival: Arrival, refusal: Refusal, *, configuration: int, seconds: float
 ) -> None:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -28,6 +28,7 @@
     log_end,
     log_late_arrival,
     log_refusal,
+    log_spent_budget,
 )
 from .retries import RetryWindow
 from .settings import GatewaySettings
@@ -268,13 +269,16 @@
         counts = self._find_retry_window(job.permit.service.name).count(
             self._loop.time()
         )
-        return allow_retry(
+        is_allowed = allow_retry(
             requests=counts.requests,
             repeats=counts.repeats,
             ratio=self._settings.retry_ratio,
             slack=self._settings.retry_slack,
             entries=self._placer.gateway_count,
         )
+        if not is_allowed:
+            log_spent_budget(job, requests=counts.requests, repeats=counts.repeats)
+        return is_allowed
 
     def _note_outcome(self, job: Job, endpoint: Endpoint, outcome: Outcome) -> None:
         """Log an attempt and update the job's and the endpoint's state from it."""
--- a/eelgrassrack/gateway/storeviews.py
+++ b/eelgrassrack/gateway/storeviews.py
@@ -188,13 +188,23 @@
             caller = self._callers[url] = HttpCaller(
                 url=url, max_clients=MOST_CONNECTIONS
             )
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         answer = await caller.fetch(
             path=make_path(self._find_revisions()),
             timeout=TIMEOUT_SECONDS,
             stall=STALL_SECONDS,
         )
+        seconds = round(loop.time() - asked_at, 3)
         if not isinstance(answer, Answer) or answer.status != 200:
+            log.info("sharing: no store view of {} after {} s", name, seconds)
             return False
+        log.info(
+            "sharing: store view of {}, {} bytes in {} s",
+            name,
+            len(answer.body),
+            seconds,
+        )
         self._count_bytes(name, len(answer.body))
         try:
             view = msgspec.msgpack.decode(answer.body, type=StoreView)
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: list, watch and write its objects."""
 
+import asyncio
 import urllib.parse
 from collections.abc import Callable
 
@@ -50,6 +51,10 @@
 # Enough for a page of one megabyte over a slow link.
 MAX_PAGE_SECONDS = 8.0
 
+# Answers from this size on are logged: over a slow link they take up to seconds, in
+# which everything else that the gateway sends or receives is late.
+LARGE_BYTES = 65_536
+
 JSON = {"Content-Type": "application/json"}
 
 
@@ -122,12 +127,10 @@
             query = {"after": after} if after else {}
             if allow_stale:
                 query[STALE_QUERY] = "1"
-            outcome = await self._http.fetch(
-                path=_make_path(kind, query=query),
-                timeout=MAX_PAGE_SECONDS,
-                stall=timeout,
+            outcome = await self._read(
+                kind, query=query, timeout=MAX_PAGE_SECONDS, stall=timeout
             )
-            page = _read(outcome, WirePage)
+            page = _decode_answer(outcome, WirePage)
             if not isinstance(page, WirePage):
                 return (
                     page
@@ -155,10 +158,8 @@
             WATCH_QUERY: str(revision),
             WAIT_QUERY: str(int(wait * MILLISECONDS)),
         }
-        outcome = await self._http.fetch(
-            path=_make_path(kind, query=query), timeout=timeout
-        )
-        changes = _read(outcome, WireWatch)
+        outcome = await self._read(kind, query=query, timeout=timeout)
+        changes = _decode_answer(outcome, WireWatch)
         if not isinstance(changes, WireWatch):
             return changes
         return WatchResult(
@@ -204,6 +205,32 @@
         outcome = await self._send("PUT", path, body, timeout)
         return isinstance(outcome, Answer) and outcome.status < 300
 
+    async def _read(
+        self,
+        kind: str,
+        *,
+        query: dict[str, str],
+        timeout: float,
+        stall: float | None = None,
+    ) -> Answer | NoAnswer:
+        """Send a read of a kind and log a large answer, also one that broke off."""
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        outcome = await self._http.fetch(
+            path=_make_path(kind, query=query), timeout=timeout, stall=stall
+        )
+        size = _count_bytes(outcome)
+        if size >= LARGE_BYTES:
+            log.info(
+                "store: {what} of {kind} brought {size} bytes in {seconds} s: {end}",
+                what="a watch" if WATCH_QUERY in query else "a list",
+                kind=kind,
+                size=size,
+                seconds=round(loop.time() - asked_at, 3),
+                end="whole" if isinstance(outcome, Answer) else outcome.reason,
+            )
+        return outcome
+
     async def _send(
         self, method: str, path: str, body: object, timeout: float
     ) -> Answer | NoAnswer:
@@ -217,6 +244,14 @@
         )
 
 
+def _count_bytes(outcome: Answer | NoAnswer) -> int:
+    match outcome:
+        case Answer(body=body):
+            return len(body)
+        case NoAnswer(received=received):
+            return received
+
+
 def _find_address(conflict: Answer) -> tuple[str, int] | None:
     """Return the address in the existing object that a conflict response carries."""
     try:
@@ -251,7 +286,7 @@
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
 
-def _read(outcome: Answer | NoAnswer, kind: type) -> object:
+def _decode_answer(outcome: Answer | NoAnswer, kind: type) -> object:
     match outcome:
         case NoAnswer(reason=reason):
             return StoreUnavailable(reason=reason)
--- a/eelgrassrack/store/http.py
+++ b/eelgrassrack/store/http.py
@@ -31,10 +31,14 @@
 
 
 class NoAnswer(msgspec.Struct, kw_only=True, frozen=True):
-    """No complete response arrived; `sent` is true if the request may have arrived."""
+    """No complete response arrived; `sent` is true if the request may have arrived.
+
+    `received` is the number of bytes of the response body that did arrive.
+    """
 
     reason: str
     sent: bool
+    received: int = 0
 
 
 class Pieces:
@@ -50,6 +54,11 @@
         """Return how many pieces have been received."""
         return len(self._pieces)
 
+    @property
+    def size(self) -> int:
+        """Return how many bytes have been received."""
+        return sum(map(len, self._pieces))
+
     def add(self, piece: bytes) -> None:
         """Append a piece."""
         self._pieces.append(piece)
@@ -115,7 +124,7 @@
         if fetching.done():
             return read_outcome(fetching, received.join())
         reason = "closed" if self._closing.done() else "silent"
-        return NoAnswer(reason=reason, sent=True)
+        return NoAnswer(reason=reason, sent=True, received=received.size)
 
     async def _wait(
         self, fetching: asyncio.Future, received: "Pieces", stall: float | None
