Add failing tests of streams that are abandoned without need

On this commit all four fail: a stream whose endpoint opens no new connection is cut although no retry is allowed, or none is possible, and a gateway whose own link is slow abandons all its streams.

--- /dev/null
+++ b/test/gateway/test_abandoning.py
@@ -0,0 +1,130 @@
+"""Attempts that a gateway abandons because their endpoint seems unreachable."""
+
+import asyncio
+
+from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.errors import ConnectError
+from eelgrassrack.standins.directengine import Events
+
+from .world import make_world, run, wait_for
+
+EVENTS = 6
+# Longer than a probe and its repetition take, shorter than a stream may pause.
+PAUSE_SECONDS = 1.1
+
+PAUSING = Events(count=EVENTS, gap=0.02, pauses_after=2, pause=PAUSE_SECONDS)
+
+
+async def time_out(*, address, timeout):
+    """Fail to connect as over a path on which no packet comes back."""
+    await asyncio.sleep(timeout)
+    raise ConnectError(f"{address}: no answer")
+
+
+def list_events(answer):
+    lines = answer.body.decode().split("\n")
+    return [line for line in lines if line.startswith("id")]
+
+
+ALL_EVENTS = [f"id: {number}" for number in range(1, EVENTS + 1)]
+
+
+def test_a_stream_isnt_abandoned_if_the_budget_allows_no_retry():
+    """Guards against a stream that is cut for a retry that can't be made.
+
+    An endpoint pauses in a stream and accepts no new connections.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            pausing = await world.add_engine("e1", PAUSING, slots=100, **rest)
+            await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            await world.start_gateway(retry_ratio=0.0, retry_slack=0.0)
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: pausing.runs)
+            pausing.refuse()
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+            assert not pausing.cancelled
+
+    run(main())
+
+
+def test_streams_abandoned_together_share_the_budget():
+    """Guards against several streams being cut for one allowed retry.
+
+    Three streams run at an endpoint that pauses and accepts no new connections.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            pausing = await world.add_engine("e1", PAUSING, slots=100, **rest)
+            other = await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            gateway = await world.start_gateway(retry_ratio=0.0, retry_slack=2.0)
+            await world.wait_ready()
+            await wait_for(lambda: gateway._placer.gateway_count is not None)
+            calling = [
+                asyncio.ensure_future(world.call("/chat/1", attempt=f"a{number}"))
+                for number in range(3)
+            ]
+            await wait_for(lambda: len(pausing.runs) == 3)
+            pausing.refuse()
+            answers = await asyncio.gather(*calling)
+            assert [list_events(answer) for answer in answers] == [ALL_EVENTS] * 3
+            assert all(answer.is_whole for answer in answers)
+            assert len(other.runs) == 1
+
+    run(main())
+
+
+def test_a_stream_isnt_abandoned_if_no_other_endpoint_is_left():
+    """Guards against a stream that is cut though nothing can take it over.
+
+    Its only endpoint pauses and accepts no new connections.
+    """
+
+    async def main():
+        async with make_world() as world:
+            pausing = await world.add_engine("e1", PAUSING, service="models")
+            await world.add_engine("e2")
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: pausing.runs)
+            pausing.refuse()
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+
+    run(main())
+
+
+def test_a_slow_link_of_the_gateway_isnt_taken_for_unreachable_endpoints(monkeypatch):
+    """Guards against a gateway that blames its endpoints for its own link.
+
+    A large transfer fills the gateway's link, so that no new connection opens in
+    time, whichever endpoint it is to, and the streams pause.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            pausing = await world.add_engine("e1", PAUSING, slots=100, **rest)
+            other = await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: pausing.runs)
+            monkeypatch.setattr(pool, "open_connection", time_out)
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+            assert not pausing.cancelled
+            assert not other.runs
+            assert not gateway._placer.health.report_suspected()
+
+    run(main())
