Send all three streams of a test to the endpoint that pauses

The second endpoint was listed from the start and got one of the streams, so the test failed before it reached what it is about. It is listed now once all three run at the first; the assertions are the same. On the code before the fix it fails with two of three streams cut after their second event.

--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -63,7 +63,6 @@
         async with make_world() as world:
             rest = {"service": "models"}
             pausing = await world.add_engine("e1", PAUSING, slots=100, **rest)
-            other = await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
             gateway = await world.start_gateway(retry_ratio=0.0, retry_slack=2.0)
             await world.wait_ready()
             await wait_for(lambda: gateway._placer.gateway_count is not None)
@@ -72,6 +71,7 @@
                 for number in range(3)
             ]
             await wait_for(lambda: len(pausing.runs) == 3)
+            other = await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
             pausing.refuse()
             answers = await asyncio.gather(*calling)
             assert [list_events(answer) for answer in answers] == [ALL_EVENTS] * 3
