Abandon an attempt only once its retry is reserved

Cause: a gateway that took an endpoint for out of reach, or for silent, stopped the run there first and asked for a retry afterwards. The retry budget was spent, so what was still coming was thrown away for nothing. The promise that an accepted stream is answered whole rested on an estimate of the endpoint's silence.

Change: the retry is reserved before the run is stopped. It needs a route that may be repeated, an attempt left, time, another endpoint and the budget; without all of them the request stays where it is. A reservation lasts until an attempt is sent, so a connection that fails doesn't use it up, and several streams that leave one endpoint can't share one retry.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -7,7 +7,7 @@
 from ..decisions.timeouts import find_first_timeout, find_gap_timeout
 from .connection import Connection
 from .endpoints import Endpoint
-from .errors import BrokenError, ConnectError
+from .errors import BrokenError, ConnectError, SilentError
 from .events import EventSplitter, skip_delivered
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Data, End, ResponseHead
@@ -15,6 +15,7 @@
 from .placing import Placer
 from .pool import ConnectionPool
 from .reply import Reply
+from .silence import SilenceTimer
 from .translation import Translation
 
 SUCCESS_STATUSES = range(200, 300)
@@ -24,15 +25,18 @@
 class AttemptRunner:
     """Run attempts of requests.
 
-    `may_retry` returns whether the retry budget allows a job another attempt.
+    `reserve_retry` reserves a retry for a job and returns whether it has one.
+    `may_abandon` returns whether a job may leave its endpoint for another, and then
+    reserves the retry for it too.
     """
 
     __slots__ = (
         "_loop",
-        "_may_retry",
+        "_may_abandon",
         "_metrics",
         "_placer",
         "_pool",
+        "_reserve_retry",
         "_translation",
     )
 
@@ -43,13 +47,15 @@
         pool: ConnectionPool,
         translation: Translation,
         metrics: GatewayMetrics,
-        may_retry: Callable[[Job], bool],
+        reserve_retry: Callable[[Job], bool],
+        may_abandon: Callable[[Job], bool],
     ) -> None:
         self._metrics = metrics
         self._placer = placer
         self._pool = pool
         self._translation = translation
-        self._may_retry = may_retry
+        self._reserve_retry = reserve_retry
+        self._may_abandon = may_abandon
         self._loop = asyncio.get_running_loop()
 
     async def run(self, job: Job, endpoint: Endpoint, reply: Reply) -> Outcome:
@@ -120,9 +126,7 @@
         arrival = job.arrival
         self._placer.note_sent(job, endpoint)
         connection.is_kept = False
-        # The last attempt isn't aborted when its endpoint seems out of reach: no
-        # other endpoint could take the request over.
-        connection.is_repeatable = job.is_repeatable and bool(job.attempts_left)
+        connection.may_abandon = lambda: self._may_abandon(job)
         headers = self._translation.encode_request(
             arrival=arrival,
             endpoint=endpoint.name,
@@ -138,23 +142,24 @@
             headers=headers,
             body=arrival.body,
         )
+        job.holds_retry = False
 
     async def _receive(
         self, job: Job, endpoint: Endpoint, connection: Connection, reply: Reply
     ) -> Outcome:
-        """Relay the response; give up if the endpoint stays silent for too long."""
-        first_timeout = None
-        if job.is_repeatable and job.attempts_left:
-            first_timeout = find_first_timeout(
+        """Relay the response; abandon an endpoint that stays silent for too long."""
+        silence = SilenceTimer(connection=connection)
+        silence.start(
+            find_first_timeout(
                 expected=job.expected_seconds, has_prompt=bool(job.arrival.tokens_in)
             )
+        )
         try:
-            async with asyncio.timeout(first_timeout) as timeout:
-                return await self._relay(job, endpoint, connection, reply, timeout)
-        except TimeoutError:
-            if not timeout.expired():
-                raise
-            return Lost(reason="silent for too long")
+            return await self._relay(job, endpoint, connection, reply, silence)
+        except SilentError as error:
+            return Lost(reason=str(error))
+        finally:
+            silence.stop()
 
     async def _relay(
         self,
@@ -162,7 +167,7 @@
         endpoint: Endpoint,
         connection: Connection,
         reply: Reply,
-        timeout: asyncio.Timeout,
+        silence: SilenceTimer,
     ) -> Outcome:
         head = await self._read_head(connection)
         if head.attempt and head.attempt != job.arrival.id:
@@ -182,7 +187,7 @@
             return escalation
         if head.status in SUCCESS_STATUSES and head.is_event_stream:
             return await self._relay_events(
-                job, endpoint, connection, head, reply, timeout
+                job, endpoint, connection, head, reply, silence
             )
         body = await self._read_body(connection)
         self._return_connection(endpoint, connection, head)
@@ -228,7 +233,7 @@
             remaining=job.deadline - self._loop.time(),
             estimate=lambda name: self._placer.estimate(job, name),
         )
-        if model is None or not self._may_retry(job):
+        if model is None or not self._reserve_retry(job):
             return None
         return Unsure(model=model, confidence=head.confidence)
 
@@ -261,15 +266,16 @@
         connection: Connection,
         head: ResponseHead,
         reply: Reply,
-        timeout: asyncio.Timeout,
+        silence: SilenceTimer,
     ) -> Outcome:
         gap_timeout = find_gap_timeout(wanted=job.permit.route.gap)
         splitter = EventSplitter(last_id=job.resume_after)
         is_resumed = reply.is_started
         while True:
-            if timeout.when() is not None:
-                timeout.reschedule(self._loop.time() + gap_timeout)
+            silence.start(gap_timeout)
             piece = await connection.read()
+            # While the caller reads slowly, the endpoint isn't the one that is late.
+            silence.stop()
             match piece:
                 case End():
                     break
--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 
 import h11
 from tornado.iostream import IOStream, StreamClosedError
@@ -37,19 +38,19 @@
     `active_at` is the loop time at which bytes last arrived or a request was sent.
     `idle_until` is the loop time until which the pool may reuse the idle connection.
     `sent` and `received` count the bytes of the current request.  `is_kept` says
-    that the connection is back in the pool, `is_repeatable` that the current request
-    may also run at another endpoint.
+    that the connection is back in the pool.  `may_abandon` returns whether the
+    current request may be abandoned for another endpoint.
     """
 
     __slots__ = (
-        "_is_unreachable",
+        "_abandoned_for",
         "_machine",
         "_stream",
         "_write_future",
         "active_at",
         "idle_until",
         "is_kept",
-        "is_repeatable",
+        "may_abandon",
         "received",
         "sent",
     )
@@ -62,11 +63,11 @@
         self._write_future: asyncio.Future | None = None
         self.idle_until = 0.0
         self.is_kept = False
-        self.is_repeatable = False
+        self.may_abandon: Callable[[], bool] = refuse_to_abandon
         self.active_at = 0.0
         self.sent = 0
         self.received = 0
-        self._is_unreachable = False
+        self._abandoned_for: BrokenError | None = None
 
     @property
     def is_closed(self) -> bool:
@@ -180,21 +181,21 @@
         # A late answer would be mistaken for that of the next request.
         return self._stream._read_buffer_size > 0
 
-    def give_up(self) -> None:
-        """Abort because the endpoint is unreachable.
+    def abandon(self, reason: BrokenError) -> None:
+        """Abort because the endpoint seems to have failed.
 
-        Readers get a `BrokenError`.  If this looked like the endpoint's own close,
-        an answer without a length would seem complete.
+        Readers get `reason`.  If this looked like the endpoint's own close, an
+        answer without a length would seem complete.
         """
-        self._is_unreachable = True
+        self._abandoned_for = reason
         self.abort()
 
     async def _receive(self) -> None:
         try:
             data = await self._stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as error:
-            if self._is_unreachable:
-                raise BrokenError("the endpoint is out of reach") from error
+            if self._abandoned_for is not None:
+                raise self._abandoned_for from error
             if self._stream.error is not None:
                 raise BrokenError(f"reset: {self._stream.error}") from error
             data = b""
@@ -243,5 +244,10 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
+def refuse_to_abandon() -> bool:
+    """Return that a request may not be abandoned."""
+    return False
+
+
 def _ignore() -> None:
     """Do nothing; tornado reads from the socket only if a close callback is set."""
--- a/eelgrassrack/gateway/errors.py
+++ b/eelgrassrack/gateway/errors.py
@@ -17,3 +17,7 @@
 
 class CallerGoneError(GatewayError):
     """The caller closed its connection."""
+
+
+class SilentError(BrokenError):
+    """An endpoint sent nothing for too long and was abandoned."""
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -88,7 +88,8 @@
     `last_event_at` the time at which the last event was forwarded.  `tried` are the
     endpoints of all attempts, `excluded` those that aren't chosen again.
     `endpoint_was_idle` is set if the endpoint had no backlog at the time of
-    placement.  Times are the event loop's.
+    placement.  `holds_retry` is set while a retry is reserved that the retry budget
+    has granted and no attempt has used.  Times are the event loop's.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         "failure",
         "fingerprint",
         "first_at",
+        "holds_retry",
         "longest_gap",
         "model",
         "last_event_at",
@@ -139,6 +141,7 @@
         self.reading_seconds = 0.0
         self.urgency = LEAST_URGENT
         self.endpoint_was_idle = False
+        self.holds_retry = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -142,6 +142,10 @@
                 return self._choose(job, free)
             await asyncio.sleep(COLD_POLL_SECONDS)
 
+    def has_alternative(self, job: "Job") -> bool:
+        """Return whether a request that leaves its endpoint has another to go to."""
+        return bool(self._select_trusted(job, self._loop.time()))
+
     def may_send(self, job: "Job", endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to its chosen endpoint.
 
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -11,9 +11,9 @@
 import logbook
 
 from ..decisions.idle import choose_idle_seconds
-from .connection import Connection, open_connection
+from .connection import Connection, open_connection, refuse_to_abandon
 from .endpoints import Endpoint
-from .errors import ConnectError
+from .errors import BrokenError, ConnectError
 from .messages import ResponseHead
 
 log = logbook.Logger("pool")
@@ -66,6 +66,7 @@
         """Mark a connection as unused, and abort it unless it was returned."""
         busy = self._in_use.get(endpoint, set())
         busy.discard(connection)
+        connection.may_abandon = refuse_to_abandon
         if not busy:
             self._in_use.pop(endpoint, None)
         if not connection.is_kept:
@@ -131,8 +132,8 @@
             note_unreachable(endpoint)
             self.forget(lifetime=endpoint.lifetime)
             for busy in self._in_use.get(endpoint, ()):
-                if busy.is_repeatable:
-                    busy.give_up()
+                if busy.may_abandon():
+                    busy.abandon(BrokenError("the endpoint is out of reach"))
             return
         now = asyncio.get_running_loop().time()
         self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -96,7 +96,8 @@
             pool=pool,
             translation=translation,
             metrics=metrics,
-            may_retry=self._has_retry_budget,
+            reserve_retry=self._reserve_retry,
+            may_abandon=self._may_abandon,
         )
         self._metrics = metrics
         self._settings = settings
@@ -222,23 +223,29 @@
             if isinstance(outcome, Unsure):
                 job.model = outcome.model
                 job.excluded.discard(placed.name)
-            refusal = self._find_final_refusal(job, outcome)
+            refusal = self._prepare_retry(job, outcome, reply)
             if refusal is not None:
                 await self._conclude(job, reply, refusal)
                 return
-            # A caller that has received part of its stream was authorised when it
-            # arrived.  Checking its key again would break the stream off if the key
-            # has been revoked since, though only the endpoint is at fault.
-            if not reply.is_started:
-                permit = self.router.permit(job.arrival)
-                if isinstance(permit, Refusal):
-                    await self._conclude(job, reply, permit)
-                    return
-                self._apply_permit(job, permit)
-            if job.attempts:
-                self._find_retry_window(job.permit.service.name).note_repeat(
-                    self._loop.time()
-                )
+
+    def _prepare_retry(
+        self, job: Job, outcome: Outcome, reply: Reply
+    ) -> Refusal | None:
+        """Prepare a request's next attempt; return a refusal if there is none."""
+        refusal = self._find_final_refusal(job, outcome)
+        if refusal is not None:
+            return refusal
+        # A caller that has received part of its stream was authorised when it
+        # arrived.  Checking its key again would break the stream off if the key
+        # has been revoked since, though only the endpoint is at fault.
+        if not reply.is_started:
+            permit = self.router.permit(job.arrival)
+            if isinstance(permit, Refusal):
+                return permit
+            self._apply_permit(job, permit)
+        if job.attempts and not self._reserve_retry(job):
+            return _make_unserved_refusal("retry budget spent")
+        return None
 
     def _apply_permit(self, job: Job, permit: Permit) -> None:
         """Retry under the current configuration, which may name another service.
@@ -246,6 +253,9 @@
         This applies only before the caller has received any of its response; a
         stream continues on the service where it began.
         """
+        if permit.service.name != job.permit.service.name:
+            # The reserved retry is of the other service's budget.
+            job.holds_retry = False
         job.permit = permit
         if job.has_choice and job.model not in permit.route.models:
             job.model = self._choose_model(job)
@@ -261,10 +271,31 @@
         now = self._loop.time()
         if job.deadline - now < MIN_REMAINING_SECONDS:
             return _make_unserved_refusal("no time left")
-        if job.attempts and not self._has_retry_budget(job):
-            return _make_unserved_refusal("retry budget spent")
         return None
 
+    def _may_abandon(self, job: Job) -> bool:
+        """Return whether a request may leave an endpoint that seems to have failed.
+
+        Only its retry elsewhere makes up for the run that ends: it is reserved here,
+        and without one the request stays, as the endpoint may only be slow.
+        """
+        if not job.is_repeatable or not job.attempts_left:
+            return False
+        if job.deadline - self._loop.time() < MIN_REMAINING_SECONDS:
+            return False
+        return self._placer.has_alternative(job) and self._reserve_retry(job)
+
+    def _reserve_retry(self, job: Job) -> bool:
+        """Reserve a retry from the budget until an attempt uses it.
+
+        Return whether the request has one.
+        """
+        if not job.holds_retry and self._has_retry_budget(job):
+            window = self._find_retry_window(job.permit.service.name)
+            window.note_repeat(self._loop.time())
+            job.holds_retry = True
+        return job.holds_retry
+
     def _has_retry_budget(self, job: Job) -> bool:
         counts = self._find_retry_window(job.permit.service.name).count(
             self._loop.time()
