Blame an endpoint for silence only if another one answers meanwhile

What callers saw: two gateways with links of 5 Mbit/s took 18 and 24 times an endpoint for out of reach while a large configuration arrived, and dropped the streams that it was sending (LOST); the 19 others reached all of them.

Cause: a probe has 0.15 s to connect, twice. With a full link every packet is later than that, whomever it comes from. The class: an observer that is late itself takes this for the failure of what it observes.

Change: a connection that doesn't open in time counts against an endpoint only if a witness accepts one in half of that time: the endpoints heard from last, of two failure domains if possible. A refused connection needs no witness.

The same cause elsewhere, mended with it: timeouts also counted as crashes, so that a request whose answers were lost three times on a full link was refused with 502 as a query of death (test_a_slow_link_of_the_gateway_makes_no_query_ of_death failed before), and peers were warned of sound endpoints.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -84,7 +84,10 @@
             # Otherwise three crashed endpoints would use up a request's attempts
             # while other endpoints are idle.
             job.attempts -= 1
-            return NotRun(reason=str(error), is_down=True)
+            if error.is_refused:
+                return NotRun(reason=str(error), is_down=True)
+            self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
+            return NotRun(reason=str(error), is_unreachable=True)
         except BrokenError as error:
             self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
             return Lost(reason=str(error))
--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/connection.py
@@ -212,13 +212,20 @@
             await stream.connect(address)
     except (StreamClosedError, OSError, TimeoutError) as error:
         stream.close()
-        raise ConnectError(f"{address[0]}:{address[1]}: {error}") from error
+        raise ConnectError(
+            f"{address[0]}:{address[1]}: {error}", is_refused=_is_refused(error)
+        ) from error
     except BaseException:
         stream.close()
         raise
     return Connection(stream=stream)
 
 
+def _is_refused(error: Exception) -> bool:
+    cause = error.real_error if isinstance(error, StreamClosedError) else error
+    return isinstance(cause, ConnectionRefusedError)
+
+
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     enable_keepalive(sock)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -8,12 +8,14 @@
 import logbook
 from tornado.httpserver import HTTPServer
 
+from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
 from ..listening import stop_listening
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
 from .configuration import Router
 from .earlystop import STOP_SIGNALS, EarlyStop
+from .endpoints import Endpoint
 from .fleet import Fleet
 from .follower import Store, StoreContact
 from .ingress import Ingress
@@ -115,7 +117,7 @@
         self._contact = StoreContact()
         self._supervisor = Supervisor(name="gateway")
         self.router = Router()
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(find_witnesses=self._find_witnesses)
         self._make_placer()
         self._make_store_sync()
         self._make_servers(translation)
@@ -383,6 +385,24 @@
             return (200, self._metrics.render())
         return (200, encode_view(self._store_sync.describe(known)))
 
+    def _find_witnesses(self, suspect: Endpoint) -> tuple[Endpoint, ...]:
+        """Return the endpoints to compare a suspected one with."""
+        now = asyncio.get_running_loop().time()
+        names = choose_witnesses(
+            (
+                Candidate(
+                    name=state.endpoint.name,
+                    domain=state.endpoint.domain,
+                    heard_at=self._pool.find_heard_at(state.endpoint),
+                    is_suspected=state.is_suspected(now),
+                )
+                for state in self.fleet
+                if state.missing_since is None
+            ),
+            suspect=suspect.name,
+        )
+        return tuple(self.fleet.find(name).endpoint for name in names)
+
     def _find_url(self, name: str) -> str | None:
         address = self._update_exchange.find_address(name)
         return f"http://{address}:{self._settings.metrics_port}" if address else None
--- a/eelgrassrack/gateway/errors.py
+++ b/eelgrassrack/gateway/errors.py
@@ -8,7 +8,15 @@
 
 
 class ConnectError(GatewayError):
-    """No connection to an endpoint could be opened, so nothing was sent to it."""
+    """No connection to an endpoint could be opened, so nothing was sent to it.
+
+    `is_refused` is set if the endpoint's instance answered that nothing listens
+    there.  Otherwise nothing was heard in time, which may be the path's fault.
+    """
+
+    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
 
 
 class BrokenError(GatewayError):
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -28,11 +28,13 @@
 class NotRun(msgspec.Struct, kw_only=True, frozen=True):
     """The attempt certainly did not run and never will.
 
-    `is_down` is set if no connection to the endpoint could be opened.
+    `is_down` is set if the endpoint refused the connection, `is_unreachable` if no
+    connection could be opened in time.
     """
 
     reason: str
     is_down: bool = False
+    is_unreachable: bool = False
 
 
 class Lost(msgspec.Struct, kw_only=True, frozen=True):
--- a/eelgrassrack/gateway/passivehealth.py
+++ b/eelgrassrack/gateway/passivehealth.py
@@ -17,7 +17,7 @@
 from .rollouts import Rollouts
 
 if TYPE_CHECKING:
-    from .job import Job
+    from .job import Job, NotRun
 
 # How long an endpoint is avoided after a single failure, and if it fails often.  The
 # latter is about as long as it takes to find out whether it has recovered.
@@ -59,20 +59,20 @@
         if failed:
             self._avoid(state)
 
-    def note_not_run(self, job: "Job", endpoint: Endpoint, *, is_down: bool) -> None:
-        """Learn from an attempt that certainly didn't run.
-
-        `is_down` says that no connection could be opened.
-        """
-        if is_down:
+    def note_not_run(self, endpoint: Endpoint, outcome: "NotRun") -> None:
+        """Learn from an attempt that certainly didn't run."""
+        if outcome.is_down:
             self.note_down(endpoint)
             return
         state = self._fleet.find_state(endpoint)
-        if state is not None:
-            self._avoid(state)
+        if state is None:
+            return
+        if outcome.is_unreachable:
+            state.note_end(failed=True)
+        self._avoid(state)
 
     def note_down(self, endpoint: Endpoint) -> None:
-        """Note that an endpoint accepts no connections."""
+        """Note that an endpoint accepts no connections, other endpoints do."""
         now = self._loop.time()
         self._detector.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
         state = self._fleet.find_state(endpoint)
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import math
+from collections.abc import Callable, Coroutine, Iterable
 
 import logbook
 
@@ -29,6 +30,10 @@
 # How long a probe may take to connect.
 PROBE_TIMEOUT_SECONDS = 0.15
 
+# How long a witness may take to connect.  If it takes nearly as long as a probe may,
+# the probe failed by chance.
+WITNESS_TIMEOUT_SECONDS = 0.075
+
 # Time between probes of the same endpoint.
 PROBE_INTERVAL_SECONDS = 1.0
 
@@ -41,11 +46,26 @@
 
 
 class ConnectionPool:
-    """Connections to endpoints, kept separately for each lifetime of an endpoint."""
+    """Connections to endpoints, kept separately for each lifetime of an endpoint.
 
-    __slots__ = ("_in_use", "_being_checked", "_idle", "_probe_tasks")
+    `find_witnesses` returns the endpoints that are asked for comparison if one seems
+    unreachable.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "_being_checked",
+        "_find_witnesses",
+        "_heard_at",
+        "_idle",
+        "_in_use",
+        "_probe_tasks",
+    )
+
+    def __init__(
+        self, *, find_witnesses: Callable[[Endpoint], Iterable[Endpoint]]
+    ) -> None:
+        self._find_witnesses = find_witnesses
+        self._heard_at: dict[tuple[str, int], float] = {}
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._in_use: dict[Endpoint, set[Connection]] = {}
         self._being_checked: set[Endpoint] = set()
@@ -67,6 +87,8 @@
         busy = self._in_use.get(endpoint, set())
         busy.discard(connection)
         connection.may_abandon = refuse_to_abandon
+        if connection.received:
+            self._heard_at[endpoint.lifetime] = connection.active_at
         if not busy:
             self._in_use.pop(endpoint, None)
         if not connection.is_kept:
@@ -116,8 +138,9 @@
         try:
             connection = await _connect_twice(endpoint.address)
         except ConnectError as error:
-            log.info("pool: {} is down: {}", endpoint.name, error)
-            note_down(endpoint)
+            if await self._is_confirmed(endpoint, error):
+                log.info("pool: {} is down: {}", endpoint.name, error)
+                note_down(endpoint)
             return
         now = asyncio.get_running_loop().time()
         self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
@@ -128,6 +151,8 @@
         try:
             connection = await _connect_twice(endpoint.address)
         except ConnectError as error:
+            if not await self._is_confirmed(endpoint, error):
+                return
             log.info("pool: {} is out of reach: {}", endpoint.name, error)
             note_unreachable(endpoint)
             self.forget(lifetime=endpoint.lifetime)
@@ -138,6 +163,50 @@
         now = asyncio.get_running_loop().time()
         self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
 
+    async def _is_confirmed(self, endpoint: Endpoint, error: ConnectError) -> bool:
+        """Return whether an endpoint is at fault that couldn't be connected to.
+
+        Without an answer from it, a witness has to answer in time.
+        """
+        if error.is_refused:
+            return True
+        witnesses = tuple(self._find_witnesses(endpoint))
+        found = await asyncio.gather(*map(self._ask_witness, witnesses))
+        if any(found):
+            return True
+        names = ", ".join(witness.name for witness in witnesses)
+        log.info(
+            "pool: {} doesn't answer, nor does any witness: {}",
+            endpoint.name,
+            names or "there is none",
+        )
+        return False
+
+    async def _ask_witness(self, witness: Endpoint) -> bool:
+        """Return whether an endpoint accepts a connection, or refuses it, in time."""
+        try:
+            connection = await open_connection(
+                address=witness.address, timeout=WITNESS_TIMEOUT_SECONDS
+            )
+        except ConnectError as error:
+            return error.is_refused
+        now = asyncio.get_running_loop().time()
+        self._keep(witness, connection, until=now + PROBED_IDLE_SECONDS)
+        return True
+
+    def find_heard_at(self, endpoint: Endpoint) -> float:
+        """Return the loop time at which an endpoint last sent part of an answer.
+
+        It is minus infinity if it never did.
+        """
+        answering = (
+            connection.active_at
+            for connection in self._in_use.get(endpoint, ())
+            if connection.received
+        )
+        known = self._heard_at.get(endpoint.lifetime, -math.inf)
+        return max(answering, default=known)
+
     def _take_kept(self, endpoint: Endpoint, now: float) -> Connection | None:
         kept = self._idle.get(endpoint.lifetime, [])
         while kept:
@@ -188,6 +257,7 @@
         """Close the idle connections of an endpoint that is gone."""
         for connection in self._idle.pop(lifetime, ()):
             connection.close()
+        self._heard_at.pop(lifetime, None)
 
 
 def _is_usable(connection: Connection, now: float) -> bool:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -322,8 +322,8 @@
             case Unsure():
                 job.note_status(ExecutionStatus.RAN)
                 self._note_answer(job, endpoint, failed=False)
-            case NotRun(is_down=is_down):
-                self._placer.health.note_not_run(job, endpoint, is_down=is_down)
+            case NotRun():
+                self._placer.health.note_not_run(endpoint, outcome)
             case Lost():
                 job.note_status(ExecutionStatus.UNKNOWN)
                 self._placer.health.note_lost_answer(job, endpoint)
--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
-from eelgrassrack.standins.directengine import Events
+from eelgrassrack.standins.directengine import Break, Events
 
 from .world import make_world, run, wait_for
 
@@ -128,3 +129,62 @@
             assert not gateway._placer.health.report_suspected()
 
     run(main())
+
+
+def test_an_endpoint_that_alone_is_silent_is_abandoned(monkeypatch):
+    """Guards against streams that stay at an endpoint which lost power.
+
+    Connections to it stay unanswered, while another endpoint accepts them.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            dark = await world.add_engine("e1", PAUSING, slots=100, **rest)
+            other = await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+
+            async def lose(*, address, timeout):
+                if dark.address.endswith(f":{address[1]}"):
+                    return await time_out(address=address, timeout=timeout)
+                return await open_connection(address=address, timeout=timeout)
+
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: dark.runs)
+            monkeypatch.setattr(pool, "open_connection", lose)
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+            assert other.runs
+
+    run(main())
+
+
+def test_a_slow_link_of_the_gateway_makes_no_query_of_death(monkeypatch):
+    """Guards against requests that are refused for what the gateway's link did.
+
+    Three endpoints lose a request's answer, and no connection opens in time.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(3):
+                await world.add_engine(f"e{number}", Break(), Events(count=EVENTS))
+            await world.start_gateway()
+            await world.wait_ready()
+            opened = []
+
+            async def open_first(*, address, timeout):
+                if address in opened:
+                    return await time_out(address=address, timeout=timeout)
+                opened.append(address)
+                return await open_connection(address=address, timeout=timeout)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(pool, "open_connection", open_first)
+                assert (await world.call()).status == 502
+                await asyncio.sleep(1.0)
+            assert (await world.call(attempt="a2")).status == 200
+
+    run(main())
