--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from eelgrassrack.gateway.follower import StoreContact
-from eelgrassrack.platform.store import Kinds
+from eelgrassrack.gateway.follower import Follower, StoreContact
+from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import Fault
 
 from .world import KEY, make_world, run, wait_for
@@ -313,3 +313,63 @@
             await wait_for(lambda: 0 < world.store.waits.get(Kinds.ENDPOINTS, 9) < 0.8)
 
     run(main())
+
+
+WAIT_SECONDS = 0.3
+EVENT_PIECES = 20
+EVENT_BODY = b'{"storeRevision": 2, "events": []}'.ljust(EVENT_PIECES * 4_096)
+
+
+class ThinStore:
+    """Answers a list at once and a watch over a link that takes two seconds."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def serve(self, reader, writer):
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            is_watch = b"watch=" in head
+            self.calls.append("watch" if is_watch else "list")
+            body = EVENT_BODY if is_watch else b'{"storeRevision": 1, "items": []}'
+            writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}".encode())
+            writer.write(b"\r\n\r\n")
+            step = len(body) // EVENT_PIECES if is_watch else len(body)
+            for begin in range(0, len(body), step):
+                writer.write(body[begin : begin + step])
+                await asyncio.sleep(2.0 / EVENT_PIECES if is_watch else 0.0)
+
+
+def test_a_watch_whose_answer_is_arriving_isnt_overdue():
+    """Guards against large answers that are asked for again and again.
+
+    A change arrives over a link on which its bytes take longer than a watch may.
+    """
+
+    async def main():
+        thin = ThinStore()
+        server = await asyncio.start_server(thin.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        store = PlatformStore(url=f"http://{host}:{port}")
+        follower = Follower(
+            store=store,
+            kind=Kinds.EVACUATIONS,
+            contact=StoreContact(),
+            replace_all=lambda objects: None,
+            apply_changes=lambda objects: None,
+            find_wait=lambda: WAIT_SECONDS,
+            is_active=lambda: True,
+            is_standby=lambda: False,
+        )
+        following = asyncio.ensure_future(follower.run())
+        await wait_for(lambda: follower.revision == 2, seconds=4.0)
+        assert thin.calls[:2] == ["list", "watch"]
+        assert thin.calls.count("list") == 1
+        following.cancel()
+        store.close()
+        server.close()
+
+    run(main())
