Let a watch go on whose answer is arriving

What callers saw: on gateways with thin links streams paused for seconds after each large configuration.

Cause: a watch was abandoned 0.3 s after its wait, whether or not its answer was arriving, and so were the watches of all other kinds; then each of them asked for everything again.

Change: a watch is overdue if its answer doesn't begin in time or stops for as long as a list's may.

test_a_watch_whose_answer_is_arriving_isnt_overdue failed before; 73 tests of followers, the spread of changes, guards and the platform passed.

--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -12,7 +12,13 @@
 import logbook
 import msgspec
 
-from .storeobjects import HistoryGone, ListResult, StoreUnavailable, WatchResult
+from .storeobjects import (
+    HistoryGone,
+    ListResult,
+    StoreUnavailable,
+    WatchOverdue,
+    WatchResult,
+)
 
 log = logbook.Logger("store")
 
@@ -20,12 +26,10 @@
 # as long.
 LIST_TIMEOUT_SECONDS = 1.2
 
-# How long after its wait a watch may take to return before the follower abandons it
-# and lists.  The store answers within milliseconds then, a slow one within a fifth
-# of a second; a watch that takes longer misses changes.  The call to the store itself
-# times out later and is left to end by itself.
+# How long after its wait the answer to a watch may take to begin before the follower
+# abandons it and lists.  The store answers within milliseconds then, a slow one within
+# a fifth of a second; a watch that takes longer misses changes.
 OVERDUE_SECONDS = 0.3
-WATCH_SLACK_SECONDS = 1.0
 
 # Pause after a change before the next call.  Changes come in bursts, as when a
 # service's endpoints are replaced, and the pause lets a burst cost one call.  A
@@ -59,16 +63,17 @@
         """Return all objects of a kind."""
 
     async def watch(
-        self, *, kind: str, revision: int, wait: float, timeout: float
-    ) -> WatchResult | HistoryGone | StoreUnavailable:
-        """Return what changed after a revision, waiting up to `wait` seconds."""
+        self, *, kind: str, revision: int, wait: float, slack: float, stall: float
+    ) -> WatchResult | HistoryGone | WatchOverdue | StoreUnavailable:
+        """Return what changed after a revision, waiting up to `wait` seconds.
 
+        An answer that doesn't begin within `slack` seconds more, or stops for
+        `stall` seconds, is overdue.
+        """
 
-class WatchAbandoned(msgspec.Struct, frozen=True):
-    """The follower abandoned a watch.
 
-    This doesn't show whether the store answers.
-    """
+class WatchCancelled(msgspec.Struct, frozen=True):
+    """The follower cancelled a watch to list instead."""
 
 
 class StoreContact:
@@ -235,7 +240,12 @@
                 log.notice("store: history of {} is gone, listing", self.kind)
                 self.revision = None
                 self.on_gap()
-            case WatchAbandoned():
+            case WatchOverdue():
+                log.notice("store: watch of {} is overdue, listing", self.kind)
+                self.revision = None
+                self.on_gap()
+                return True
+            case WatchCancelled():
                 return True
             case StoreUnavailable(reason=reason):
                 self._contact.note_lost(now=now, kind=self.kind, reason=reason)
@@ -259,29 +269,20 @@
 
     async def _watch(
         self,
-    ) -> WatchResult | HistoryGone | StoreUnavailable | WatchAbandoned:
-        wait = self._find_wait()
-        revision = self.revision
+    ) -> WatchResult | HistoryGone | WatchOverdue | StoreUnavailable | WatchCancelled:
         self._watching = asyncio.ensure_future(
             self._store.watch(
                 kind=self.kind,
-                revision=revision,
-                wait=wait,
-                timeout=wait + WATCH_SLACK_SECONDS,
+                revision=self.revision,
+                wait=self._find_wait(),
+                slack=OVERDUE_SECONDS,
+                stall=LIST_TIMEOUT_SECONDS,
             )
         )
         try:
-            done, _ = await asyncio.wait(
-                {self._watching}, timeout=wait + OVERDUE_SECONDS
-            )
-            if not done:
-                self._watching.cancel()
-                log.notice("store: watch of {} is overdue, listing", self.kind)
-                self.revision = None
-                self.on_gap()
-                return WatchAbandoned()
+            await asyncio.wait({self._watching})
             if self._watching.cancelled():
-                return WatchAbandoned()
+                return WatchCancelled()
             return self._watching.result()
         except asyncio.CancelledError:
             self._watching.cancel()
--- a/eelgrassrack/gateway/storeobjects.py
+++ b/eelgrassrack/gateway/storeobjects.py
@@ -63,6 +63,13 @@
     """The store has dropped the changes since that revision; list again."""
 
 
+class WatchOverdue(msgspec.Struct, frozen=True):
+    """A watch brought nothing in time, and may miss changes; list again.
+
+    This doesn't show whether the store answers.
+    """
+
+
 class StoreUnavailable(msgspec.Struct, kw_only=True, frozen=True):
     """The store didn't answer, or its answer can't be used."""
 
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -12,6 +12,7 @@
     ListResult,
     RolloutStatus,
     StoreUnavailable,
+    WatchOverdue,
     WatchResult,
 )
 from ..store.http import Answer, HttpCaller, NoAnswer
@@ -146,18 +147,27 @@
             after = page.items[-1].metadata.name
 
     async def watch(
-        self, *, kind: str, revision: int, wait: float, timeout: float
-    ) -> WatchResult | HistoryGone | StoreUnavailable:
+        self, *, kind: str, revision: int, wait: float, slack: float, stall: float
+    ) -> WatchResult | HistoryGone | WatchOverdue | StoreUnavailable:
         """Return the changes after a revision.
 
-        The store waits up to `wait` seconds for a change, the client up to
-        `timeout` seconds for the store.
+        The store waits up to `wait` seconds for a change.  The watch is overdue if
+        its answer doesn't begin within `slack` seconds more, or if none of its bytes
+        arrive for `stall` seconds.
         """
         query = {
             WATCH_QUERY: str(revision),
             WAIT_QUERY: str(int(wait * MILLISECONDS)),
         }
-        outcome = await self._read(kind, query=query, timeout=timeout)
+        outcome = await self._read(
+            kind,
+            query=query,
+            timeout=wait + slack + MAX_PAGE_SECONDS,
+            stall=stall,
+            first=wait + slack,
+        )
+        if isinstance(outcome, NoAnswer) and outcome.is_silent:
+            return WatchOverdue()
         changes = _decode_answer(outcome, WireWatch)
         if not isinstance(changes, WireWatch):
             return changes
@@ -210,13 +220,17 @@
         *,
         query: dict[str, str],
         timeout: float,
-        stall: float | None = None,
+        stall: float,
+        first: float | None = None,
     ) -> Answer | NoAnswer:
         """Send a read of a kind and log a large answer, also one that broke off."""
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         outcome = await self._http.fetch(
-            path=_make_path(kind, query=query), timeout=timeout, stall=stall
+            path=_make_path(kind, query=query),
+            timeout=timeout,
+            stall=stall,
+            first=first,
         )
         size = _count_bytes(outcome)
         if size >= LARGE_BYTES:
--- a/eelgrassrack/store/http.py
+++ b/eelgrassrack/store/http.py
@@ -34,11 +34,13 @@
     """No complete response arrived; `sent` is true if the request may have arrived.
 
     `received` is the number of bytes of the response body that did arrive.
+    `is_silent` is set if the caller stopped waiting for further bytes.
     """
 
     reason: str
     sent: bool
     received: int = 0
+    is_silent: bool = False
 
 
 class Pieces:
@@ -95,11 +97,13 @@
         body: bytes | None = None,
         repeatable: bool = True,
         stall: float | None = None,
+        first: float | None = None,
     ) -> Answer | NoAnswer:
         """Send one request and return its response, within `timeout` seconds.
 
         A request that isn't `repeatable` is sent at most once.  With `stall`, the
-        call fails after that many seconds without a byte of the response.
+        call fails after that many seconds without a byte of the response's body;
+        with `first`, the first byte may take that many seconds instead.
         """
         if self._closing is not None and self._closing.done():
             return NoAnswer(reason="closed", sent=False)
@@ -122,23 +126,36 @@
         fetching = client.fetch(request, raise_error=False)
         fetching.add_done_callback(consume_error)
         try:
-            await self._wait(fetching, received, stall)
+            await self._wait(fetching, received, stall, first or stall)
             if fetching.done():
                 return read_outcome(fetching, received.join())
         finally:
             client.abort(request)
-        reason = "closed" if self._closing.done() else "silent"
-        return NoAnswer(reason=reason, sent=True, received=received.size)
+        is_closed = self._closing.done()
+        return NoAnswer(
+            reason="closed" if is_closed else "silent",
+            sent=True,
+            received=received.size,
+            is_silent=not is_closed,
+        )
 
     async def _wait(
-        self, fetching: asyncio.Future, received: "Pieces", stall: float | None
+        self,
+        fetching: asyncio.Future,
+        received: "Pieces",
+        stall: float | None,
+        first: float | None,
     ) -> None:
         """Wait until the call ends or stalls, or the client is closed."""
         ends = {fetching, self._closing}
         count = -1
         while count < received.count and not any(end.done() for end in ends):
             count = received.count
-            await asyncio.wait(ends, timeout=stall, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                ends,
+                timeout=stall if count else first,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
 
     def close(self) -> None:
         """Close all connections; calls in flight return `NoAnswer`."""
