Let gateways with thin links watch the store last

Cause: the four watchers of 21 gateways are chosen by a hash of their names. Two of them had links of 5 Mbit/s; each large configuration came to them from the store uncompressed.

Change: gateways tell their peers what their links carry, a new optional setting link_mbps, and those with less than half of the median watch only if there are too few others. An update without the field counts as unknown.

test_entries_with_thin_links_watch_last is new; the ranks of entries with equal or unknown links are the same as before.

--- a/eelgrassrack/decisions/watchers.py
+++ b/eelgrassrack/decisions/watchers.py
@@ -9,9 +9,13 @@
 so that they belong to several failure domains.  Their updates tell the others about
 changes, and the others fetch the changes from them.  While no live peer reaches the
 store, every entry watches for itself.
+
+Entries with links far thinner than usual watch last: the store sends whole objects, and
+a large one fills such a link for seconds, in which the entry's requests are late.
 """
 
-from collections.abc import Iterable
+import statistics
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import xxhash
@@ -26,6 +30,12 @@
 WATCHERS = 4
 
 
+# A link is thin if it carries less than this share of the median link.
+THIN_SHARE = 0.5
+
+UNKNOWN_LINKS: Mapping[str, float] = {}
+
+
 class WatchRole(msgspec.Struct, frozen=True):
     """An entry's rank among the watchers, None if it doesn't watch, and their number.
 
@@ -38,18 +48,37 @@
 
 
 def find_watch_role(
-    *, name: str, others: Iterable[str], is_store_reachable: bool
+    *,
+    name: str,
+    others: Iterable[str],
+    is_store_reachable: bool,
+    links: Mapping[str, float] = UNKNOWN_LINKS,
 ) -> WatchRole:
     """Return an entry's role.
 
     `others` are the names of the other live entries; `is_store_reachable` says that at
-    least one of them reaches the store.
+    least one of them reaches the store.  `links` are the entries' links in Mbit/s, 0
+    if unknown.
     """
     names = {name, *others}
-    ranked = sorted(names, key=lambda entry: xxhash.xxh3_64_intdigest(entry.encode()))
+    thin = find_thin(links)
+    ranked = sorted(names, key=lambda entry: (entry in thin, _hash_name(entry)))
     rank = ranked.index(name)
     if len(names) <= MAX_ALL_WATCH:
         return WatchRole(rank, len(names))
     if not is_store_reachable:
         return WatchRole(rank, len(names), is_standby=rank >= WATCHERS)
     return WatchRole(rank if rank < WATCHERS else None, WATCHERS)
+
+
+def find_thin(links: Mapping[str, float]) -> set[str]:
+    """Return the entries whose links are known to be thin."""
+    known = {name: link for name, link in links.items() if link > 0}
+    if not known:
+        return set()
+    usual = statistics.median(known.values())
+    return {name for name, link in known.items() if link < usual * THIN_SHARE}
+
+
+def _hash_name(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -367,6 +367,7 @@
             usage=self._placer.report_usage(),
             domain=self._settings.domain,
             is_ready=self.is_ready,
+            link_mbps=self._settings.link_mbps,
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -104,7 +104,8 @@
     gateways follow the kinds.  `suspected` are the hashed lifetimes of endpoints
     that lost an answer lately, and `usage` is how much engine time the prompts of
     each organisation took.  `is_ready` says whether the balancer may send callers to
-    the gateway; a gateway that doesn't send the field is ready.
+    the gateway; a gateway that doesn't send the field is ready.  `link_mbps` is its
+    link in Mbit/s, 0 if unknown.
     """
 
     name: str
@@ -122,6 +123,7 @@
     usage: UsageReport = UsageReport()
     domain: str = ""
     is_ready: bool = True
+    link_mbps: float = 0.0
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
--- a/eelgrassrack/gateway/settings.py
+++ b/eelgrassrack/gateway/settings.py
@@ -42,6 +42,7 @@
     cold_slack: float = 0.0
     reuse_seconds: float = 10.0
     session_seconds: float = 5.0
+    link_mbps: float = 0.0
     log: LogSettings = LogSettings(format="json")
 
 
@@ -142,6 +143,12 @@
             "Longest pause between two requests of a session.",
             "s",
         ),
+        _number(
+            "link_mbps",
+            COUNT,
+            "What the instance's network link carries; 0 if unknown.",
+            "Mbit/s",
+        ),
     ),
 )
 
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -191,6 +191,10 @@
             name=self._settings.name,
             others=(update.name for update in updates),
             is_store_reachable=any(update.knows_store for update in updates),
+            links={
+                self._settings.name: self._settings.link_mbps,
+                **{update.name: update.link_mbps for update in updates},
+            },
         )
 
     def is_watcher(self) -> bool:
--- a/test/decisions/test_watches.py
+++ b/test/decisions/test_watches.py
@@ -7,7 +7,12 @@
 
 from eelgrassrack.decisions.idle import choose_idle_seconds
 from eelgrassrack.decisions.pace import BASE_SECONDS, Pace
-from eelgrassrack.decisions.watchers import MAX_ALL_WATCH, WATCHERS, find_watch_role
+from eelgrassrack.decisions.watchers import (
+    MAX_ALL_WATCH,
+    WATCHERS,
+    find_thin,
+    find_watch_role,
+)
 from eelgrassrack.decisions.watchschedule import find_wait
 
 
@@ -82,3 +87,37 @@
     assert pace.estimate(model="small", cost=1.0, tokens=1_000) == before
     pace.note(model="small", cost=1.0, tokens=1_000, seconds=9.0)
     assert pace.estimate(model="small", cost=1.0, tokens=1_000) < before * 1.5
+
+
+def test_entries_with_thin_links_watch_last():
+    """Guards against large changes that fill the link of an entry that watches.
+
+    All entries know the links of all others; those of a few are far thinner.
+    """
+    names = [f"entry-{number}" for number in range(40)]
+    links = dict.fromkeys(names, 100.0)
+    ranks = {
+        name: find_watch_role(
+            name=name, others=names, is_store_reachable=True, links=links
+        ).rank
+        for name in names
+    }
+    thin = {name for name, rank in ranks.items() if rank is not None}
+    links |= dict.fromkeys(thin, 5.0)
+    watching = {
+        name
+        for name in names
+        if find_watch_role(
+            name=name, others=names, is_store_reachable=True, links=links
+        ).rank
+        is not None
+    }
+    assert len(watching) == WATCHERS
+    assert not watching & thin
+
+
+def test_entries_of_unknown_links_count_as_usual():
+    names = [f"entry-{number}" for number in range(40)]
+    links = {names[0]: 0.0, names[1]: 100.0}
+    assert not find_thin(links)
+    assert find_thin({**links, names[2]: 100.0, names[3]: 5.0}) == {names[3]}
