Return an endpoint's connection only after its answer was written

What callers saw: a request that may not be repeated got 502 'may have run and isn't repeatable' from an endpoint that was sound.

Cause: once an answer was read, its connection went back to the pool, and then the answer was written to the caller. While a slow caller took it, the next request used the connection; when the first attempt ended it released the connection a second time and, since it was in use, aborted it. The timer of silent endpoints could do the same.

Change: the answer is written first, and the timer stops once it is read.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -193,10 +193,14 @@
                 job, endpoint, connection, head, reply, silence
             )
         body = await self._read_body(connection)
-        self._return_connection(endpoint, connection, head)
+        silence.stop()
         if head.status in FAILURE_STATUSES:
+            self._return_connection(endpoint, connection, head)
             return Failed(head=head, body=body)
         await self.deliver(job, reply, head, body)
+        # Not earlier: the next request would use the connection while this attempt
+        # still holds it and, when it ends, releases it.
+        self._return_connection(endpoint, connection, head)
         return Delivered()
 
     async def _read_head(self, connection: Connection) -> ResponseHead:
--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -5,14 +5,17 @@
 from eelgrassrack.gateway import pool
 from eelgrassrack.gateway.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
-from eelgrassrack.standins.directengine import Break, Events
+from eelgrassrack.standins.directengine import Break, Events, Reply
 
-from .world import make_world, run, wait_for
+from .world import connect, make_world, run, wait_for
 
 EVENTS = 6
 # Longer than a probe and its repetition take, shorter than a stream may pause.
 PAUSE_SECONDS = 1.1
 
+# More than the buffers between the gateway and a caller hold.
+LARGE_BYTES = 16_000_000
+
 PAUSING = Events(count=EVENTS, gap=0.02, pauses_after=2, pause=PAUSE_SECONDS)
 
 
@@ -188,3 +191,29 @@
             assert (await world.call(attempt="a2")).status == 200
 
     run(main())
+
+
+def test_a_slow_caller_doesnt_break_the_next_request_of_its_connection():
+    """Guards against a request whose connection its predecessor closes.
+
+    A caller reads a large answer slowly.  The endpoint has sent all of it, and the
+    next request goes there meanwhile.
+    """
+
+    async def main():
+        async with make_world() as world:
+            large = Reply(body=bytes(LARGE_BYTES))
+            engine = await world.add_engine("e1", large, Reply(delay=1.0))
+            await world.start_gateway()
+            await world.wait_ready()
+            slow = await connect(world.settings[0].listen)
+            slow.send("/issue/1", attempt="a1")
+            await wait_for(lambda: engine.runs)
+            await asyncio.sleep(0.3)
+            calling = asyncio.ensure_future(world.call("/issue/2", attempt="a2"))
+            await wait_for(lambda: len(engine.runs) == 2)
+            assert (await slow.read()).is_whole
+            assert (await calling).status == 200
+            slow.close()
+
+    run(main())
