Keep a reserved retry when a route moves to another service

The retry of a request whose run was already stopped lapsed if its route moved at that moment, and the other service's budget could refuse it. It counts in that service's budget now, in any case. By reading; 42 tests of abandoning, serving and streams passed.

--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -253,9 +253,9 @@
         This applies only before the caller has received any of its response; a
         stream continues on the service where it began.
         """
-        if permit.service.name != job.permit.service.name:
-            # The reserved retry is of the other service's budget.
-            job.holds_retry = False
+        if job.holds_retry and permit.service.name != job.permit.service.name:
+            # What the retry makes up for has ended, so it counts there in any case.
+            self._find_retry_window(permit.service.name).note_repeat(self._loop.time())
         job.permit = permit
         if job.has_choice and job.model not in permit.route.models:
             job.model = self._choose_model(job)
