Add a failing test of a change that is listed while it arrives

On this commit the watch whose answer is arriving is cancelled and everything is listed once a peer reports the change.

--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -1,6 +1,7 @@
 """Following the store through its faults, directly and through peers."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -343,6 +344,30 @@
                 await asyncio.sleep(2.0 / EVENT_PIECES if is_watch else 0.0)
 
 
+@contextlib.asynccontextmanager
+async def follow_thin_store():
+    """Follow a `ThinStore`; yield it and the follower."""
+    thin = ThinStore()
+    server = await asyncio.start_server(thin.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    store = PlatformStore(url=f"http://{host}:{port}")
+    follower = Follower(
+        store=store,
+        kind=Kinds.EVACUATIONS,
+        contact=StoreContact(),
+        replace_all=lambda objects: None,
+        apply_changes=lambda objects: None,
+        find_wait=lambda: WAIT_SECONDS,
+        is_active=lambda: True,
+        is_standby=lambda: False,
+    )
+    following = asyncio.ensure_future(follower.run())
+    yield thin, follower
+    following.cancel()
+    store.close()
+    server.close()
+
+
 def test_a_watch_whose_answer_is_arriving_isnt_overdue():
     """Guards against large answers that are asked for again and again.
 
@@ -350,26 +375,28 @@
     """
 
     async def main():
-        thin = ThinStore()
-        server = await asyncio.start_server(thin.serve, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        store = PlatformStore(url=f"http://{host}:{port}")
-        follower = Follower(
-            store=store,
-            kind=Kinds.EVACUATIONS,
-            contact=StoreContact(),
-            replace_all=lambda objects: None,
-            apply_changes=lambda objects: None,
-            find_wait=lambda: WAIT_SECONDS,
-            is_active=lambda: True,
-            is_standby=lambda: False,
-        )
-        following = asyncio.ensure_future(follower.run())
-        await wait_for(lambda: follower.revision == 2, seconds=4.0)
-        assert thin.calls[:2] == ["list", "watch"]
-        assert thin.calls.count("list") == 1
-        following.cancel()
-        store.close()
-        server.close()
+        async with follow_thin_store() as (thin, follower):
+            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            assert thin.calls[:2] == ["list", "watch"]
+            assert thin.calls.count("list") == 1
+
+    run(main())
+
+
+def test_a_change_that_is_arriving_isnt_listed_when_a_peer_reports_it():
+    """Guards against large answers that are asked for again and again.
+
+    A change arrives over a link that takes seconds for it, and peers with wider
+    links report that they have it.
+    """
+
+    async def main():
+        async with follow_thin_store() as (thin, follower):
+            await wait_for(lambda: "watch" in thin.calls)
+            await asyncio.sleep(0.5)
+            follower.list_newer(2)
+            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            assert thin.calls[:2] == ["list", "watch"]
+            assert thin.calls.count("list") == 1
 
     run(main())
