--- a/eelgrassrack/decisions/watchers.py
+++ b/eelgrassrack/decisions/watchers.py
@@ -10,11 +10,10 @@
 changes, and the others fetch the changes from them.  While no live peer reaches the
 store, every entry watches for itself.
 
-Entries with links far thinner than usual watch last: the store sends whole objects, and
+Entries with links far thinner than the widest watch last: the store sends whole objects, and
 a large one fills such a link for seconds, in which the entry's requests are late.
 """
 
-import statistics
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -30,7 +29,7 @@
 WATCHERS = 4
 
 
-# A link is thin if it carries less than this share of the median link.
+# A link is thin if it carries less than this share of the widest one.
 THIN_SHARE = 0.5
 
 UNKNOWN_LINKS: Mapping[str, float] = {}
@@ -76,8 +75,8 @@
     known = {name: link for name, link in links.items() if link > 0}
     if not known:
         return set()
-    usual = statistics.median(known.values())
-    return {name for name, link in known.items() if link < usual * THIN_SHARE}
+    widest = max(known.values())
+    return {name for name, link in known.items() if link < widest * THIN_SHARE}
 
 
 def _hash_name(name: str) -> int:
