Don't list a change whose bytes are arriving

What callers saw: on gateways with thin links streams paused after each large configuration.

Cause: a gateway that watches the store lists a kind once a peer reports a newer change. Peers with wider links report it while its own watch is receiving just that change; the watch was cancelled, and the whole object sent again.

Change: while an answer of that kind is arriving no list is begun. If it doesn't bring the change, the peer's next update begins one.

--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -71,6 +71,9 @@
         `stall` seconds, is overdue.
         """
 
+    def is_receiving(self, kind: str) -> bool:
+        """Return whether part of an answer with objects of a kind has arrived."""
+
 
 class WatchCancelled(msgspec.Struct, frozen=True):
     """The follower cancelled a watch to list instead."""
@@ -260,8 +263,11 @@
         """List if a peer has seen a change up to a later revision.
 
         Each revision causes one list only: if that brings nothing new, further
-        updates with the same revision would only cause more calls.
+        updates with the same revision would only cause more calls.  While an answer
+        is arriving it probably brings the change.
         """
+        if self._store.is_receiving(self.kind):
+            return
         if self.revision is None or revision <= max(self.revision, self._listed_for):
             return
         self._listed_for = revision
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -15,7 +15,7 @@
     WatchOverdue,
     WatchResult,
 )
-from ..store.http import Answer, HttpCaller, NoAnswer
+from ..store.http import Answer, HttpCaller, NoAnswer, Pieces
 from .errors import FormatError
 from .manifest import decode_manifest
 from .objects import (
@@ -103,9 +103,10 @@
     A failed call returns `StoreUnavailable` or False and raises nothing.
     """
 
-    __slots__ = ("_http",)
+    __slots__ = ("_arriving", "_http")
 
     def __init__(self, *, url: str) -> None:
+        self._arriving: dict[str, Pieces] = {}
         self._http = HttpCaller(url=url, max_clients=MAX_CONNECTIONS)
 
     def close(self) -> None:
@@ -214,6 +215,11 @@
         outcome = await self._send("PUT", path, body, timeout)
         return isinstance(outcome, Answer) and outcome.status < 300
 
+    def is_receiving(self, kind: str) -> bool:
+        """Return whether part of an answer with objects of a kind has arrived."""
+        received = self._arriving.get(kind)
+        return received is not None and received.count > 0
+
     async def _read(
         self,
         kind: str,
@@ -226,12 +232,19 @@
         """Send a read of a kind and log a large answer, also one that broke off."""
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
-        outcome = await self._http.fetch(
-            path=_make_path(kind, query=query),
-            timeout=timeout,
-            stall=stall,
-            first=first,
-        )
+        received = Pieces()
+        self._arriving[kind] = received
+        try:
+            outcome = await self._http.fetch(
+                path=_make_path(kind, query=query),
+                timeout=timeout,
+                stall=stall,
+                first=first,
+                received=received,
+            )
+        finally:
+            if self._arriving.get(kind) is received:
+                del self._arriving[kind]
         size = _count_bytes(outcome)
         if size >= LARGE_BYTES:
             log.info(
--- a/eelgrassrack/store/http.py
+++ b/eelgrassrack/store/http.py
@@ -98,12 +98,14 @@
         repeatable: bool = True,
         stall: float | None = None,
         first: float | None = None,
+        received: Pieces | None = None,
     ) -> Answer | NoAnswer:
         """Send one request and return its response, within `timeout` seconds.
 
         A request that isn't `repeatable` is sent at most once.  With `stall`, the
         call fails after that many seconds without a byte of the response's body;
-        with `first`, the first byte may take that many seconds instead.
+        with `first`, the first byte may take that many seconds instead.  `received`
+        gets the pieces of the body as they arrive.
         """
         if self._closing is not None and self._closing.done():
             return NoAnswer(reason="closed", sent=False)
@@ -119,7 +121,7 @@
                 reuse_connection if repeatable else force_new_connection
             ),
         )
-        received = Pieces()
+        received = received or Pieces()
         if stall is not None:
             request.streaming_callback = received.add
         client = self._open()
--- a/test/gateway/spread.py
+++ b/test/gateway/spread.py
@@ -140,16 +140,24 @@
     def __init__(self, *, node, store):
         self._node = node
         self._store = store
+        self._arriving = {}
 
     def close(self):
         """Nothing is open."""
 
+    def is_receiving(self, kind):
+        """Return whether part of an answer with objects of a kind has arrived."""
+        task = self._arriving.get(kind)
+        return task is not None and not task.done() and self._node.count_windows(task)
+
     async def list(self, *, kind, timeout, allow_stale=False):
-        found = await wait_while_receiving(self._node, self._list(kind), timeout)
+        work = self._arriving[kind] = asyncio.ensure_future(self._list(kind))
+        found = await wait_while_receiving(self._node, work, timeout)
         return found or StoreUnavailable(reason="silent")
 
     async def watch(self, *, kind, revision, wait, slack, stall):
-        work = self._watch(kind, revision, wait)
+        work = asyncio.ensure_future(self._watch(kind, revision, wait))
+        self._arriving[kind] = work
         found = await wait_while_receiving(self._node, work, stall, wait + slack)
         return found or WatchOverdue()
 
