--- a/eelgrassrack/decisions/watchers.py
+++ b/eelgrassrack/decisions/watchers.py
@@ -10,8 +10,9 @@
 changes, and the others fetch the changes from them.  While no live peer reaches the
 store, every entry watches for itself.
 
-Entries with links far thinner than the widest watch last: the store sends whole objects, and
-a large one fills such a link for seconds, in which the entry's requests are late.
+Entries with links far thinner than the widest watch last: the store sends whole
+objects, and a large one fills such a link for seconds, in which the entry's requests
+are late.
 """
 
 from collections.abc import Iterable, Mapping
--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -5,6 +5,7 @@
 from eelgrassrack.gateway import pool
 from eelgrassrack.gateway.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
+from eelgrassrack.gateway.placing import Placer
 from eelgrassrack.standins.directengine import Break, Events, Reply
 
 from .world import connect, make_world, run, wait_for
@@ -13,6 +14,11 @@
 # Longer than a probe and its repetition take, shorter than a stream may pause.
 PAUSE_SECONDS = 1.1
 
+# Longer than a stream may pause.
+LONG_PAUSE_SECONDS = 3.5
+
+LONG_PAUSING = Events(count=EVENTS, gap=0.02, pauses_after=2, pause=LONG_PAUSE_SECONDS)
+
 # More than the buffers between the gateway and a caller hold.
 LARGE_BYTES = 16_000_000
 
@@ -217,3 +223,118 @@
             slow.close()
 
     run(main())
+
+
+def test_a_silent_stream_stays_while_the_gateways_link_is_slow(monkeypatch):
+    """Guards against streams that are cut for a retry that can't be sent.
+
+    A stream pauses for longer than streams may, and no new connection opens.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            pausing = await world.add_engine("e1", LONG_PAUSING, slots=100, **rest)
+            await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: pausing.runs)
+            monkeypatch.setattr(pool, "open_connection", time_out)
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+            assert not pausing.cancelled
+            assert not gateway._placer.health.report_suspected()
+
+    run(main())
+
+
+def test_a_stream_isnt_abandoned_for_a_cold_endpoint_at_its_limit(monkeypatch):
+    """Guards against a stream that is cut and then waits until its deadline.
+
+    The only other endpoint is cold and gets no more requests for now.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            pausing = await world.add_engine("e1", LONG_PAUSING, slots=100, **rest)
+            gateway = await world.start_gateway(retry_ratio=1.0)
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: pausing.runs)
+            monkeypatch.setattr(Placer, "_share_cold_rate", lambda *_: 0)
+            await world.add_engine("e2", coldRemainingMs=20_000, **rest)
+            await wait_for(lambda: gateway.fleet.find("e2"))
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+
+    run(main())
+
+
+def test_a_stream_tries_again_after_connections_that_failed(monkeypatch):
+    """Guards against a stream that ends because no connection opened once.
+
+    Its endpoint crashes, and for half a second no connection to the others opens.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            breaking = Events(count=EVENTS, gap=0.02, breaks_after=2)
+            crashing = await world.add_engine("e1", breaking, slots=100, **rest)
+            await world.add_engine("e2", Events(count=EVENTS), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            calling = asyncio.ensure_future(world.call("/chat/1"))
+            await wait_for(lambda: crashing.runs)
+            with monkeypatch.context() as patch:
+                patch.setattr(pool, "open_connection", time_out)
+                await asyncio.sleep(0.8)
+            got = await calling
+            assert got.is_whole
+            assert list_events(got) == ALL_EVENTS
+
+    run(main())
+
+
+def test_endpoints_that_are_silent_too_are_no_witnesses(monkeypatch):
+    """Guards against dark endpoints that hide each other.
+
+    Three endpoints lose power while they stream; a fourth goes on.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            dark = [
+                await world.add_engine(f"e{number}", LONG_PAUSING, slots=1, **rest)
+                for number in range(3)
+            ]
+            gateway = await world.start_gateway(retry_ratio=1.0)
+            await world.wait_ready()
+            sound = await world.add_engine("e9", Events(count=90, gap=0.05))
+            await wait_for(lambda: gateway.fleet.find("e9"))
+            streaming = asyncio.ensure_future(world.call("/look/1", attempt="b"))
+            await wait_for(lambda: sound.runs)
+            calling = [
+                asyncio.ensure_future(world.call("/chat/1", attempt=f"a{number}"))
+                for number in range(3)
+            ]
+            await wait_for(lambda: all(engine.runs for engine in dark))
+            ports = [int(engine.address.split(":")[1]) for engine in dark]
+
+            async def lose(*, address, timeout):
+                if address[1] in ports:
+                    return await time_out(address=address, timeout=timeout)
+                return await open_connection(address=address, timeout=timeout)
+
+            monkeypatch.setattr(pool, "open_connection", lose)
+            health = gateway._placer.health
+            await wait_for(lambda: len(health.report_suspected()) == 3, seconds=1.3)
+            await asyncio.gather(*calling)
+            streaming.cancel()
+
+    run(main())
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -400,3 +400,22 @@
             assert thin.calls.count("list") == 1
 
     run(main())
+
+
+def test_an_overdue_watch_doesnt_restart_an_answer_that_is_arriving():
+    """Guards against a large answer that is begun again and again.
+
+    A watch of another kind waits behind the bytes of a configuration.
+    """
+
+    async def main():
+        async with follow_thin_store() as (thin, follower):
+            await wait_for(lambda: "watch" in thin.calls)
+            for _ in range(3):
+                await asyncio.sleep(0.4)
+                follower.relist()
+            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            assert thin.calls[:2] == ["list", "watch"]
+            assert thin.calls.count("list") == 1
+
+    run(main())
