--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -214,7 +214,10 @@
 
         A new watch isn't enough: a store that has just dropped its history doesn't
         report changes to new watches either for a moment, while a list is complete.
+        A watch whose answer is arriving isn't among those that miss changes.
         """
+        if self._store.is_receiving(self.kind):
+            return
         self.revision = None
         if self._watching is not None:
             self._watching.cancel()
