Ask endpoints as witnesses that were really heard last

The time of a probe is kept by itself now, and when endpoints answered is forgotten after a minute.

test_endpoints_that_are_silent_too_are_no_witnesses failed before.

--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import socket
 import struct
 from collections.abc import Callable
@@ -35,7 +36,8 @@
 class Connection:
     """A connection to one endpoint, used for one request at a time.
 
-    `active_at` is the loop time at which bytes last arrived or a request was sent.
+    `active_at` is the loop time at which bytes last arrived or a request was sent,
+    `probed_at` that at which its endpoint was last probed.
     `idle_until` is the loop time until which the pool may reuse the idle connection.
     `sent` and `received` count the bytes of the current request.  `is_kept` says
     that the connection is back in the pool.  `may_abandon` returns whether the
@@ -51,6 +53,7 @@
         "idle_until",
         "is_kept",
         "may_abandon",
+        "probed_at",
         "received",
         "sent",
     )
@@ -65,6 +68,7 @@
         self.is_kept = False
         self.may_abandon: Callable[[], bool] = refuse_to_abandon
         self.active_at = 0.0
+        self.probed_at = -math.inf
         self.sent = 0
         self.received = 0
         self._abandoned_for: BrokenError | None = None
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -34,6 +34,9 @@
 # the probe failed by chance.
 WITNESS_TIMEOUT_SECONDS = 0.075
 
+# How long it is remembered when an endpoint last answered.
+HEARD_SECONDS = 60.0
+
 # Time between probes of the same endpoint.
 PROBE_INTERVAL_SECONDS = 1.0
 
@@ -107,8 +110,11 @@
             active_at = max(connection.active_at for connection in busy)
             if now < active_at + SILENT_SECONDS:
                 continue
+            probed_at = max(connection.probed_at for connection in busy)
+            if probed_at > active_at and now < probed_at + PROBE_INTERVAL_SECONDS:
+                continue
             for connection in busy:
-                connection.active_at = now + PROBE_INTERVAL_SECONDS - SILENT_SECONDS
+                connection.probed_at = now
             self._start(self._probe(endpoint, note_unreachable))
 
     def check(
@@ -168,8 +174,10 @@
 
         Without an answer from it, a witness has to answer in time.
         """
-        if error.is_refused:
-            return True
+        return error.is_refused or await self.has_witness(endpoint)
+
+    async def has_witness(self, endpoint: Endpoint) -> bool:
+        """Return whether a witness shows that silence is an endpoint's own."""
         witnesses = tuple(self._find_witnesses(endpoint))
         found = await asyncio.gather(*map(self._ask_witness, witnesses))
         if any(found):
@@ -239,7 +247,13 @@
         self._idle.setdefault(endpoint.lifetime, []).append(connection)
 
     def prune(self, *, now: float) -> None:
-        """Close connections that were idle for too long or can't be used any more."""
+        """Close connections that were idle for too long or can't be used any more.
+
+        Forget when endpoints were heard that have been silent for long.
+        """
+        for lifetime, heard_at in list(self._heard_at.items()):
+            if now > heard_at + HEARD_SECONDS:
+                del self._heard_at[lifetime]
         for lifetime, kept in list(self._idle.items()):
             usable = [idle for idle in kept if _is_usable(idle, now)]
             for connection in set(kept) - set(usable):
