Make sure of more before a silent stream is abandoned

Change: the timer asks a witness first; what may take a request over is what would be chosen for it now; a begun stream tries endpoints again to which no connection opened, until its deadline; and a run isn't stopped with less than 0.3 s left.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -151,7 +151,9 @@
         self, job: Job, endpoint: Endpoint, connection: Connection, reply: Reply
     ) -> Outcome:
         """Relay the response; abandon an endpoint that stays silent for too long."""
-        silence = SilenceTimer(connection=connection)
+        silence = SilenceTimer(
+            connection=connection, confirm=lambda: self._pool.has_witness(endpoint)
+        )
         silence.start(
             find_first_timeout(
                 expected=job.expected_seconds, has_prompt=bool(job.arrival.tokens_in)
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -88,7 +88,8 @@
     the reading time that the endpoint's backlog counts for the prompt.
     `longest_gap` is the longest pause between events so far in seconds,
     `last_event_at` the time at which the last event was forwarded.  `tried` are the
-    endpoints of all attempts, `excluded` those that aren't chosen again.
+    endpoints of all attempts, `excluded` those that aren't chosen again, and
+    `unreachable` those of them to which no connection opened in time.
     `endpoint_was_idle` is set if the endpoint had no backlog at the time of
     placement.  `holds_retry` is set while a retry is reserved that the retry budget
     has granted and no attempt has used.  Times are the event loop's.
@@ -115,6 +116,7 @@
         "resume_after",
         "execution_status",
         "tried",
+        "unreachable",
         "urgency",
         "typical_seconds",
         "endpoint_was_idle",
@@ -144,6 +146,7 @@
         self.urgency = LEAST_URGENT
         self.endpoint_was_idle = False
         self.holds_retry = False
+        self.unreachable: set[str] = set()
 
     @property
     def is_repeatable(self) -> bool:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -144,7 +144,11 @@
 
     def has_alternative(self, job: "Job") -> bool:
         """Return whether a request that leaves its endpoint has another to go to."""
-        return bool(self._select_trusted(job, self._loop.time()))
+        now = self._loop.time()
+        return not self.health.is_culprit(job) and any(
+            self._has_cold_capacity(state, job, now)
+            for state in self._select_trusted(job, now)
+        )
 
     def may_send(self, job: "Job", endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to its chosen endpoint.
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -42,6 +42,13 @@
 # takes a few hundred milliseconds to send its first event.
 MIN_REMAINING_SECONDS = 0.1
 
+# A run isn't stopped for a retry with less time than this until the deadline: opening
+# a connection and placing the request take some of it.
+MIN_HANDOVER_SECONDS = 0.3
+
+# Pause before a begun stream tries endpoints again to which no connection opened.
+RECONNECT_SECONDS = 0.25
+
 # Applies to routes that are configured without a timeout.
 DEFAULT_TIMEOUT_SECONDS = 30.0
 
@@ -214,6 +221,9 @@
         while True:
             placed = await self._placer.place(job)
             if isinstance(placed, Refusal):
+                if reply.is_started and job.unreachable:
+                    await self._wait_for_connections(job)
+                    continue
                 await self._conclude(job, reply, placed)
                 return
             outcome = await self._attempts.run(job, placed, reply)
@@ -228,6 +238,16 @@
                 await self._conclude(job, reply, refusal)
                 return
 
+    async def _wait_for_connections(self, job: Job) -> None:
+        """Let a begun stream try again where no connection opened in time.
+
+        The gateway's own link may have been at fault, and ending the stream is all
+        that is left otherwise.  Its deadline ends this.
+        """
+        await asyncio.sleep(RECONNECT_SECONDS)
+        job.excluded.clear()
+        job.unreachable.clear()
+
     def _prepare_retry(
         self, job: Job, outcome: Outcome, reply: Reply
     ) -> Refusal | None:
@@ -281,7 +301,7 @@
         """
         if not job.is_repeatable or not job.attempts_left:
             return False
-        if job.deadline - self._loop.time() < MIN_REMAINING_SECONDS:
+        if job.deadline - self._loop.time() < MIN_HANDOVER_SECONDS:
             return False
         return self._placer.has_alternative(job) and self._reserve_retry(job)
 
@@ -323,6 +343,8 @@
                 job.note_status(ExecutionStatus.RAN)
                 self._note_answer(job, endpoint, failed=False)
             case NotRun():
+                if outcome.is_unreachable:
+                    job.unreachable.add(endpoint.name)
                 self._placer.health.note_not_run(endpoint, outcome)
             case Lost():
                 job.note_status(ExecutionStatus.UNKNOWN)
--- a/eelgrassrack/gateway/silence.py
+++ b/eelgrassrack/gateway/silence.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from .connection import Connection
 from .errors import SilentError
@@ -13,13 +14,25 @@
 class SilenceTimer:
     """Abandons a connection whose endpoint sends nothing for too long.
 
-    If the request may not be abandoned, the timer starts again.
+    `confirm` returns whether the gateway's own link works in time.  If it doesn't, or
+    if the request may not be abandoned, the timer starts again.
     """
 
-    __slots__ = ("_connection", "_handle", "_loop", "_seconds")
+    __slots__ = (
+        "_confirm",
+        "_confirming",
+        "_connection",
+        "_handle",
+        "_loop",
+        "_seconds",
+    )
 
-    def __init__(self, *, connection: Connection) -> None:
+    def __init__(
+        self, *, connection: Connection, confirm: Callable[[], Awaitable[bool]]
+    ) -> None:
         self._connection = connection
+        self._confirm = confirm
+        self._confirming: asyncio.Task | None = None
         self._loop = asyncio.get_running_loop()
         self._seconds = 0.0
         self._handle: asyncio.Handle | None = None
@@ -35,14 +48,23 @@
         if self._handle is not None:
             self._handle.cancel()
             self._handle = None
+        if self._confirming is not None:
+            self._confirming.cancel()
+            self._confirming = None
 
     def _expire(self) -> None:
         # A loop that was held up reads what has arrived in the same turn in which the
         # timer expires, and its reader runs in the next one, before this call.
-        self._handle = self._loop.call_soon(self._abandon)
+        self._handle = self._loop.call_soon(self._begin_to_confirm)
 
-    def _abandon(self) -> None:
-        if self._connection.may_abandon():
+    def _begin_to_confirm(self) -> None:
+        self._handle = None
+        self._confirming = asyncio.ensure_future(self._abandon())
+
+    async def _abandon(self) -> None:
+        is_confirmed = await self._confirm()
+        self._confirming = None
+        if is_confirmed and self._connection.may_abandon():
             self._connection.abandon(SilentError("silent for too long"))
             return
         self.start(self._seconds)
