--- a/test/agent/test_health.py
+++ b/test/agent/test_health.py
@@ -1,10 +1,23 @@
-"""Tests of what counts as a restart or a cold start of the endpoint."""
+"""Tests of what counts as a failure, a restart or a cold start of the endpoint."""
 
 import asyncio
-
-from eelgrassrack.agent.health import EndpointDown, Health, HealthReport
+import contextlib
+import http.server
+import threading
+import time
+
+import msgspec
+
+from eelgrassrack.agent.health import (
+    TIMEOUT_SECONDS,
+    EndpointDown,
+    Health,
+    HealthReport,
+)
 from eelgrassrack.decisions.coldstart import CollapseReason
 
+ANSWER_SECONDS = 0.1
+
 
 def note_all(*reports):
     collapses = []
@@ -63,3 +76,57 @@
     assert collapses == []
     changed = note_all(same, EndpointDown(), HealthReport(incarnation="b"))[1]
     assert changed == [CollapseReason.ENGINE_RESTARTED]
+
+
+class SlowHealth(http.server.BaseHTTPRequestHandler):
+    """An engine's health report, a moment after the request."""
+
+    def do_GET(self):  # noqa: N802
+        time.sleep(ANSWER_SECONDS)
+        body = msgspec.json.encode(HealthReport(incarnation="a"))
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *unused):
+        """Log nothing."""
+
+
+@contextlib.contextmanager
+def serve(handler):
+    """Serve from a thread, so that it answers while the event loop is held up."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    thread = threading.Thread(target=server.serve_forever)
+    thread.start()
+    try:
+        yield f"http://127.0.0.1:{server.server_port}"
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+
+async def poll_late(url):
+    """Hold up the event loop in a poll; return the health and the collapses."""
+    collapses = []
+    health = Health(url=url, clock=time.monotonic, on_collapse=collapses.append)
+    await health.poll()
+    polling = asyncio.ensure_future(health.poll())
+    await asyncio.sleep(ANSWER_SECONDS / 2)
+    time.sleep(TIMEOUT_SECONDS + ANSWER_SECONDS)
+    await polling
+    health.close()
+    return health, collapses
+
+
+def test_an_agent_that_is_held_up_doesnt_take_its_engine_for_down():
+    """Guards against an agent that refuses its queue because it was late itself.
+
+    The engine answers a poll in time.  The agent's event loop is held up for longer
+    than a poll may take, and reads the answer only then.
+    """
+    with serve(SlowHealth) as url:
+        health, collapses = asyncio.run(poll_late(url))
+    assert health.is_up
+    assert collapses == []
