Cut the link of a late entry's tests only once the caller has a part

The control test cut the agent's link as soon as the engine ran. Once in two runs the entry had no piece yet, so the request was retried at the other engine and answered whole after 14.6 s, and the test failed without a fault. All tests of streams now wait until a part was sent to the caller; the assertions are the same.

--- a/test/entry/test_late_entry.py
+++ b/test/entry/test_late_entry.py
@@ -27,6 +27,19 @@
     world.start(plans=[TUTOR_EAST, TUTOR_WEST, REGISTRY])
 
 
+def begin_stream(world):
+    """Send a request for a long stream, and wait until its caller has a part of it."""
+    start(world)
+    sent = world.ask("streams", tokens=TOKENS)
+    channels = world.entry().channels
+    world.wait(lambda: any(each.has_delivered for each in list_channels(channels)))
+    return sent
+
+
+def list_channels(channels):
+    return channels._by_attempt.values()
+
+
 def cut_link(world):
     """Hold all messages to entry 0 for a while, then deliver them."""
     address = world.entry().address
@@ -50,10 +63,7 @@
 
     Its link, or its event loop, is held up, so that all agents seem silent at once.
     """
-    start(world)
-    sent = world.ask("streams", tokens=TOKENS)
-    world.wait(lambda: any(engine.running for engine in world.engines))
-    world.run(asyncio.sleep(0.2))
+    sent = begin_stream(world)
     come_late(world)
     (answer,) = world.finish(sent)
     assert (answer.status, answer.code) == (200, "")
@@ -81,16 +91,9 @@
 
 def test_a_dead_agent_is_noticed_while_others_are_heard(world):
     """Guards against callers that wait for a dead agent until their deadline."""
-    start(world)
-    address = world.entry().address
-    sent = world.ask("lost", tokens=TOKENS)
-    world.wait(lambda: any(engine.running for engine in world.engines))
-    agent = next(
-        endpoint.agent
-        for endpoint in world.system.endpoints.values()
-        if endpoint.agent._attempts.running
-    )
-    world.links.fault(address, cut_from=agent.address)
+    sent = begin_stream(world)
+    (channel,) = list_channels(world.entry().channels)
+    world.links.fault(world.entry().address, cut_from=channel.address)
     before = world.loop.time()
     (answer,) = world.finish(sent)
     assert world.loop.time() - before < LATE_SECONDS + 1.0
