Count an agent's silence only while its entry could have heard it

What callers saw: if an entry's link was cut, or its process held up, for seven seconds, every stream that it relayed broke off in the middle, and a run that may not be repeated was reported as unknown (504), although the agents went on and had the answers.

Cause: an agent counted as gone 6 s after its last heartbeat (5 s after the last message about an attempt that has not begun). An entry that is late itself misses all of them at once and gave up every attempt in flight, without a retry.

Change: silence counts only while somebody else, a witness, is heard, and only since the entry's process last ran without a pause (decisions/hearing.py). It is used for heartbeats, for attempts and for the observers of resends. Without a witness all of it counts as before, so a single agent that dies is noticed. If all that an entry hears die within seconds, their callers wait until their deadlines. Which endpoints get new requests is unchanged.

--- a/eelgrassrack/entry/channels.py
+++ b/eelgrassrack/entry/channels.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from ..decisions.hearing import Hearing
 from ..invariants import Invariants, Promise
 from ..mailbox.messages import (
     Ask,
@@ -40,7 +41,8 @@
 # healthy agent answers a start within a round trip of a few milliseconds.
 ASK_AFTER_SECONDS = 1.0
 
-# The agent counts as gone if it has sent nothing about an attempt for this long.
+# The agent counts as gone if it has sent nothing about an attempt for this long while
+# the entry could have heard it.
 GONE_AFTER_SECONDS = 5.0
 
 # An attempt is cancelled this long before its deadline, so that the agent can
@@ -218,7 +220,7 @@
         if not self.outcome.done():
             self.outcome.set_result(outcome)
 
-    def check_timeouts(self, now: float) -> None:
+    def check_timeouts(self, now: float, hearing: Hearing) -> None:
         """Ask a silent agent, cancel before the deadline, and give up in the end."""
         if self.outcome.done():
             return
@@ -227,7 +229,7 @@
                 self._settle_cancelled()
         elif now >= self.deadline - CANCEL_REPLY_SECONDS:
             self.cancel(now)
-        elif now - self.last_message_at >= GONE_AFTER_SECONDS and not self.begun:
+        elif not self.begun and self._is_agent_gone(now, hearing):
             self.settle(OutcomeUnknown(reason="the agent is silent"))
         elif now - self.last_message_at >= ASK_AFTER_SECONDS and not self.begun:
             self._ask(now)
@@ -250,6 +252,12 @@
         )
         self._post(self.address, message)
 
+    def _is_agent_gone(self, now: float, hearing: Hearing) -> bool:
+        silence = hearing.measure_silence(
+            sender=self.address, heard_at=self.last_message_at, now=now
+        )
+        return silence >= GONE_AFTER_SECONDS
+
     @property
     def _was_stopped(self) -> bool:
         """Whether the attempt was cancelled because this entry stops."""
@@ -313,11 +321,14 @@
 class Channels:
     """The channels of an entry by attempt id."""
 
-    __slots__ = ("_by_attempt", "_ends_at", "_invariants")
+    __slots__ = ("_by_attempt", "_ends_at", "_hearing", "_invariants")
 
-    def __init__(self, *, invariants: Invariants) -> None:
+    def __init__(
+        self, *, invariants: Invariants, hearing: Hearing | None = None
+    ) -> None:
         self._by_attempt: dict[str, Channel] = {}
         self._ends_at = math.inf
+        self._hearing = hearing or Hearing()
         self._invariants = invariants
 
     def __len__(self) -> int:
@@ -370,7 +381,7 @@
     def check_timeouts(self, now: float) -> None:
         """Check the timeouts of every attempt."""
         for channel in tuple(self._by_attempt.values()):
-            channel.check_timeouts(now)
+            channel.check_timeouts(now, self._hearing)
 
     def lose_agent(self, *, agent: str, reason: str) -> None:
         """Set the outcome of all attempts of a lost agent to unknown."""
--- a/eelgrassrack/entry/directory.py
+++ b/eelgrassrack/entry/directory.py
@@ -11,6 +11,7 @@
 
 import logbook
 
+from ..decisions.hearing import Hearing
 from ..document.snapshot import Snapshot
 from ..mailbox.messages import Load
 from ..store.instances import Instance, Role
@@ -21,8 +22,8 @@
 # no requests.
 SILENT_AFTER_SECONDS = 3.5
 
-# After this long without a heartbeat the agent counts as gone, and callers are told
-# that the outcome of their attempts is unknown.
+# After this long without a heartbeat, in which the entry could have heard it, the agent
+# counts as gone, and callers are told that the outcome of their attempts is unknown.
 GONE_AFTER_SECONDS = 6.0
 
 
@@ -85,10 +86,16 @@
     tick has to visit all others.
     """
 
-    __slots__ = ("_by_name", "_reporting", "_on_agent_lost")
+    __slots__ = ("_by_name", "_hearing", "_reporting", "_on_agent_lost")
 
-    def __init__(self, *, on_agent_lost: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_agent_lost: Callable[[str, str], None],
+        hearing: Hearing | None = None,
+    ) -> None:
         """Call `on_agent_lost(agent, reason)` when an incarnation is gone."""
+        self._hearing = hearing or Hearing()
         self._by_name: dict[str, EndpointRecord] = {}
         self._reporting: dict[str, EndpointRecord] = {}
         self._on_agent_lost = on_agent_lost
@@ -149,7 +156,10 @@
     def drop_silent(self, now: float) -> None:
         """Report agents without a recent heartbeat as lost."""
         for endpoint in self.reporting:
-            if now - endpoint.heartbeat_at <= GONE_AFTER_SECONDS:
+            silence = self._hearing.measure_silence(
+                sender=endpoint.address, heard_at=endpoint.heartbeat_at, now=now
+            )
+            if silence <= GONE_AFTER_SECONDS:
                 continue
             log.info("directory: agent silent: {}", endpoint.name)
             self._on_agent_lost(endpoint.agent, "the agent is silent")
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -10,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from ..decisions.hearing import Hearing
 from ..document.snapshot import Snapshot
 from ..incarnations import make_incarnation
 from ..invariants import Invariants, Promise
@@ -69,6 +70,7 @@
         "_configuration",
         "_ends_at",
         "_grace_skipped",
+        "_hearing",
         "_inbox",
         "_instances",
         "_listeners",
@@ -141,8 +143,11 @@
 
     def _build(self, rating: RatingClient | None, rng: random.Random) -> None:
         clock = self._loop.time
-        self.channels = Channels(invariants=self.invariants)
-        self.directory = Directory(on_agent_lost=self._lose_agent)
+        self._hearing = Hearing()
+        self.channels = Channels(invariants=self.invariants, hearing=self._hearing)
+        self.directory = Directory(
+            on_agent_lost=self._lose_agent, hearing=self._hearing
+        )
         self._peers = Peers(
             name=self._settings.name,
             domain=self._settings.domain,
@@ -189,6 +194,7 @@
             clock=clock,
             configuration=self._configuration,
             directory=self.directory,
+            hearing=self._hearing,
             meter=self._meter,
             peers=self._peers,
             post=self._post,
@@ -327,6 +333,7 @@
     def _tick(self) -> None:
         now = self._loop.time()
         self._configuration.tick()
+        self._hearing.note_check(now=now)
         self.channels.check_timeouts(now)
         if now - self._heartbeat_at < HEARTBEAT_SECONDS:
             return
--- a/eelgrassrack/entry/inbox.py
+++ b/eelgrassrack/entry/inbox.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ..decisions.hearing import Hearing
 from ..mailbox.messages import (
     AnyMessage,
     Cleared,
@@ -37,6 +38,7 @@
         "_clock",
         "_configuration",
         "_directory",
+        "_hearing",
         "_meter",
         "_peers",
         "_post",
@@ -51,6 +53,7 @@
         clock: Callable[[], float],
         configuration: Configuration,
         directory: Directory,
+        hearing: Hearing,
         meter: Meter,
         peers: Peers,
         post: Post,
@@ -61,6 +64,7 @@
         self._clock = clock
         self._configuration = configuration
         self._directory = directory
+        self._hearing = hearing
         self._meter = meter
         self._peers = peers
         self._post = post
@@ -70,6 +74,7 @@
         """Process a batch of messages from an agent or another entry."""
         self._configuration.tick()
         now = self._clock()
+        self._hearing.note_heard(sender=batch.address, now=now)
         sender = batch.incarnation
         for message in batch.messages:
             # Nearly all messages are pieces, and each pattern that doesn't match
--- a/eelgrassrack/entry/observers.py
+++ b/eelgrassrack/entry/observers.py
@@ -4,8 +4,9 @@
 first run; its outcome is then requested from the agent.
 """
 
+from ..decisions.hearing import Hearing
 from ..mailbox.messages import Ask, Resume
-from .channels import ASK_AFTER_SECONDS, GONE_AFTER_SECONDS, Channel, OutcomeUnknown
+from .channels import ASK_AFTER_SECONDS, Channel, OutcomeUnknown
 
 
 class AttemptObserver(Channel):
@@ -23,13 +24,13 @@
         self._post(self.address, Ask(attempt=self.attempt, agent=self.agent))
         self._post(self.address, Resume(attempt=self.attempt, offset=self.expected))
 
-    def check_timeouts(self, now: float) -> None:
+    def check_timeouts(self, now: float, hearing: Hearing) -> None:
         """Ask again, and give up at the deadline or if the agent is silent."""
         if self.outcome.done():
             return
         if now >= self.deadline:
             self.settle(OutcomeUnknown(reason="the first run has not ended"))
-        elif now - self.last_message_at >= GONE_AFTER_SECONDS:
+        elif self._is_agent_gone(now, hearing):
             self.settle(OutcomeUnknown(reason="the agent is silent"))
         elif self._asked_at is None or now - self._asked_at >= ASK_AFTER_SECONDS:
             self.ask(now)
