Repeat a health poll that timed out while the agent itself was late

What callers saw: an agent whose event loop was held up for longer than a poll may take (1 s) called its engine down, though the engine had answered. It reported this to all entries, and as soon as a slot was free it refused its whole queue with engine_down (503 where no retry was possible). By reading: the next poll of a service without an incarnation then counts as a restart and shrinks its window, and if a connection broke at that time, all running requests are announced as suspects of a crash, two of which quarantine a request (422).

Cause: curl looks at its timeout before it reads what has arrived, so that the agent's own lateness looked like the engine's silence.

Change: the lag of the event loop is measured during a poll (agent/lag.py). A poll that timed out while the loop was late by 0.25 s or more is repeated, at most three polls in all. An engine that hangs is still down after one poll if the loop is on time, and a refused connection counts at once.

test_an_agent_that_is_held_up_doesnt_take_its_engine_for_down failed before and passes, three times in a row; test_an_engine_that_hangs_is_down_after_one_poll is new and passes before and after.

--- a/eelgrassrack/agent/health.py
+++ b/eelgrassrack/agent/health.py
@@ -9,11 +9,13 @@
 
 import logbook
 import msgspec
+import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
 from ..curl import make_client
 from ..decisions.coldstart import CollapseReason
+from .lag import LagMeter
 
 log = logbook.Logger("health")
 
@@ -23,6 +25,12 @@
 FIRST_DOWN_STATUS = 500
 MAX_CLIENTS = 4
 
+# A poll that times out is repeated if the event loop was this late meanwhile, so that
+# the answer may only not have been read.  A loop that is late in all of these tries
+# can't tell, and then the endpoint counts as down.
+MAX_LAG_SECONDS = 0.25
+MAX_POLL_TRIES = 3
+
 
 class HealthReport(msgspec.Struct, kw_only=True):
     """The health report of an engine; that of a plain service may be empty."""
@@ -32,7 +40,12 @@
 
 
 class EndpointDown(msgspec.Struct, kw_only=True, frozen=True):
-    """The endpoint didn't answer, or answered with a server error."""
+    """The endpoint didn't answer, or answered with a server error.
+
+    `timed_out` says that nothing was read in time.
+    """
+
+    timed_out: bool = False
 
 
 class Health:
@@ -73,8 +86,8 @@
         self._client.close()
 
     async def poll(self) -> None:
-        """Poll the endpoint once and note what changed."""
-        self.note(await self._fetch_report())
+        """Poll the endpoint and note what changed."""
+        self.note(await self._fetch_timely())
 
     async def is_alive(self, since: float) -> bool:
         """Return whether the endpoint is up and hasn't restarted since a time."""
@@ -112,6 +125,21 @@
             log.warning("health: endpoint reports a cold start")
             self._on_collapse(CollapseReason.REPORTED_COLD)
 
+    async def _fetch_timely(self) -> HealthReport | EndpointDown:
+        """Fetch a report, again if this process was late itself."""
+        for _ in range(MAX_POLL_TRIES):
+            meter = LagMeter()
+            try:
+                report = await self._fetch_report()
+            finally:
+                meter.stop()
+            lag = meter.measure()
+            is_timeout = isinstance(report, EndpointDown) and report.timed_out
+            if not is_timeout or lag < MAX_LAG_SECONDS:
+                break
+            log.info("health: poll timed out, but the loop was {:.2f} s late", lag)
+        return report
+
     async def _fetch_report(self) -> HealthReport | EndpointDown:
         request = HTTPRequest(
             url=self._url,
@@ -122,8 +150,9 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except CurlError:
-            return EndpointDown()
+        except CurlError as error:
+            timed_out = error.errno == pycurl.E_OPERATION_TIMEDOUT
+            return EndpointDown(timed_out=timed_out)
         if response.code >= FIRST_DOWN_STATUS:
             return EndpointDown()
         try:
--- a/test/agent/test_health.py
+++ b/test/agent/test_health.py
@@ -130,3 +130,29 @@
         health, collapses = asyncio.run(poll_late(url))
     assert health.is_up
     assert collapses == []
+
+
+class HangingHealth(SlowHealth):
+    """No answer for longer than a poll may take."""
+
+    def do_GET(self):  # noqa: N802
+        time.sleep(2 * TIMEOUT_SECONDS)
+
+
+def test_an_engine_that_hangs_is_down_after_one_poll():
+    """Guards against callers that wait for an engine that doesn't answer.
+
+    The agent isn't late, so that one poll without an answer is enough.
+    """
+
+    async def play(url):
+        health = Health(url=url, clock=time.monotonic, on_collapse=print)
+        began = time.monotonic()
+        await health.poll()
+        health.close()
+        return health, time.monotonic() - began
+
+    with serve(HangingHealth) as url:
+        health, seconds = asyncio.run(play(url))
+    assert not health.is_up
+    assert seconds < 1.5 * TIMEOUT_SECONDS
