--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -180,7 +180,7 @@
         if head.not_run:
             await self._read_body(connection)
             self._return_connection(endpoint, connection, head)
-            return NotRun(reason=f"status {head.status}")
+            return NotRun(reason=describe_refusal(head))
         if head.status in SUCCESS_STATUSES and not head.is_whole:
             return Lost(reason="a success without its stamp")
         if head.status in SUCCESS_STATUSES:
@@ -334,3 +334,10 @@
 
     def _note_first_byte(self, job: Job) -> None:
         job.first_at = self._loop.time()
+
+
+def describe_refusal(head: ResponseHead) -> str:
+    """Return a short reason for an attempt that an endpoint turned away."""
+    if head.rest is None:
+        return f"status {head.status}"
+    return f"status {head.status}, asks for {head.rest:.3g} s of rest"
--- a/eelgrassrack/gateway/messages.py
+++ b/eelgrassrack/gateway/messages.py
@@ -65,7 +65,8 @@
     stamp that marks a complete success.  `attempt` is the id of the request that the
     endpoint answers.  `keep_alive` is the number of seconds for which the endpoint
     keeps an idle connection, `will_close` is set if it closes this one.
-    `confidence` is the model's own rating of the answer, from 0 to 100.
+    `confidence` is the model's own rating of the answer, from 0 to 100.  `rest` is the
+    number of seconds for which a busy endpoint wants no requests of this gateway.
     """
 
     status: int
@@ -79,6 +80,7 @@
     keep_alive: float | None = None
     will_close: bool = False
     confidence: int | None = None
+    rest: float | None = None
 
 
 class Data(msgspec.Struct, frozen=True):
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -1,5 +1,6 @@
 """Conversion between the platform's headers and the gateway's messages."""
 
+import math
 from collections.abc import Iterable
 
 from ..gateway.messages import Arrival, EndpointLoad, PromptPart, ResponseHead
@@ -21,6 +22,7 @@
 SESSION = "Session"
 CONFIDENCE = "X-Confidence"
 INSTANCE = "X-Instance"
+RETRY_AFTER = "Retry-After"
 SCHEME = "bearer "
 
 # Only the router may set these headers.  Values sent by a caller are dropped: they
@@ -47,6 +49,7 @@
 DROPPED = HOP_BY_HOP | ROUTER_HEADERS
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 MILLISECONDS = 1000.0
 
 
@@ -147,6 +150,7 @@
         keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
         will_close="close" in listed,
         confidence=_decode_count(named.get("x-confidence", "")),
+        rest=_decode_rest(status, named.get("retry-after", "")),
     )
 
 
@@ -190,6 +194,17 @@
     return EndpointLoad(*(int(field) for field in fields))
 
 
+def _decode_rest(status: int, value: str) -> float | None:
+    """Return for how many seconds an endpoint asks for rest, None if it doesn't."""
+    if status != UNAVAILABLE:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0.0 < seconds < math.inf else None
+
+
 def _decode_count(value: str) -> int | None:
     return int(value) if value.isdecimal() else None
 
