--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -20,6 +20,7 @@
     INSTANCE,
     MODEL,
     NOT_RUN,
+    RETRY_AFTER,
     STAMP,
 )
 
@@ -62,10 +63,14 @@
 
 
 class Refuse(msgspec.Struct, kw_only=True, frozen=True):
-    """Answer after `delay` seconds that the request has not run."""
+    """Answer after `delay` seconds that the request has not run.
+
+    With `rest` the endpoint asks for so many seconds without requests.
+    """
 
     status: int = 503
     delay: float = 0.0
+    rest: float | None = None
 
 
 class Unframed(msgspec.Struct, kw_only=True, frozen=True):
@@ -119,6 +124,7 @@
         "_steps",
         "_writers",
         "address",
+        "arrived_at",
         "broken_at",
         "cancelled",
         "connections",
@@ -130,6 +136,8 @@
     def __init__(self, *, name: str, script: Sequence[Step]) -> None:
         self.name = name
         self.runs: list[RunRecord] = []
+        # The monotonic time when each request arrived, also those that didn't run.
+        self.arrived_at: list[float] = []
         # Attempt ids of requests that the router cancelled, and of those whose
         # connection it reset.
         self.cancelled: list[str] = []
@@ -215,6 +223,7 @@
         if run.headers.get(EXPECT_ENDPOINT.lower(), self.name) != self.name:
             await self._send(writer, machine, 421, {INSTANCE: self.name}, b"")
             return True
+        self.arrived_at.append(run.at)
         step = next(self._steps)
         if not isinstance(step, Refuse):
             self.runs.append(run)
@@ -229,9 +238,12 @@
                 headers = {STAMP: STAMP_VALUE, ATTEMPT: run.attempt}
                 body = run.attempt.encode()
                 await self._send(writer, machine, 200, headers, body)
-            case Refuse(status=status):
+            case Refuse(status=status, rest=rest):
                 await asyncio.sleep(step.delay)
-                await self._send(writer, machine, status, {NOT_RUN: "1"}, b"")
+                headers = {NOT_RUN: "1"}
+                if rest is not None:
+                    headers[RETRY_AFTER] = f"{rest:g}"
+                await self._send(writer, machine, status, headers, b"")
             case Events():
                 return await self._stream(run, step, reader, writer, machine)
             case Unframed(body=body, is_reset=is_reset):
--- /dev/null
+++ b/test/gateway/test_rest.py
@@ -0,0 +1,175 @@
+"""Endpoints that turn a request away and ask for rest."""
+
+import asyncio
+
+from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.connection import open_connection
+from eelgrassrack.platform.store import Kinds
+from eelgrassrack.standins.directengine import Events, Refuse, Reply
+
+from .world import ROUTES, make_world, run, wait_for
+
+REST_SECONDS = 1.2
+SHORT_REST_SECONDS = 0.25
+# The platform's bound: requests that reach an endpoint during its rest.
+MOST_REQUESTS = 2
+
+
+async def ask_for(world, seconds, path="/look/1"):
+    """Ask one request after the other for a while; return the answers."""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    answers = []
+    while loop.time() < until:
+        answers.append(await world.call(path, attempt=f"a{len(answers)}"))
+        await asyncio.sleep(0.01)
+    return answers
+
+
+def count_during_rest(engine):
+    """Return how many requests arrived in a rest, after the one turned away."""
+    first = engine.arrived_at[0]
+    return sum(first < at < first + REST_SECONDS for at in engine.arrived_at)
+
+
+def test_an_endpoint_that_asks_for_rest_gets_no_requests_meanwhile():
+    """Guards against requests to an endpoint that asked this gateway for rest."""
+
+    async def main():
+        async with make_world() as world:
+            resting = await world.add_engine(
+                "e1", Refuse(rest=REST_SECONDS), Reply(), slots=100
+            )
+            await world.add_engine("e2", slots=1)
+            await world.start_gateway()
+            await world.wait_ready()
+            answers = await ask_for(world, 2 * REST_SECONDS)
+            assert {answer.status for answer in answers} == {200}
+            assert count_during_rest(resting) == 0
+            assert resting.runs
+
+    run(main())
+
+
+def test_a_rest_outlasts_whatever_else_changes():
+    """Guards against a wish that a new list or configuration forgets.
+
+    The resting endpoint's entry lapses and comes back, and a configuration arrives.
+    """
+
+    async def main():
+        async with make_world() as world:
+            resting = await world.add_engine(
+                "e1", Refuse(rest=REST_SECONDS), Reply(), slots=100
+            )
+            await world.add_engine("e2", slots=1)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call()).status == 200
+            world.store.remove(kind=Kinds.ENDPOINTS, name="e1")
+            await wait_for(lambda: gateway.fleet.find("e1") is None)
+            world.configure(version=2)
+            world.list_engine("e1", slots=100)
+            await wait_for(lambda: gateway.fleet.find("e1"))
+            await ask_for(world, 0.4)
+            assert count_during_rest(resting) == 0
+
+    run(main())
+
+
+def test_a_request_is_refused_at_once_if_all_endpoints_rest_for_long():
+    """Guards against callers that wait for what can't be served in time."""
+
+    async def main():
+        async with make_world() as world:
+            engines = [
+                await world.add_engine(f"e{number}", Refuse(rest=REST_SECONDS))
+                for number in range(2)
+            ]
+            await world.start_gateway()
+            await world.wait_ready()
+            await world.call("/issue/1", attempt="a1")
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            got = await world.call("/issue/1", attempt="a2")
+            assert loop.time() - began < 0.2
+            assert got.status == 503
+            assert 0.5 < float(got.headers["retry-after"]) <= REST_SECONDS
+            assert sum(len(engine.arrived_at) for engine in engines) == 2
+
+    run(main())
+
+
+def test_a_request_waits_for_a_short_rest():
+    """Guards against refusals of what can still be answered in time."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Refuse(rest=SHORT_REST_SECONDS), Reply()
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            assert (await world.call("/issue/1")).status == 200
+            turned_away, ran = engine.arrived_at
+            assert ran - turned_away >= SHORT_REST_SECONDS
+
+    run(main())
+
+
+def test_a_begun_stream_waits_for_a_rest():
+    """Guards against a stream that is broken off because endpoints rest.
+
+    Its endpoint crashes, and the other one has asked for rest.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            resting = await world.add_engine(
+                "e2", Refuse(rest=REST_SECONDS), Events(count=6), slots=100, **rest
+            )
+            breaking = Events(count=6, gap=0.02, breaks_after=2)
+            await world.add_engine("e1", breaking, slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1")
+            assert got.is_whole
+            assert got.body.count(b"\n\n") == 6
+            assert count_during_rest(resting) == 0
+
+    run(main())
+
+
+def test_a_request_isnt_sent_to_an_endpoint_that_asked_for_rest_meanwhile(
+    monkeypatch,
+):
+    """Guards against a request that was placed before its endpoint asked for rest.
+
+    Its connection opens late.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Refuse(rest=REST_SECONDS, delay=0.2), Reply(), slots=100
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            first = asyncio.ensure_future(world.call("/issue/1", attempt="a1"))
+            await wait_for(lambda: engine.arrived_at)
+
+            async def open_late(*, address, timeout):
+                await asyncio.sleep(0.5)
+                return await open_connection(address=address, timeout=timeout)
+
+            monkeypatch.setattr(pool, "open_connection", open_late)
+            routes = [{**route, "targetLatencyMs": 100} for route in ROUTES]
+            world.configure(version=2, routes=routes)
+            second = asyncio.ensure_future(world.call("/issue/1", attempt="a2"))
+            assert (await first).status == 503
+            assert (await second).status == 503
+            assert count_during_rest(engine) <= MOST_REQUESTS
+            assert not engine.runs
+
+    run(main())
