Send nothing to an endpoint that asked for rest until it is over

Callers paid with a retry each.

Cause: the header wasn't read. A 503 counted as one failure, after which the endpoint was avoided for 0.3 s, or 3 s once it failed often, and used even then if all others were avoided too. The class: a stated limit was replaced by an estimate of our own.

Change: decisions/rest.py keeps until when each lifetime of an endpoint wants nothing, whatever else becomes known of it; the longest wish counts. Such an endpoint isn't chosen, nor sent to if it asked while a connection opened. If all endpoints of a request rest, it waits if it can still be in time, or if it has run or begun; otherwise it is refused at once, and Retry-After says when the first rest ends.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -175,12 +175,15 @@
         silence: SilenceTimer,
     ) -> Outcome:
         head = await self._read_head(connection)
+        self._placer.note_head(endpoint, head)
         if head.attempt and head.attempt != job.arrival.id:
             return Lost(reason=f"an answer to {head.attempt}")
         if head.not_run:
             await self._read_body(connection)
             self._return_connection(endpoint, connection, head)
-            return NotRun(reason=describe_refusal(head))
+            return NotRun(
+                reason=describe_refusal(head), wants_rest=head.rest is not None
+            )
         if head.status in SUCCESS_STATUSES and not head.is_whole:
             return Lost(reason="a success without its stamp")
         if head.status in SUCCESS_STATUSES:
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -29,12 +29,14 @@
     """The attempt certainly did not run and never will.
 
     `is_down` is set if the endpoint refused the connection, `is_unreachable` if no
-    connection could be opened in time.
+    connection could be opened in time, and `wants_rest` if the endpoint asked for a
+    time without requests.
     """
 
     reason: str
     is_down: bool = False
     is_unreachable: bool = False
+    wants_rest: bool = False
 
 
 class Lost(msgspec.Struct, kw_only=True, frozen=True):
@@ -158,6 +160,12 @@
         """Return how many more attempts the route allows."""
         return self.permit.route.attempts - self.attempts
 
+    @property
+    def has_run(self) -> bool:
+        """Return whether the request may have run, or its caller has a part of it."""
+        is_begun = self.first_at is not None
+        return is_begun or self.execution_status is not ExecutionStatus.NOT_RUN
+
     def note_status(self, status: ExecutionStatus) -> None:
         """Record whether an attempt ran, unless a higher status is known."""
         self.execution_status = max(self.execution_status, status)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -20,6 +20,7 @@
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.precedence import Sharer, count_before
+from ..decisions.rest import RestPeriods, may_wait
 from ..decisions.sharedbudget import share_cold_rate
 from ..decisions.suspects import avoid_suspected
 from .configuration import Service
@@ -28,7 +29,7 @@
 from .endpointstate import EndpointState
 from .fleet import Fleet
 from .job import Placement
-from .messages import Refusal
+from .messages import Refusal, ResponseHead
 from .passivehealth import PassiveHealthCheck
 from .peerupdates import EndpointReport, PeerUpdate
 from .prompts import (
@@ -51,8 +52,9 @@
 IDLE_BACKLOG_SECONDS = 0.01
 
 
-# How often a request checks for a free endpoint while all are cold and at their limit.
-COLD_POLL_SECONDS = 0.05
+# How often a request checks for a free endpoint while all of them rest, or are cold and
+# at their limit.
+POLL_SECONDS = 0.05
 
 # How long this gateway's share of a cold endpoint's rate is cached: computing it takes
 # a third of a millisecond with hundreds of gateways.
@@ -79,6 +81,7 @@
         "_list_sharers",
         "_loop",
         "_pace",
+        "_rest",
         "_rollouts",
         "_settings",
         "_usage",
@@ -104,6 +107,7 @@
         self._has_peer_updates = False
         self._merged_at = 0.0
         self._pace = Pace()
+        self._rest = RestPeriods()
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
         self._usage = Usage(now=self._loop.time())
@@ -125,7 +129,8 @@
     async def place(self, job: "Job") -> Endpoint | Refusal:
         """Return the endpoint for the next attempt, or a refusal.
 
-        This waits while all endpoints are cold and at their limit.
+        This waits while all endpoints are cold and at their limit, and for a while if
+        they rest.
         """
         while True:
             now = self._loop.time()
@@ -133,14 +138,37 @@
             if self.health.is_culprit(job):
                 return QUERY_OF_DEATH
             states = self._select_trusted(job, now)
-            if not states:
-                return NO_ENDPOINT
             free = [
                 state for state in states if self._has_cold_capacity(state, job, now)
             ]
             if free:
                 return self._choose(job, free)
-            await asyncio.sleep(COLD_POLL_SECONDS)
+            if not states:
+                refusal = self._refuse_unless_resting(job, now)
+                if refusal is not None:
+                    return refusal
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _refuse_unless_resting(self, job: "Job", now: float) -> Refusal | None:
+        """Return the refusal of a request without endpoints, None if it may wait.
+
+        It may wait for endpoints that only rest.
+        """
+        ends = [
+            self._rest.find_end(state.endpoint.lifetime)
+            for state in self._list_permitted(job, excluded=job.excluded)
+        ]
+        if not ends:
+            return NO_ENDPOINT
+        may_stay = may_wait(
+            ends_at=min(ends),
+            due_at=job.arrival.arrived + job.permit.route.objective,
+            deadline=job.deadline,
+            has_run=job.has_run,
+        )
+        if may_stay:
+            return None
+        return Refusal(status=503, reason="resting", retry_after=min(ends) - now)
 
     def has_alternative(self, job: "Job") -> bool:
         """Return whether a request that leaves its endpoint has another to go to."""
@@ -172,6 +200,13 @@
             state.cold_sends.remove(job.sent_at)
         state.cold_sends.append(self._loop.time())
 
+    def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Note what the head of an answer says of the endpoint that sent it."""
+        if head.rest is not None:
+            self._rest.note(
+                lifetime=endpoint.lifetime, seconds=head.rest, now=self._loop.time()
+            )
+
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Add a request to the load of its endpoint."""
         state = self._fleet.find_state(endpoint)
@@ -297,6 +332,18 @@
         self.health.merge_crashes(updates)
 
     def _select(self, job: "Job", excluded: Collection[str]) -> list[EndpointState]:
+        """Return the endpoints that may get a request now."""
+        now = self._loop.time()
+        return [
+            state
+            for state in self._list_permitted(job, excluded)
+            if not self._rest.is_resting(state.endpoint.lifetime, now)
+        ]
+
+    def _list_permitted(
+        self, job: "Job", excluded: Collection[str]
+    ) -> list[EndpointState]:
+        """Return the endpoints that may get a request, also those that rest."""
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
             session=job.arrival.session,
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -345,6 +345,9 @@
             case NotRun():
                 if outcome.is_unreachable:
                     job.unreachable.add(endpoint.name)
+                if outcome.wants_rest:
+                    # Its rest alone keeps the endpoint out, and may end in time.
+                    job.excluded.discard(endpoint.name)
                 self._placer.health.note_not_run(endpoint, outcome)
             case Lost():
                 job.note_status(ExecutionStatus.UNKNOWN)
