--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -18,6 +18,8 @@
     CONFIDENCE,
     EXPECT_ENDPOINT,
     INSTANCE,
+    LEAVING,
+    LEAVING_VALUE,
     MODEL,
     NOT_RUN,
     RETRY_AFTER,
@@ -128,6 +130,7 @@
         "broken_at",
         "cancelled",
         "connections",
+        "is_leaving",
         "name",
         "resets",
         "runs",
@@ -145,6 +148,8 @@
         # The monotonic time when the stream of each attempt last broke off.
         self.broken_at: dict[str, float] = {}
         self.connections = 0
+        # Whether all answers say that the endpoint leaves.
+        self.is_leaving = False
         self.address = ""
         self._steps = itertools.chain(script, itertools.repeat(script[-1]))
         self._server: asyncio.Server | None = None
@@ -295,6 +300,7 @@
             ATTEMPT: run.attempt,
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
+            **self._list_own_headers(),
         }
         if step.confidence is not None:
             headers[CONFIDENCE] = str(step.confidence)
@@ -322,6 +328,10 @@
         await writer.drain()
         return True
 
+    def _list_own_headers(self) -> dict[str, str]:
+        """Return the headers of all answers."""
+        return {LEAVING: LEAVING_VALUE} if self.is_leaving else {}
+
     async def _send(
         self,
         writer: asyncio.StreamWriter,
@@ -330,9 +340,9 @@
         headers: dict[str, str],
         body: bytes,
     ) -> None:
-        _write_head(
-            writer, machine, status, {**headers, "Content-Length": str(len(body))}
-        )
+        length = {"Content-Length": str(len(body))}
+        own = self._list_own_headers()
+        _write_head(writer, machine, status, {**headers, **own, **length})
         writer.write(machine.send(h11.Data(data=body)))
         writer.write(machine.send(h11.EndOfMessage()))
         await writer.drain()
