Send nothing more to an endpoint that says in an answer that it leaves

Before, only the list of endpoints was believed: an endpoint that had said it got 13 of 13 further requests in the tests, and one whose entry lapsed and came back was used again.

Change: decisions/leaving.py keeps which lifetimes of endpoints leave, for good. Such an endpoint isn't chosen, for retries neither; what runs there goes on. An answer of status 421 speaks for the endpoint that it names as its sender, as the address may be another's by now.

--- a/eelgrassrack/gateway/messages.py
+++ b/eelgrassrack/gateway/messages.py
@@ -67,6 +67,9 @@
     keeps an idle connection, `will_close` is set if it closes this one.
     `confidence` is the model's own rating of the answer, from 0 to 100.  `rest` is the
     number of seconds for which a busy endpoint wants no requests of this gateway.
+    `is_leaving` is set if the endpoint is about to exit, `is_misdirected` if the
+    request was meant for another endpoint.  `sender` is the name of the endpoint that
+    answered, empty if it didn't tell.
     """
 
     status: int
@@ -81,6 +84,9 @@
     will_close: bool = False
     confidence: int | None = None
     rest: float | None = None
+    is_leaving: bool = False
+    is_misdirected: bool = False
+    sender: str = ""
 
 
 class Data(msgspec.Struct, frozen=True):
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -17,6 +17,7 @@
     choose_engine,
 )
 from ..decisions.fairshare import Usage, UsageReport
+from ..decisions.leaving import LeavingEndpoints
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.precedence import Sharer, count_before
@@ -77,6 +78,7 @@
         "_merged_at",
         "_fleet",
         "_has_peer_updates",
+        "_leaving",
         "_list_peer_updates",
         "_list_sharers",
         "_loop",
@@ -108,6 +110,7 @@
         self._merged_at = 0.0
         self._pace = Pace()
         self._rest = RestPeriods()
+        self._leaving = LeavingEndpoints()
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
         self._usage = Usage(now=self._loop.time())
@@ -202,11 +205,27 @@
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what the head of an answer says of the endpoint that sent it."""
+        if head.is_leaving:
+            self._note_leaving(endpoint, head)
         if head.rest is not None:
             self._rest.note(
                 lifetime=endpoint.lifetime, seconds=head.rest, now=self._loop.time()
             )
 
+    def _note_leaving(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Note that the endpoint which sent an answer leaves.
+
+        At a reused address that is another one than the endpoint that was meant.
+        """
+        if head.is_misdirected:
+            state = self._fleet.find(head.sender)
+            if state is None:
+                return
+            endpoint = state.endpoint
+        if endpoint.lifetime not in self._leaving:
+            log.info("placing: {} says that it leaves", endpoint.name)
+        self._leaving.note(endpoint.lifetime)
+
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Add a request to the load of its endpoint."""
         state = self._fleet.find_state(endpoint)
@@ -350,7 +369,12 @@
             request=job.arrival.id,
         )
         states = self._fleet.select(service=job.permit.service.name, versions=versions)
-        return [state for state in states if state.endpoint.name not in excluded]
+        return [
+            state
+            for state in states
+            if state.endpoint.name not in excluded
+            and state.endpoint.lifetime not in self._leaving
+        ]
 
     def _select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
         return avoid_suspected(
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -153,6 +153,9 @@
         will_close="close" in listed,
         confidence=_decode_count(named.get("x-confidence", "")),
         rest=_decode_rest(status, named.get("retry-after", "")),
+        is_leaving=named.get(LEAVING.lower(), "") == LEAVING_VALUE,
+        is_misdirected=status == MISDIRECTED,
+        sender=named.get(INSTANCE.lower(), ""),
     )
 
 
