--- a/eelgrassrack/losses.py
+++ b/eelgrassrack/losses.py
@@ -208,7 +208,7 @@
             return Cause.CALLER_LEFT
         case EndFields(reason="stopping"):
             return Cause.STOPPING
-        case EndFields(reason="no endpoint"):
+        case EndFields(reason="no endpoint" | "resting"):
             return Cause.NO_ENDPOINT
         case EndFields(reason="tried as often as allowed" | "retry budget spent"):
             return Cause.NO_RETRY
--- a/test/test_losses.py
+++ b/test/test_losses.py
@@ -55,6 +55,7 @@
         ([attempt("Failed")], {"end": "failed"}, Cause.FAILED),
         ([attempt("NotRun"), attempt("Delivered")], {"first": 1.2}, Cause.REFUSED),
         ([], {"end": "refused", "status": 503, "reason": "stopping"}, Cause.STOPPING),
+        ([], {"end": "refused", "status": 503, "reason": "resting"}, Cause.NO_ENDPOINT),
         ([attempt("Delivered")], {"gap": 0.9}, Cause.PAUSED),
         ([attempt("Delivered", wait=0.6)], {"first": 1.2}, Cause.QUEUED),
         ([attempt("Unsure"), attempt("Delivered")], {"first": 1.2}, Cause.ESCALATED),
