--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -17,11 +17,10 @@
     choose_engine,
 )
 from ..decisions.fairshare import Usage, UsageReport
-from ..decisions.leaving import LeavingEndpoints
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace
 from ..decisions.precedence import Sharer, count_before
-from ..decisions.rest import RestPeriods, may_wait
+from ..decisions.rest import may_wait
 from ..decisions.sharedbudget import share_cold_rate
 from ..decisions.suspects import avoid_suspected
 from .configuration import Service
@@ -30,7 +29,7 @@
 from .endpointstate import EndpointState
 from .fleet import Fleet
 from .job import Placement
-from .messages import Refusal, ResponseHead
+from .messages import Refusal
 from .passivehealth import PassiveHealthCheck
 from .peerupdates import EndpointReport, PeerUpdate
 from .prompts import (
@@ -42,6 +41,7 @@
 )
 from .rollouts import Rollouts
 from .settings import GatewaySettings
+from .wishes import EndpointWishes
 
 if TYPE_CHECKING:
     from .job import Job
@@ -69,26 +69,26 @@
     """Choose endpoints and track the requests that run on them.
 
     `heavy` are the organisations whose prompts are deprioritised, `health` learns
-    from the outcomes of attempts which endpoints fail.  `list_sharers` returns the
-    other gateways that share the common limits, or None while they aren't known,
-    and `list_peer_updates` the latest update of each peer.
+    from the outcomes of attempts which endpoints fail, `wishes` from their answers
+    which want no requests.  `list_sharers` returns the other gateways that share the
+    common limits, or None while they aren't known, and `list_peer_updates` the latest
+    update of each peer.
     """
 
     __slots__ = (
         "_merged_at",
         "_fleet",
         "_has_peer_updates",
-        "_leaving",
         "_list_peer_updates",
         "_list_sharers",
         "_loop",
         "_pace",
-        "_rest",
         "_rollouts",
         "_settings",
         "_usage",
         "health",
         "heavy",
+        "wishes",
     )
 
     def __init__(
@@ -109,8 +109,7 @@
         self._has_peer_updates = False
         self._merged_at = 0.0
         self._pace = Pace()
-        self._rest = RestPeriods()
-        self._leaving = LeavingEndpoints()
+        self.wishes = EndpointWishes(fleet=fleet)
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
         self._usage = Usage(now=self._loop.time())
@@ -158,7 +157,7 @@
         It may wait for endpoints that only rest.
         """
         ends = [
-            self._rest.find_end(state.endpoint.lifetime)
+            self.wishes.find_rest_end(state.endpoint)
             for state in self._list_permitted(job, excluded=job.excluded)
         ]
         if not ends:
@@ -203,29 +202,6 @@
             state.cold_sends.remove(job.sent_at)
         state.cold_sends.append(self._loop.time())
 
-    def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
-        """Note what the head of an answer says of the endpoint that sent it."""
-        if head.is_leaving:
-            self._note_leaving(endpoint, head)
-        if head.rest is not None:
-            self._rest.note(
-                lifetime=endpoint.lifetime, seconds=head.rest, now=self._loop.time()
-            )
-
-    def _note_leaving(self, endpoint: Endpoint, head: ResponseHead) -> None:
-        """Note that the endpoint which sent an answer leaves.
-
-        At a reused address that is another one than the endpoint that was meant.
-        """
-        if head.is_misdirected:
-            state = self._fleet.find(head.sender)
-            if state is None:
-                return
-            endpoint = state.endpoint
-        if endpoint.lifetime not in self._leaving:
-            log.info("placing: {} says that it leaves", endpoint.name)
-        self._leaving.note(endpoint.lifetime)
-
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Add a request to the load of its endpoint."""
         state = self._fleet.find_state(endpoint)
@@ -352,11 +328,10 @@
 
     def _select(self, job: "Job", excluded: Collection[str]) -> list[EndpointState]:
         """Return the endpoints that may get a request now."""
-        now = self._loop.time()
         return [
             state
             for state in self._list_permitted(job, excluded)
-            if not self._rest.is_resting(state.endpoint.lifetime, now)
+            if not self.wishes.is_resting(state.endpoint)
         ]
 
     def _list_permitted(
@@ -373,7 +348,7 @@
             state
             for state in states
             if state.endpoint.name not in excluded
-            and state.endpoint.lifetime not in self._leaving
+            and not self.wishes.is_leaving(state.endpoint)
         ]
 
     def _select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
--- a/eelgrassrack/gateway/retries.py
+++ b/eelgrassrack/gateway/retries.py
@@ -1,9 +1,16 @@
-"""Counts of recent requests and retries, for the retry budget."""
+"""The retry budget: counts of recent requests and retries, and reserved retries."""
 
+import asyncio
 import collections
+from collections.abc import Callable
 
 import msgspec
 
+from ..decisions.sharedbudget import allow_retry
+from .job import Job
+from .requestlog import log_spent_budget
+from .settings import GatewaySettings
+
 
 class RetryCounts(msgspec.Struct, frozen=True):
     """Requests and retries of one service within the window."""
@@ -36,3 +43,68 @@
             while times and times[0] < now - self._seconds:
                 times.popleft()
         return RetryCounts(len(self._requests), len(self._repeats))
+
+
+class RetryBudget:
+    """This gateway's share of the retries that all gateways may send.
+
+    A retry is reserved for a request before the run that it replaces is given up, and
+    counts from then on.  `count_gateways` returns how many gateways share the limits,
+    None while it isn't known.
+    """
+
+    __slots__ = ("_count_gateways", "_loop", "_settings", "_windows")
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        count_gateways: Callable[[], int | None],
+    ) -> None:
+        self._count_gateways = count_gateways
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._windows: dict[str, RetryWindow] = {}
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Apply changed settings."""
+        self._settings = settings
+
+    def note_request(self, service: str) -> None:
+        """Count a request for a service."""
+        self._find_window(service).note_request(self._loop.time())
+
+    def reserve(self, job: Job) -> bool:
+        """Reserve a retry until an attempt uses it; return whether the job has one."""
+        if not job.holds_retry and self._is_left(job):
+            self._find_window(job.permit.service.name).note_repeat(self._loop.time())
+            job.holds_retry = True
+        return job.holds_retry
+
+    def move(self, job: Job, service: str) -> None:
+        """Count a job's reserved retry at another service, where its route moved to.
+
+        What the retry makes up for has ended, so it is kept in any case.
+        """
+        if job.holds_retry and service != job.permit.service.name:
+            self._find_window(service).note_repeat(self._loop.time())
+
+    def _is_left(self, job: Job) -> bool:
+        counts = self._find_window(job.permit.service.name).count(self._loop.time())
+        is_allowed = allow_retry(
+            requests=counts.requests,
+            repeats=counts.repeats,
+            ratio=self._settings.retry_ratio,
+            slack=self._settings.retry_slack,
+            entries=self._count_gateways(),
+        )
+        if not is_allowed:
+            log_spent_budget(job, requests=counts.requests, repeats=counts.repeats)
+        return is_allowed
+
+    def _find_window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = RetryWindow(seconds=self._settings.retry_window_seconds)
+            self._windows[service] = window
+        return window
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 from ..decisions.modelchoice import choose_first
-from ..decisions.sharedbudget import allow_retry
 from ..decisions.stopping import Readiness, find_retry_after, may_take
 from .attempts import AttemptRunner
 from .configuration import Permit, Router
@@ -28,9 +27,8 @@
     log_end,
     log_late_arrival,
     log_refusal,
-    log_spent_budget,
 )
-from .retries import RetryWindow
+from .retries import RetryBudget
 from .settings import GatewaySettings
 from .translation import Translation
 
@@ -76,8 +74,7 @@
         "_metrics",
         "_in_flight",
         "_placer",
-        "_retry_windows",
-        "_settings",
+        "_retry_budget",
         "_get_readiness",
         "router",
     )
@@ -98,17 +95,18 @@
         self._is_loading = is_loading
         self._get_readiness = get_readiness
         self._placer = placer
+        self._retry_budget = RetryBudget(
+            settings=settings, count_gateways=lambda: placer.gateway_count
+        )
         self._attempts = AttemptRunner(
             placer=placer,
             pool=pool,
             translation=translation,
             metrics=metrics,
-            reserve_retry=self._reserve_retry,
+            reserve_retry=self._retry_budget.reserve,
             may_abandon=self._may_abandon,
         )
         self._metrics = metrics
-        self._settings = settings
-        self._retry_windows: dict[str, RetryWindow] = {}
         self._loop = asyncio.get_running_loop()
         self._ends_at = math.inf
         self._refuses_unfinishable = False
@@ -116,7 +114,7 @@
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
-        self._settings = settings
+        self._retry_budget.apply_settings(settings)
 
     async def serve(self, *, arrival: Arrival, reply: Reply) -> None:
         """Handle one request; raise `CallerGoneError`."""
@@ -131,7 +129,7 @@
             permit=verdict,
             deadline=_find_deadline(arrival, verdict),
         )
-        self._find_retry_window(verdict.service.name).note_request(self._loop.time())
+        self._retry_budget.note_request(verdict.service.name)
         if not self._is_admitted(job):
             await self.refuse(arrival, reply, self.make_stopping_refusal())
             return
@@ -263,7 +261,7 @@
             if isinstance(permit, Refusal):
                 return permit
             self._apply_permit(job, permit)
-        if job.attempts and not self._reserve_retry(job):
+        if job.attempts and not self._retry_budget.reserve(job):
             return _make_unserved_refusal("retry budget spent")
         return None
 
@@ -273,9 +271,7 @@
         This applies only before the caller has received any of its response; a
         stream continues on the service where it began.
         """
-        if job.holds_retry and permit.service.name != job.permit.service.name:
-            # What the retry makes up for has ended, so it counts there in any case.
-            self._find_retry_window(permit.service.name).note_repeat(self._loop.time())
+        self._retry_budget.move(job, permit.service.name)
         job.permit = permit
         if job.has_choice and job.model not in permit.route.models:
             job.model = self._choose_model(job)
@@ -303,33 +299,7 @@
             return False
         if job.deadline - self._loop.time() < MIN_HANDOVER_SECONDS:
             return False
-        return self._placer.has_alternative(job) and self._reserve_retry(job)
-
-    def _reserve_retry(self, job: Job) -> bool:
-        """Reserve a retry from the budget until an attempt uses it.
-
-        Return whether the request has one.
-        """
-        if not job.holds_retry and self._has_retry_budget(job):
-            window = self._find_retry_window(job.permit.service.name)
-            window.note_repeat(self._loop.time())
-            job.holds_retry = True
-        return job.holds_retry
-
-    def _has_retry_budget(self, job: Job) -> bool:
-        counts = self._find_retry_window(job.permit.service.name).count(
-            self._loop.time()
-        )
-        is_allowed = allow_retry(
-            requests=counts.requests,
-            repeats=counts.repeats,
-            ratio=self._settings.retry_ratio,
-            slack=self._settings.retry_slack,
-            entries=self._placer.gateway_count,
-        )
-        if not is_allowed:
-            log_spent_budget(job, requests=counts.requests, repeats=counts.repeats)
-        return is_allowed
+        return self._placer.has_alternative(job) and self._retry_budget.reserve(job)
 
     def _note_outcome(self, job: Job, endpoint: Endpoint, outcome: Outcome) -> None:
         """Log an attempt and update the job's and the endpoint's state from it."""
@@ -421,13 +391,6 @@
         self._metrics.observe_seconds(now - job.arrival.arrived, "whole")
         log_end(job, end, reason=reason, now=now)
 
-    def _find_retry_window(self, service: str) -> RetryWindow:
-        window = self._retry_windows.get(service)
-        if window is None:
-            window = RetryWindow(seconds=self._settings.retry_window_seconds)
-            self._retry_windows[service] = window
-        return window
-
 
 def _find_deadline(arrival: Arrival, permit: Permit) -> float:
     limit = permit.route.timeout or DEFAULT_TIMEOUT_SECONDS
