--- a/test/gateway/test_rest.py
+++ b/test/gateway/test_rest.py
@@ -173,3 +173,107 @@
             assert not engine.runs
 
     run(main())
+
+
+def test_a_request_isnt_held_beyond_its_own_deadline_for_a_rest():
+    """Guards against callers that wait for what can't be served in time.
+
+    The rest ends before the route's objective and after the caller's deadline.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Refuse(rest=0.45), Reply())
+            await world.start_gateway()
+            await world.wait_ready()
+            first = asyncio.ensure_future(world.call("/issue/1", attempt="a1"))
+            await wait_for(lambda: engine.arrived_at)
+            await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            got = await world.call("/issue/2", attempt="a2", timeout_ms=300)
+            assert got.status == 503
+            assert loop.time() - began < 0.15
+            await first
+
+    run(main())
+
+
+def test_an_endpoint_that_rests_when_its_connection_opens_may_be_used_later(
+    monkeypatch,
+):
+    """Guards against callers that are refused although a short rest ends in time.
+
+    The endpoint asked for rest while a connection to it was being opened.
+    """
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine(
+                "e1", Refuse(rest=0.6, delay=0.2), Reply(), slots=100
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            routes = [{**route, "targetLatencyMs": 1_900} for route in ROUTES]
+            world.configure(version=2, routes=routes)
+            await asyncio.sleep(0.5)
+            first = asyncio.ensure_future(world.call("/issue/1", attempt="a1"))
+            await wait_for(lambda: engine.arrived_at)
+
+            async def open_late(*, address, timeout):
+                await asyncio.sleep(0.3)
+                return await open_connection(address=address, timeout=timeout)
+
+            monkeypatch.setattr(pool, "open_connection", open_late)
+            assert (await world.call("/issue/1", attempt="a2")).status == 200
+            await first
+
+    run(main())
+
+
+def test_a_refusal_says_when_the_first_rest_ends():
+    """Guards against callers that come back while all endpoints still rest.
+
+    Each of a request's attempts was turned away.
+    """
+
+    async def main():
+        async with make_world() as world:
+            for number in range(3):
+                await world.add_engine(f"e{number}", Refuse(rest=3.0))
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/issue/1")
+            assert got.status == 503
+            assert 2.5 < float(got.headers["retry-after"]) <= 3.0
+
+    run(main())
+
+
+def test_retries_that_waited_for_a_rest_keep_to_the_budget():
+    """Guards against retries that wait together and are sent together.
+
+    Requests fail at one endpoint and wait until the other has rested.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rested = await world.add_engine(
+                "e2", Refuse(rest=1.8), Reply(status=500), slots=1_000
+            )
+            await world.add_engine("e1", Reply(status=500), slots=1)
+            await world.start_gateway(
+                retry_ratio=0.0, retry_slack=10.0, retry_window_seconds=0.5
+            )
+            await world.wait_ready()
+            calling = []
+            for number in range(120):
+                asked = world.call(f"/look/{number}", attempt=f"a{number}")
+                calling.append(asyncio.ensure_future(asked))
+                await asyncio.sleep(0.012)
+            await asyncio.gather(*calling)
+            times = rested.arrived_at[1:]
+            most = max(sum(at <= one < at + 0.5 for one in times) for at in times)
+            assert most <= 10
+
+    run(main())
