--- a/test/gateway/test_leaving.py
+++ b/test/gateway/test_leaving.py
@@ -8,7 +8,8 @@
 from eelgrassrack.standins.directengine import Events, Refuse, Reply
 from eelgrassrack.standins.metadatastore import Fault
 
-from .world import make_world, run, wait_for
+from .test_rollouts import order
+from .world import ANY_MODEL_HEADERS, make_world, run, wait_for
 
 CALLS = 12
 
@@ -164,3 +165,71 @@
             assert (await world.call()).status == 200
 
     run(main())
+
+
+def test_if_a_whole_version_leaves_the_other_one_is_used():
+    """Guards against callers that are refused although another version is ready.
+
+    After a roll-out the only endpoint of the new version says that it leaves.
+    """
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("old0")
+            new = await world.add_engine("new0", version="v2")
+            await world.start_gateway()
+            await world.wait_ready()
+            order(world, seconds=1.0)
+            await wait_for(lambda: world.status_of("plain") == "done")
+            new.is_leaving = True
+            assert await ask_often(world) == {200}
+
+    run(main())
+
+
+def test_an_endpoint_that_was_draining_isnt_used_when_its_entry_comes_back():
+    """Guards against work for an endpoint that drains.
+
+    Its entry lapses and comes back as ready.
+    """
+
+    async def main():
+        async with make_world() as world:
+            draining = await world.add_engine("e1", slots=100)
+            await world.add_engine("e2", slots=1)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            world.list_engine("e1", slots=100, state="draining")
+            await wait_for(lambda: gateway.fleet.find("e1").endpoint.is_draining)
+            world.store.remove(kind=Kinds.ENDPOINTS, name="e1")
+            await wait_for(lambda: gateway.fleet.find("e1") is None)
+            world.list_engine("e1", slots=100)
+            await wait_for(lambda: gateway.fleet.find("e1"))
+            assert await ask_often(world) == {200}
+            assert not draining.arrived_at
+
+    run(main())
+
+
+def test_an_unsure_answer_of_an_endpoint_that_leaves_isnt_dropped_for_nothing():
+    """Guards against an answer that is dropped although no other one can come.
+
+    A model is unsure, its endpoint leaves, and the other one has refused.
+    """
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            sure = Events(count=2, confidence=100)
+            await world.add_engine("e1", Refuse(), sure, slots=100, **rest)
+            unsure = Events(count=2, confidence=5)
+            leaving = await world.add_engine("e2", unsure, slots=1, **rest)
+            leaving.is_leaving = True
+            await world.start_gateway()
+            await world.wait_ready()
+            await asyncio.sleep(0.3)
+            got = await world.call("/chat/1", headers=ANY_MODEL_HEADERS)
+            assert got.status == 200
+            assert got.is_whole
+
+    run(main())
