Let the fleet itself keep which endpoints leave

Change: a lifetime that said it leaves, or was listed as draining, drains for good in the fleet. Estimates for an escalation leave out the endpoints that the request may not use. Any value of Server-Leaving but 0 counts.

--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 
+from ..decisions.leaving import LeavingEndpoints
 from .endpoints import Endpoint
 from .endpointstate import EndpointState
 from .follower import StoreContact
@@ -48,6 +49,7 @@
         "_contact",
         "_states",
         "_forget",
+        "_leaving",
         "evacuated",
         "is_loaded",
     )
@@ -63,6 +65,7 @@
         self._clock = clock
         self._forget = forget
         self._states: dict[str, EndpointState] = {}
+        self._leaving = LeavingEndpoints()
         self.evacuated: frozenset[str] = frozenset()
         self.is_loaded = False
 
@@ -150,11 +153,26 @@
         chosen = [state for state in usable if versions.allows(state.endpoint.version)]
         return chosen if chosen or versions.is_strict else usable
 
+    def note_leaving(self, endpoint: Endpoint) -> None:
+        """Note that an endpoint said that it leaves: it drains, whatever is listed."""
+        if endpoint.lifetime not in self._leaving:
+            log.info("fleet: {} says that it leaves", endpoint.name)
+        self._leaving.note(endpoint.lifetime)
+        state = self.find_state(endpoint)
+        if state is not None:
+            state.endpoint = msgspec.structs.replace(state.endpoint, is_draining=True)
+
     def _apply(self, endpoint: Endpoint) -> None:
         now = self._clock()
         state = self._states.get(endpoint.name)
         if state is not None and state.endpoint.born > endpoint.born:
             return
+        if endpoint.is_draining:
+            self._leaving.note(endpoint.lifetime)
+        elif endpoint.lifetime in self._leaving:
+            # A draining lifetime never takes work again, though its entry lapsed and
+            # came back, or a peer's view is older.
+            endpoint = msgspec.structs.replace(endpoint, is_draining=True)
         if state is None or state.endpoint.lifetime != endpoint.lifetime:
             if state is not None:
                 self._drop(state, "started again")
@@ -170,10 +188,6 @@
             return
         if endpoint.is_draining and not state.endpoint.is_draining:
             log.info("fleet: {} is draining", endpoint.name)
-        # A draining lifetime never takes work again, so an older view of a peer must
-        # not reactivate it.
-        if state.endpoint.is_draining and not endpoint.is_draining:
-            return
         state.endpoint = endpoint
         state.missing_since = None
         state.cold_until = now + endpoint.cold
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -258,7 +258,7 @@
     def estimate(self, job: "Job", model: str) -> Estimate:
         """Return the time until a model's first token; infinite without endpoints."""
         self._merge_peer_updates()
-        states = self._select(job, excluded=frozenset())
+        states = self._select(job, excluded=job.excluded.difference(job.tried[-1:]))
         if not states:
             return Estimate(float("inf"), float("inf"), float("inf"))
         choice = self._choose_engine(job, model, states)
@@ -344,12 +344,7 @@
             request=job.arrival.id,
         )
         states = self._fleet.select(service=job.permit.service.name, versions=versions)
-        return [
-            state
-            for state in states
-            if state.endpoint.name not in excluded
-            and not self.wishes.is_leaving(state.endpoint)
-        ]
+        return [state for state in states if state.endpoint.name not in excluded]
 
     def _select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
         return avoid_suspected(
--- a/eelgrassrack/gateway/wishes.py
+++ b/eelgrassrack/gateway/wishes.py
@@ -2,27 +2,21 @@
 
 import asyncio
 
-import logbook
-
-from ..decisions.leaving import LeavingEndpoints
 from ..decisions.rest import RestPeriods
 from .endpoints import Endpoint
 from .fleet import Fleet
 from .messages import ResponseHead
 
-log = logbook.Logger("placing")
-
 
 class EndpointWishes:
-    """Which endpoints want no requests, because they rest or leave."""
+    """Keeps which endpoints rest, and tells the fleet which leave."""
 
-    __slots__ = ("_fleet", "_leaving", "_loop", "_rest")
+    __slots__ = ("_fleet", "_loop", "_rest")
 
     def __init__(self, *, fleet: Fleet) -> None:
         self._fleet = fleet
         self._loop = asyncio.get_running_loop()
         self._rest = RestPeriods()
-        self._leaving = LeavingEndpoints()
 
     def note_head(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what an answer of an endpoint asks for."""
@@ -43,13 +37,7 @@
             if state is None:
                 return
             endpoint = state.endpoint
-        if endpoint.lifetime not in self._leaving:
-            log.info("placing: {} says that it leaves", endpoint.name)
-        self._leaving.note(endpoint.lifetime)
-
-    def is_leaving(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint has said that it leaves."""
-        return endpoint.lifetime in self._leaving
+        self._fleet.note_leaving(endpoint)
 
     def is_resting(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint wants no requests for now."""
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -25,6 +25,7 @@
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
+NOT_LEAVING = "0"
 SCHEME = "bearer "
 
 # Only the router may set these headers.  Values sent by a caller are dropped: they
@@ -153,7 +154,7 @@
         will_close="close" in listed,
         confidence=_decode_count(named.get("x-confidence", "")),
         rest=_decode_rest(status, named.get("retry-after", "")),
-        is_leaving=named.get(LEAVING.lower(), "") == LEAVING_VALUE,
+        is_leaving=named.get(LEAVING.lower(), NOT_LEAVING) != NOT_LEAVING,
         is_misdirected=status == MISDIRECTED,
         sender=named.get(INSTANCE.lower(), ""),
     )
