--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -60,6 +60,7 @@
         "_find_witnesses",
         "_heard_at",
         "_idle",
+        "_idle_seconds",
         "_in_use",
         "_probe_tasks",
     )
@@ -69,6 +70,8 @@
     ) -> None:
         self._find_witnesses = find_witnesses
         self._heard_at: dict[tuple[str, int], float] = {}
+        # For how many seconds each endpoint lets a connection be idle, as it stated.
+        self._idle_seconds: dict[tuple[str, int], float] = {}
         self._idle: dict[tuple[str, int], list[Connection]] = {}
         self._in_use: dict[Endpoint, set[Connection]] = {}
         self._being_checked: set[Endpoint] = set()
@@ -148,8 +151,7 @@
                 log.info("pool: {} is down: {}", endpoint.name, error)
                 note_down(endpoint)
             return
-        now = asyncio.get_running_loop().time()
-        self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
+        self._keep_probed(endpoint, connection)
 
     async def _probe(
         self, endpoint: Endpoint, note_unreachable: Callable[[Endpoint], None]
@@ -166,8 +168,7 @@
                 if busy.may_abandon():
                     busy.abandon(BrokenError("the endpoint is out of reach"))
             return
-        now = asyncio.get_running_loop().time()
-        self._keep(endpoint, connection, until=now + PROBED_IDLE_SECONDS)
+        self._keep_probed(endpoint, connection)
 
     async def _is_confirmed(self, endpoint: Endpoint, error: ConnectError) -> bool:
         """Return whether an endpoint is at fault that couldn't be connected to.
@@ -198,8 +199,7 @@
             )
         except ConnectError as error:
             return error.is_refused
-        now = asyncio.get_running_loop().time()
-        self._keep(witness, connection, until=now + PROBED_IDLE_SECONDS)
+        self._keep_probed(witness, connection)
         return True
 
     def find_heard_at(self, endpoint: Endpoint) -> float:
@@ -236,8 +236,15 @@
         if head.will_close or not connection.release():
             connection.close()
             return
-        until = now + choose_idle_seconds(head.keep_alive)
-        self._keep(endpoint, connection, until=until)
+        seconds = choose_idle_seconds(head.keep_alive)
+        self._idle_seconds[endpoint.lifetime] = seconds
+        self._keep(endpoint, connection, until=now + seconds)
+
+    def _keep_probed(self, endpoint: Endpoint, connection: Connection) -> None:
+        """Keep a probe's connection, for no longer than its endpoint allows."""
+        stated = self._idle_seconds.get(endpoint.lifetime, PROBED_IDLE_SECONDS)
+        now = asyncio.get_running_loop().time()
+        self._keep(endpoint, connection, until=now + min(stated, PROBED_IDLE_SECONDS))
 
     def _keep(
         self, endpoint: Endpoint, connection: Connection, *, until: float
@@ -254,6 +261,7 @@
         for lifetime, heard_at in list(self._heard_at.items()):
             if now > heard_at + HEARD_SECONDS:
                 del self._heard_at[lifetime]
+                self._idle_seconds.pop(lifetime, None)
         for lifetime, kept in list(self._idle.items()):
             usable = [idle for idle in kept if _is_usable(idle, now)]
             for connection in set(kept) - set(usable):
@@ -272,6 +280,7 @@
         for connection in self._idle.pop(lifetime, ()):
             connection.close()
         self._heard_at.pop(lifetime, None)
+        self._idle_seconds.pop(lifetime, None)
 
 
 def _is_usable(connection: Connection, now: float) -> bool:
