--- a/eelgrassrack/decisions/rest.py
+++ b/eelgrassrack/decisions/rest.py
@@ -44,8 +44,8 @@
 def may_wait(*, ends_at: float, due_at: float, deadline: float, has_run: bool) -> bool:
     """Return whether a request waits while all its endpoints rest.
 
-    It waits if it can still be answered in time, by `due_at`.  One that has run, or of
-    which the caller has a part, waits until its `deadline`: refusing it would promise
-    that it hasn't run, or break it off.
+    It waits if it can still be answered in time, by `due_at` and its `deadline`.  One
+    that has run, or of which the caller has a part, waits for as long as it has: its
+    caller can't simply come again.
     """
-    return ends_at < (deadline if has_run else due_at)
+    return ends_at < (deadline if has_run else min(due_at, deadline))
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -15,6 +15,7 @@
 from .placing import Placer
 from .pool import ConnectionPool
 from .reply import Reply
+from .retries import RetryBudget
 from .silence import SilenceTimer
 from .translation import Translation
 
@@ -25,7 +26,6 @@
 class AttemptRunner:
     """Run attempts of requests.
 
-    `reserve_retry` reserves a retry for a job and returns whether it has one.
     `may_abandon` returns whether a job may leave its endpoint for another, and then
     reserves the retry for it too.
     """
@@ -36,7 +36,7 @@
         "_metrics",
         "_placer",
         "_pool",
-        "_reserve_retry",
+        "_retry_budget",
         "_translation",
     )
 
@@ -47,14 +47,14 @@
         pool: ConnectionPool,
         translation: Translation,
         metrics: GatewayMetrics,
-        reserve_retry: Callable[[Job], bool],
+        retry_budget: RetryBudget,
         may_abandon: Callable[[Job], bool],
     ) -> None:
         self._metrics = metrics
         self._placer = placer
         self._pool = pool
         self._translation = translation
-        self._reserve_retry = reserve_retry
+        self._retry_budget = retry_budget
         self._may_abandon = may_abandon
         self._loop = asyncio.get_running_loop()
 
@@ -76,7 +76,10 @@
             if connection.is_unused and not self._placer.may_send(job, endpoint):
                 # Nothing was sent, so this does not count as an attempt.
                 job.attempts -= 1
-                return NotRun(reason="was taken out meanwhile")
+                return NotRun(
+                    reason="was taken out meanwhile",
+                    wants_rest=self._placer.wishes.is_resting(endpoint),
+                )
             self._send(job, endpoint, connection)
             outcome = await self._receive(job, endpoint, connection, reply)
         except ConnectError as error:
@@ -145,7 +148,7 @@
             headers=headers,
             body=arrival.body,
         )
-        job.holds_retry = False
+        self._retry_budget.use(job)
 
     async def _receive(
         self, job: Job, endpoint: Endpoint, connection: Connection, reply: Reply
@@ -245,7 +248,7 @@
             remaining=job.deadline - self._loop.time(),
             estimate=lambda name: self._placer.estimate(job, name),
         )
-        if model is None or not self._reserve_retry(job):
+        if model is None or not self._retry_budget.reserve(job):
             return None
         return Unsure(model=model, confidence=head.confidence)
 
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -90,8 +90,9 @@
     the reading time that the endpoint's backlog counts for the prompt.
     `longest_gap` is the longest pause between events so far in seconds,
     `last_event_at` the time at which the last event was forwarded.  `tried` are the
-    endpoints of all attempts, `excluded` those that aren't chosen again, and
-    `unreachable` those of them to which no connection opened in time.
+    endpoints of all attempts, `excluded` those that aren't chosen again, of them
+    `unreachable` those to which no connection opened in time and `resting` those that
+    asked for rest.
     `endpoint_was_idle` is set if the endpoint had no backlog at the time of
     placement.  `holds_retry` is set while a retry is reserved that the retry budget
     has granted and no attempt has used.  Times are the event loop's.
@@ -115,6 +116,7 @@
         "placement",
         "reading_seconds",
         "sent_at",
+        "resting",
         "resume_after",
         "execution_status",
         "tried",
@@ -149,6 +151,7 @@
         self.endpoint_was_idle = False
         self.holds_retry = False
         self.unreachable: set[str] = set()
+        self.resting: set[str] = set()
 
     @property
     def is_repeatable(self) -> bool:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -145,32 +145,53 @@
             ]
             if free:
                 return self._choose(job, free)
+            if not states and job.resting:
+                # Nothing else is left: their rest alone keeps them out from here on.
+                job.excluded -= job.resting
+                job.resting.clear()
+                continue
             if not states:
-                refusal = self._refuse_unless_resting(job, now)
+                refusal = self._refuse_unless_resting(job)
                 if refusal is not None:
                     return refusal
             await asyncio.sleep(POLL_SECONDS)
 
-    def _refuse_unless_resting(self, job: "Job", now: float) -> Refusal | None:
+    def _refuse_unless_resting(self, job: "Job") -> Refusal | None:
         """Return the refusal of a request without endpoints, None if it may wait.
 
         It may wait for endpoints that only rest.
         """
-        ends = [
-            self.wishes.find_rest_end(state.endpoint)
-            for state in self._list_permitted(job, excluded=job.excluded)
-        ]
-        if not ends:
+        rest = self._find_shortest_rest(job, excluded=job.excluded)
+        if rest is None:
             return NO_ENDPOINT
         may_stay = may_wait(
-            ends_at=min(ends),
+            ends_at=self._loop.time() + rest,
             due_at=job.arrival.arrived + job.permit.route.objective,
             deadline=job.deadline,
             has_run=job.has_run,
         )
         if may_stay:
             return None
-        return Refusal(status=503, reason="resting", retry_after=min(ends) - now)
+        return Refusal(status=503, reason="resting", retry_after=rest)
+
+    def find_rest(self, job: "Job") -> float | None:
+        """Return in how many seconds the first of a request's endpoints has rested.
+
+        Return None if one of them doesn't rest, or if there is none.
+        """
+        rest = self._find_shortest_rest(job, excluded=frozenset())
+        return rest if rest else None
+
+    def _find_shortest_rest(
+        self, job: "Job", excluded: Collection[str]
+    ) -> float | None:
+        """Return how many seconds the first endpoint still rests, None without any."""
+        now = self._loop.time()
+        rests = (
+            max(self.wishes.find_rest_end(state.endpoint) - now, 0.0)
+            for state in self._list_permitted(job, excluded)
+        )
+        return min(rests, default=None)
 
     def has_alternative(self, job: "Job") -> bool:
         """Return whether a request that leaves its endpoint has another to go to."""
--- a/eelgrassrack/gateway/retries.py
+++ b/eelgrassrack/gateway/retries.py
@@ -48,12 +48,13 @@
 class RetryBudget:
     """This gateway's share of the retries that all gateways may send.
 
-    A retry is reserved for a request before the run that it replaces is given up, and
-    counts from then on.  `count_gateways` returns how many gateways share the limits,
-    None while it isn't known.
+    A retry is reserved for a request before the run that it replaces is given up.
+    Until an attempt uses it, which may be seconds later, it counts as if it were sent
+    now.  `count_gateways` returns how many gateways share the limits, None while it
+    isn't known.
     """
 
-    __slots__ = ("_count_gateways", "_loop", "_settings", "_windows")
+    __slots__ = ("_count_gateways", "_loop", "_reserved", "_settings", "_windows")
 
     def __init__(
         self,
@@ -64,6 +65,7 @@
         self._count_gateways = count_gateways
         self._loop = asyncio.get_running_loop()
         self._settings = settings
+        self._reserved: collections.Counter[str] = collections.Counter()
         self._windows: dict[str, RetryWindow] = {}
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -77,29 +79,44 @@
     def reserve(self, job: Job) -> bool:
         """Reserve a retry until an attempt uses it; return whether the job has one."""
         if not job.holds_retry and self._is_left(job):
-            self._find_window(job.permit.service.name).note_repeat(self._loop.time())
+            self._reserved[job.permit.service.name] += 1
             job.holds_retry = True
         return job.holds_retry
 
+    def use(self, job: Job) -> None:
+        """Count a job's reserved retry, if it has one, as sent."""
+        if job.holds_retry:
+            self._find_window(job.permit.service.name).note_repeat(self._loop.time())
+            self.release(job)
+
+    def release(self, job: Job) -> None:
+        """Give a job's reserved retry back, if it has one."""
+        if job.holds_retry:
+            self._reserved[job.permit.service.name] -= 1
+            job.holds_retry = False
+
     def move(self, job: Job, service: str) -> None:
-        """Count a job's reserved retry at another service, where its route moved to.
+        """Move a job's reserved retry to the service where its route has moved to.
 
         What the retry makes up for has ended, so it is kept in any case.
         """
-        if job.holds_retry and service != job.permit.service.name:
-            self._find_window(service).note_repeat(self._loop.time())
+        if job.holds_retry:
+            self._reserved[job.permit.service.name] -= 1
+            self._reserved[service] += 1
 
     def _is_left(self, job: Job) -> bool:
-        counts = self._find_window(job.permit.service.name).count(self._loop.time())
+        service = job.permit.service.name
+        counts = self._find_window(service).count(self._loop.time())
+        repeats = counts.repeats + self._reserved[service]
         is_allowed = allow_retry(
             requests=counts.requests,
-            repeats=counts.repeats,
+            repeats=repeats,
             ratio=self._settings.retry_ratio,
             slack=self._settings.retry_slack,
             entries=self._count_gateways(),
         )
         if not is_allowed:
-            log_spent_budget(job, requests=counts.requests, repeats=counts.repeats)
+            log_spent_budget(job, requests=counts.requests, repeats=repeats)
         return is_allowed
 
     def _find_window(self, service: str) -> RetryWindow:
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -103,7 +103,7 @@
             pool=pool,
             translation=translation,
             metrics=metrics,
-            reserve_retry=self._retry_budget.reserve,
+            retry_budget=self._retry_budget,
             may_abandon=self._may_abandon,
         )
         self._metrics = metrics
@@ -143,6 +143,8 @@
         except asyncio.CancelledError:
             self._note_end(job, "caller_gone")
             raise
+        finally:
+            self._retry_budget.release(job)
 
     async def _run_until_deadline(self, job: Job, reply: Reply) -> None:
         """Handle a job; raise `TimeoutError` at its deadline."""
@@ -262,7 +264,7 @@
                 return permit
             self._apply_permit(job, permit)
         if job.attempts and not self._retry_budget.reserve(job):
-            return _make_unserved_refusal("retry budget spent")
+            return self._make_unserved_refusal(job, "retry budget spent")
         return None
 
     def _apply_permit(self, job: Job, permit: Permit) -> None:
@@ -283,12 +285,21 @@
         if not job.is_repeatable and not isinstance(outcome, NotRun):
             return Refusal(status=502, reason="may have run and isn't repeatable")
         if job.attempts >= job.permit.route.attempts:
-            return _make_unserved_refusal("tried as often as allowed")
+            return self._make_unserved_refusal(job, "tried as often as allowed")
         now = self._loop.time()
         if job.deadline - now < MIN_REMAINING_SECONDS:
-            return _make_unserved_refusal("no time left")
+            return self._make_unserved_refusal(job, "no time left")
         return None
 
+    def _make_unserved_refusal(self, job: Job, reason: str) -> Refusal:
+        """Return the refusal of a request that no endpoint has answered.
+
+        If all endpoints rest, its caller needn't come back before the first is back.
+        """
+        rest = self._placer.find_rest(job)
+        retry_after = RETRY_AFTER_SECONDS if rest is None else rest
+        return Refusal(status=503, reason=reason, retry_after=retry_after)
+
     def _may_abandon(self, job: Job) -> bool:
         """Return whether a request may leave an endpoint that seems to have failed.
 
@@ -316,8 +327,7 @@
                 if outcome.is_unreachable:
                     job.unreachable.add(endpoint.name)
                 if outcome.wants_rest:
-                    # Its rest alone keeps the endpoint out, and may end in time.
-                    job.excluded.discard(endpoint.name)
+                    job.resting.add(endpoint.name)
                 self._placer.health.note_not_run(endpoint, outcome)
             case Lost():
                 job.note_status(ExecutionStatus.UNKNOWN)
@@ -397,7 +407,3 @@
     if arrival.timeout is not None:
         limit = min(limit, arrival.timeout)
     return arrival.arrived + limit
-
-
-def _make_unserved_refusal(reason: str) -> Refusal:
-    return Refusal(status=503, reason=reason, retry_after=RETRY_AFTER_SECONDS)
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -1,6 +1,5 @@
 """Conversion between the platform's headers and the gateway's messages."""
 
-import math
 from collections.abc import Iterable
 
 from ..gateway.messages import Arrival, EndpointLoad, PromptPart, ResponseHead
@@ -55,6 +54,9 @@
 UNAVAILABLE = 503
 MILLISECONDS = 1000.0
 
+# A longer rest, as of a garbled header, would outlast any deployment's changes.
+MAX_REST_SECONDS = 86_400.0
+
 
 def decode_arrival(
     *,
@@ -208,7 +210,7 @@
         seconds = float(value)
     except ValueError:
         return None
-    return seconds if 0.0 < seconds < math.inf else None
+    return min(seconds, MAX_REST_SECONDS) if seconds > 0.0 else None
 
 
 def _decode_count(value: str) -> int | None:
--- a/test/decisions/test_rest.py
+++ b/test/decisions/test_rest.py
@@ -52,3 +52,4 @@
     assert not may_wait(ends_at=3.0, has_run=False, **times)
     assert may_wait(ends_at=3.0, has_run=True, **times)
     assert not may_wait(ends_at=6.0, has_run=True, **times)
+    assert not may_wait(ends_at=1.0, due_at=2.0, deadline=0.5, has_run=False)
