Time silence only for requests that may go elsewhere

The timer ran for all requests since it asks before it ends an attempt, and its witness would have been asked for nothing. 31 tests of abandoning and endpoints passed.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -155,7 +155,9 @@
     ) -> Outcome:
         """Relay the response; abandon an endpoint that stays silent for too long."""
         silence = SilenceTimer(
-            connection=connection, confirm=lambda: self._pool.has_witness(endpoint)
+            connection=connection,
+            confirm=lambda: self._pool.has_witness(endpoint),
+            is_enabled=job.is_repeatable and bool(job.attempts_left),
         )
         silence.start(
             find_first_timeout(
--- a/eelgrassrack/gateway/silence.py
+++ b/eelgrassrack/gateway/silence.py
@@ -15,7 +15,8 @@
     """Abandons a connection whose endpoint sends nothing for too long.
 
     `confirm` returns whether the gateway's own link works in time.  If it doesn't, or
-    if the request may not be abandoned, the timer starts again.
+    if the request may not be abandoned, the timer starts again.  With `is_enabled`
+    unset it never starts, as for a request that may not be repeated.
     """
 
     __slots__ = (
@@ -23,13 +24,19 @@
         "_confirming",
         "_connection",
         "_handle",
+        "_is_enabled",
         "_loop",
         "_seconds",
     )
 
     def __init__(
-        self, *, connection: Connection, confirm: Callable[[], Awaitable[bool]]
+        self,
+        *,
+        connection: Connection,
+        confirm: Callable[[], Awaitable[bool]],
+        is_enabled: bool,
     ) -> None:
+        self._is_enabled = is_enabled
         self._connection = connection
         self._confirm = confirm
         self._confirming: asyncio.Task | None = None
@@ -40,6 +47,8 @@
     def start(self, seconds: float) -> None:
         """Start, or start again, with a timeout in seconds."""
         self.stop()
+        if not self._is_enabled:
+            return
         self._seconds = seconds
         self._handle = self._loop.call_later(seconds, self._expire)
 
