--- a/test/gateway/test_spread.py
+++ b/test/gateway/test_spread.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .spread import World, make_rng, play
+from .spread import Link, World, make_rng, play
 
 GATEWAYS = 16
 DOMAINS = 3
@@ -57,3 +57,26 @@
         world.stop()
 
     play(main())
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_a_configuration_spreads_from_few_watchers_over_slow_links(make, seed):
+    """Guards against callers that get 404 by a configuration replaced seconds ago.
+
+    Two of the four watchers are cut off, a third has a slow link, and all other
+    gateways fetch the configuration from the one that has it first.
+    """
+
+    async def main():
+        world = make(seed=seed, size=LARGE_BYTES)
+        await start(world)
+        watchers = world.find_watchers()
+        for node in watchers[:2]:
+            node.is_cut = node.is_cut_from_store = True
+        watchers[2].link = Link(bits_per_second=min(LINKS))
+        await world.configure(2)
+        await asyncio.sleep(BOUND_SECONDS)
+        assert not world.list_behind(2)
+        world.stop()
+
+    play(main())
