Add failing tests of an agent whose engine asked for rest

What the engine sees today: after a 503 with `Retry-After` its agent sends the queue, new requests and health polls on as before; a plain service too, whose 503 is passed on as a whole answer. A health poll answered so takes the engine for down, refuses the queue and is repeated every half second. Entries learn nothing.

The stand-in engine and service turn requests away when told to, and record what reaches them.

--- a/eelgrassrack/standins/chat.py
+++ b/eelgrassrack/standins/chat.py
@@ -71,12 +71,15 @@
     def initialize(self, *, engine: "Engine") -> None:
         """Set the engine; Tornado calls this for each request."""
         self.engine = engine
+        engine.notices.note(self)
         self._generation = None
         self._ended: asyncio.Future[EndReason] | None = None
         self._tokens: list[str] = []
 
     async def post(self) -> None:
         """Queue the request and wait until its answer has been written."""
+        if self.engine.notices.turn_away(self):
+            return
         try:
             self._chat = msgspec.json.decode(self.request.body, type=ChatRequest)
         except msgspec.DecodeError as error:
--- a/eelgrassrack/standins/engine.py
+++ b/eelgrassrack/standins/engine.py
@@ -18,6 +18,7 @@
 from .batch import Batch, Generation, Sink
 from .chat import ChatHandler, ChatRequest
 from .enginehandlers import HealthHandler, ModelsHandler, OrdersHandler
+from .notices import Notices
 from .records import Health, Order, StartRecord
 from .server import LOOPBACK, StandinServer
 
@@ -31,7 +32,8 @@
 
     Faults: `crash()`, `make_cold()`, `crash_text` (prompts that contain it crash
     the engine), `slow_factor`, `garbage`, `end_early`, `answer_other_id`,
-    `never_answer`, `bad_versions`, `report_lag` (seconds).
+    `never_answer`, `bad_versions`, `report_lag` (seconds).  `notices` holds what it
+    asks of its callers.
 
     Records: `started` (all requests that reached the engine, with or without a
     slot), `whole` (number of complete answers), `cancelled`, `crashes`,
@@ -92,6 +94,7 @@
         self.answer_other_id = False
         self.never_answer = False
         self.bad_versions: set[str] = set()
+        self.notices = Notices()
 
     def _init_counts(self) -> None:
         self.started: list[StartRecord] = []
--- a/eelgrassrack/standins/enginehandlers.py
+++ b/eelgrassrack/standins/enginehandlers.py
@@ -17,6 +17,7 @@
     def initialize(self, *, engine: "Engine") -> None:
         """Set the engine; Tornado calls this for each request."""
         self.engine = engine
+        engine.notices.note(self)
 
     def send(self, value: object, *, status: int = 200) -> None:
         """Answer with JSON."""
--- a/eelgrassrack/standins/service.py
+++ b/eelgrassrack/standins/service.py
@@ -8,6 +8,7 @@
 
 import tornado.web
 
+from .notices import Notices
 from .server import Standin
 
 HEALTH_PATH = "/health"
@@ -27,7 +28,8 @@
     """A plain service; tests control it by its public attributes.
 
     Faults: `delay` (seconds before the effect), `answer_delay` (seconds between
-    effect and answer), `crash_after_effect`, `refuse()` and `accept()`.
+    effect and answer), `crash_after_effect`, `refuse()` and `accept()`.  `notices`
+    holds what it asks of its callers.
 
     `effects` counts executions by the `X-Request-Id` header, which holds an attempt
     id if an agent sends the request.  `effects_by_key` counts them by the caller's
@@ -40,6 +42,7 @@
         self.delay = 0.0
         self.answer_delay = 0.0
         self.crash_after_effect = False
+        self.notices = Notices()
         self.executions: list[Execution] = []
         self.effects: collections.Counter[str] = collections.Counter()
         self.effects_by_key: collections.Counter[str] = collections.Counter()
@@ -76,6 +79,7 @@
     def initialize(self, *, service: PlainService) -> None:
         """Set the service; Tornado calls this for each request."""
         self.service = service
+        service.notices.note(self)
 
     async def execute(self) -> None:
         """Handle a request with any method."""
@@ -83,6 +87,8 @@
         if self.request.path == HEALTH_PATH:
             self.finish({"incarnation": service.incarnation, "cold": False})
             return
+        if service.notices.turn_away(self):
+            return
         service.running += 1
         service.max_running = max(service.max_running, service.running)
         try:
--- a/test/entry/test_directory.py
+++ b/test/entry/test_directory.py
@@ -128,3 +128,19 @@
     directory.drop_silent(GONE_AFTER_SECONDS + 0.1)
     assert lost == ["a.1"]
     assert not list(directory)
+
+
+def test_a_resting_engine_is_chosen_only_if_all_rest():
+    """Guards against requests that wait at a resting engine while another is free.
+
+    An agent reports how long its engine wants no requests.  If all rest, agents decide
+    what can wait.
+    """
+    a, b = make_instance("a"), make_instance("b")
+    directory, _ = make_directory(a, b)
+    beat(directory, a, 0.0, resting=2.0)
+    beat(directory, b, 0.0)
+    assert find(directory, 1.9) == {"b"}
+    assert find(directory, 2.1) == {"a", "b"}
+    beat(directory, b, 1.0, resting=2.0)
+    assert find(directory, 1.9) == {"a", "b"}
