Send nothing to an engine that asked its agent for rest

What the engine saw: after a 503 with `Retry-After` its agent went on sending the queue, new requests and health polls, up to the whole window at once.

Cause: the agent read only the status. A chat's 503 was a failed answer, a plain service's a whole one, a poll's a down engine; nothing kept the time, and entries weren't told.

Change: the head of each answer, polls included, is read as soon as it is there. `decisions/enginerest.py` keeps until when the engine rests; meanwhile nothing starts and nothing is polled. What is queued or connecting waits; what has its deadline within the rest is refused at once as not run, and every refusal's `Retry-After` is at least the rest. Load reports carry the rest, sent at once, and entries choose others unless all rest. After it the engine counts as unprobed and gets no more than a cold one until a poll.

Not done: while nothing is polled, a crash in the rest ends its requests as cut off, not as a crash, and their fingerprints aren't reported.

--- a/eelgrassrack/agent/agent.py
+++ b/eelgrassrack/agent/agent.py
@@ -15,6 +15,7 @@
     CRASHES,
     Metrics,
 )
+from ..platform.headers import find_rest
 from ..settings import AgentSettings
 from ..store.instances import Instance, InstanceList, Role, follow_instances
 from ..store.objects import ObjectStore
@@ -31,6 +32,7 @@
 from .inbox import Inbox
 from .intake import Intake
 from .outbox import Outbox
+from .outcomes import Headers
 from .pause import PauseDetector
 from .quarantine import Quarantine
 from .relay import Relay
@@ -124,9 +126,13 @@
             clock=clock,
         )
         self._health = Health(
-            url=settings.endpoint_url, clock=clock, on_collapse=self._collapse
+            url=settings.endpoint_url,
+            clock=clock,
+            on_collapse=self._collapse,
+            on_head=self._read_head,
+            is_resting=lambda: self._core.rest_seconds > 0.0,
         )
-        self._engine = HttpEngine(url=settings.endpoint_url)
+        self._engine = HttpEngine(url=settings.endpoint_url, on_head=self._read_head)
         self._wire_attempts()
 
     def _wire_attempts(self) -> None:
@@ -291,6 +297,14 @@
         self._core.collapse(reason)
         self._heartbeat.send()
 
+    def _read_head(self, status: int, headers: Headers) -> None:
+        """Note what the endpoint asks for in the head of an answer."""
+        rest = find_rest(status=status, pairs=headers)
+        if rest is not None:
+            log.info("agent: the endpoint asks for {:g} s of rest", rest)
+            self._runner.begin_rest(rest)
+            self._heartbeat.send()
+
     async def _is_alive(self, since: float) -> bool:
         alive = await self._health.is_alive(since)
         self._apply_health()
--- a/eelgrassrack/agent/core.py
+++ b/eelgrassrack/agent/core.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..decisions.coldstart import CollapseReason, Window
+from ..decisions.enginerest import EngineRest
 from ..decisions.reserve import SlotReserve
 from ..invariants import Invariants, Promise
 from ..mailbox.messages import Facts, Load, Refusal
@@ -31,6 +32,7 @@
     queue: AttemptQueue
     slots: Slots
     reserve: SlotReserve
+    rest: EngineRest
     window: Window
     clock: Callable[[], float]
     invariants: Invariants
@@ -42,6 +44,11 @@
         """Return whether no attempt is queued or running."""
         return not (len(self.slots) or len(self.queue) or self.parked)
 
+    @property
+    def rest_seconds(self) -> float:
+        """Return how long the endpoint still wants no requests, zero if it doesn't."""
+        return self.rest.measure(now=self.clock())
+
     def check_admission(self, attempt: Attempt) -> AdmissionDecision:
         """Return whether an attempt may start now."""
         self.detect_pause()
@@ -65,6 +72,7 @@
         retry_after = self.queue.estimate_retry_after(
             tokens=attempt.start.tokens, window=self.window.size, now=now
         )
+        retry_after = max(retry_after, self.rest.measure(now=now))
         self.relay.refuse(attempt, refusal, retry_after=retry_after, now=now)
 
     def apply_facts(self, facts: Facts) -> bool:
@@ -117,6 +125,7 @@
             leaving=self.state.is_leaving(),
             cold=self.window.is_cold,
             engine_up=self.state.engine_up,
+            resting=self.rest_seconds,
         )
 
 
@@ -137,6 +146,7 @@
         queue=AttemptQueue(),
         slots=Slots(),
         reserve=SlotReserve(),
+        rest=EngineRest(),
         window=Window(floor=1, ceiling=1, now=clock()),
         clock=clock,
         invariants=invariants,
--- a/eelgrassrack/agent/engine.py
+++ b/eelgrassrack/agent/engine.py
@@ -10,7 +10,7 @@
 from ..mailbox.messages import Start
 from .answers import make_answer
 from .headers import make_headers
-from .outcomes import Outcome, Stopped
+from .outcomes import OnHead, Outcome, Stopped
 from .transfer import Exchange, Transfer
 
 MAX_EXCHANGES = 512
@@ -46,10 +46,11 @@
 class HttpEngine:
     """An endpoint that is reached over HTTP."""
 
-    __slots__ = ("_client", "_url")
+    __slots__ = ("_client", "_on_head", "_url")
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, on_head: OnHead) -> None:
         self._url = url
+        self._on_head = on_head
         self._client = make_client(max_clients=MAX_EXCHANGES)
 
     def close(self) -> None:
@@ -67,7 +68,10 @@
     ) -> Outcome:
         """Send one request, pass on its answer and return the outcome."""
         transfer = Transfer(
-            exchange=exchange, answer=make_answer(start, on_piece), on_begun=on_begun
+            exchange=exchange,
+            answer=make_answer(start, on_piece),
+            on_begun=on_begun,
+            on_head=self._on_head,
         )
         request = HTTPRequest(
             url=self._url + start.path,
--- a/eelgrassrack/agent/health.py
+++ b/eelgrassrack/agent/health.py
@@ -16,6 +16,7 @@
 from ..curl import make_client
 from ..decisions.coldstart import CollapseReason
 from .lag import LagMeter
+from .outcomes import OnHead
 
 log = logbook.Logger("health")
 
@@ -48,6 +49,10 @@
     timed_out: bool = False
 
 
+class Resting(msgspec.Struct, kw_only=True, frozen=True):
+    """The endpoint wants no requests, so that nothing new is known of it."""
+
+
 class Health:
     """The endpoint's health at the last poll.
 
@@ -57,7 +62,9 @@
     __slots__ = (
         "_client",
         "_clock",
+        "_is_resting",
         "_on_collapse",
+        "_on_head",
         "_url",
         "incarnation",
         "is_cold",
@@ -71,7 +78,14 @@
         url: str,
         clock: Callable[[], float],
         on_collapse: Callable[[CollapseReason], None],
+        on_head: OnHead = lambda status, headers: None,
+        is_resting: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Create the health of an endpoint that hasn't been polled yet.
+
+        `on_head` is called with the head of each answer to a poll.  While
+        `is_resting` returns true, nothing is sent.
+        """
         self.is_up = True
         self.is_cold = False
         self.incarnation = ""
@@ -79,6 +93,8 @@
         self._url = url + HEALTH_PATH
         self._clock = clock
         self._on_collapse = on_collapse
+        self._on_head = on_head
+        self._is_resting = is_resting
         self._client = make_client(max_clients=MAX_CLIENTS)
 
     def close(self) -> None:
@@ -90,11 +106,14 @@
         self.note(await self._fetch_timely())
 
     async def is_alive(self, since: float) -> bool:
-        """Return whether the endpoint is up and hasn't restarted since a time."""
+        """Return whether the endpoint is up and hasn't restarted since a time.
+
+        While the endpoint rests, that is what was known before.
+        """
         await self.poll()
         return self.is_up and self.restarted_at < since
 
-    def note(self, report: HealthReport | EndpointDown) -> None:
+    def note(self, report: HealthReport | EndpointDown | Resting) -> None:
         """Apply a report; call `on_collapse` after a restart or at a cold start."""
         match report:
             case EndpointDown():
@@ -125,7 +144,7 @@
             log.warning("health: endpoint reports a cold start")
             self._on_collapse(CollapseReason.REPORTED_COLD)
 
-    async def _fetch_timely(self) -> HealthReport | EndpointDown:
+    async def _fetch_timely(self) -> HealthReport | EndpointDown | Resting:
         """Fetch a report, again if this process was late itself."""
         for _ in range(MAX_POLL_TRIES):
             meter = LagMeter()
@@ -140,7 +159,9 @@
             log.info("health: poll timed out, but the loop was {:.2f} s late", lag)
         return report
 
-    async def _fetch_report(self) -> HealthReport | EndpointDown:
+    async def _fetch_report(self) -> HealthReport | EndpointDown | Resting:
+        if self._is_resting():
+            return Resting()
         request = HTTPRequest(
             url=self._url,
             follow_redirects=False,
@@ -153,8 +174,9 @@
         except CurlError as error:
             timed_out = error.errno == pycurl.E_OPERATION_TIMEDOUT
             return EndpointDown(timed_out=timed_out)
+        self._on_head(response.code, tuple(response.headers.get_all()))
         if response.code >= FIRST_DOWN_STATUS:
-            return EndpointDown()
+            return Resting() if self._is_resting() else EndpointDown()
         try:
             return msgspec.json.decode(response.body, type=HealthReport)
         except msgspec.MsgspecError:
--- a/eelgrassrack/agent/intake.py
+++ b/eelgrassrack/agent/intake.py
@@ -65,6 +65,20 @@
             if isinstance(decision, Refused):
                 self._core.refuse(attempt, decision.refusal)
 
+    def refuse_late(self) -> None:
+        """Refuse at once the queued attempts whose deadlines are within the rest."""
+        core = self._core
+        ends_at = core.clock() + core.rest_seconds
+        for attempt in core.attempts.find_by_phase(Phase.QUEUED):
+            if attempt.deadline <= ends_at:
+                core.refuse(attempt, Refusal.FULL)
+
+    def take_back(self, attempt: Attempt) -> None:
+        """Queue an attempt again that wasn't sent because the endpoint rests."""
+        is_live = self._core.attempts.live.get(attempt.key) is attempt
+        if is_live and attempt.phase is Phase.QUEUED:
+            self._admit(attempt)
+
     def tick(self) -> None:
         """Refuse attempts that have waited too long."""
         core = self._core
@@ -80,6 +94,8 @@
 
     def choose(self) -> Attempt | None:
         """Return the next attempt that may start now, or None."""
+        if self._core.rest_seconds:
+            return None
         while (attempt := self._find_next()) is not None:
             match self._core.check_admission(attempt):
                 case Refused(refusal=refusal):
@@ -128,7 +144,7 @@
         weights = core.state.facts.weights
         window = core.window.size
         wait = core.queue.estimate_wait(attempt, weights=weights, window=window)
-        late = core.clock() + wait >= attempt.deadline
+        late = core.clock() + core.rest_seconds + wait >= attempt.deadline
         if late or len(core.attempts.unsettled) >= MAX_UNSETTLED:
             core.refuse(attempt, Refusal.FULL)
             return
--- a/eelgrassrack/agent/outcomes.py
+++ b/eelgrassrack/agent/outcomes.py
@@ -4,10 +4,15 @@
 step has to guess whether the answer was complete or the request was received.
 """
 
+from collections.abc import Callable
+
 import msgspec
 
 Headers = tuple[tuple[str, str], ...]
 
+# Called with the status and headers of each answer, before its body is read.
+OnHead = Callable[[int, Headers], None]
+
 
 class Usage(msgspec.Struct, kw_only=True, frozen=True):
     """The tokens that an attempt used, as reported by the engine."""
--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -30,7 +30,14 @@
 from .crashes import CrashDetector, IsAlive
 from .engine import Engine
 from .intake import Intake
-from .outcomes import AnswerFailed, Completed, ConnectionBroken, NotConnected, Outcome
+from .outcomes import (
+    AnswerFailed,
+    Completed,
+    ConnectionBroken,
+    NotConnected,
+    Outcome,
+    Stopped,
+)
 from .records import AttemptRecord, ExpiredRecord
 from .transfer import Exchange
 
@@ -88,9 +95,23 @@
             self._core.reserve.start(
                 organisation=attempt.start.organisation, now=self._core.clock()
             )
+        if self._core.rest_seconds:
+            return
         if self._core.window.needs_probe and len(self._core.queue):
             self._start_probe()
 
+    def begin_rest(self, seconds: float) -> None:
+        """Send the endpoint nothing for some seconds, and refuse what can't wait.
+
+        Since health polls stop too, a restart is noticed only afterwards.  Until the
+        endpoint was probed then, it gets no more requests than a cold one.
+        """
+        core = self._core
+        core.rest.note(seconds=seconds, now=core.clock())
+        self._probe = None
+        core.window.is_unprobed = True
+        self._intake.refuse_late()
+
     def tick(self) -> None:
         """End attempts that take too long and start queued ones."""
         now = self._core.clock()
@@ -170,6 +191,9 @@
         if refusal is not None:
             core.refuse(attempt, refusal)
             return False
+        if core.rest_seconds:
+            # It isn't sent, and `Intake.take_back` queues it again.
+            return False
         self._check_start(attempt)
         begun = core.attempts.begin(attempt, now=core.clock())
         if not core.invariants.check(Promise.AT_MOST_ONCE, begun, attempt.key):
@@ -183,6 +207,8 @@
                 return refusal
             case Deferred():
                 return Refusal.STALE
+        if self._core.rest_seconds:
+            return None
         # The window may have shrunk while the connection was established.
         if len(self._core.attempts.running) >= self._core.window.limit:
             return Refusal.FULL
@@ -219,6 +245,8 @@
             case NotConnected(reason=reason):
                 self._core.state.engine_up = False
                 self._abandon(attempt, reason)
+            case Stopped():
+                self._intake.take_back(attempt)
 
     def _abandon(self, attempt: Attempt, reason: str) -> None:
         """End a failed attempt: refuse it if it hasn't started."""
--- a/eelgrassrack/agent/transfer.py
+++ b/eelgrassrack/agent/transfer.py
@@ -14,6 +14,7 @@
     Completed,
     ConnectionBroken,
     NotConnected,
+    OnHead,
     Outcome,
     Stopped,
     Usage,
@@ -69,6 +70,7 @@
         "_error_body",
         "_headers",
         "_on_begun",
+        "_on_head",
         "_status",
     )
 
@@ -78,10 +80,12 @@
         exchange: Exchange,
         answer: ChatAnswer | PlainAnswer,
         on_begun: Callable[[], bool],
+        on_head: OnHead,
     ) -> None:
         self._exchange = exchange
         self._answer = answer
         self._on_begun = on_begun
+        self._on_head = on_head
         self._begun = False
         self._error: AnswerError | None = None
         self._error_body = bytearray()
@@ -153,6 +157,9 @@
             self._status = int(text.split()[1])
             self._headers.clear()
             return
+        if not text:
+            self._on_head(self._status, tuple(self._headers))
+            return
         name, colon, value = text.partition(":")
         if colon:
             self._headers.append((name, value.strip()))
--- a/eelgrassrack/entry/directory.py
+++ b/eelgrassrack/entry/directory.py
@@ -77,6 +77,10 @@
         """Return whether the next heartbeat is overdue at `now`."""
         return now - self.heartbeat_at > SILENT_AFTER_SECONDS
 
+    def is_resting(self, now: float) -> bool:
+        """Return whether the endpoint wants no requests at `now`."""
+        return self.load.resting > now - self.heartbeat_at
+
 
 class Directory:
     """Endpoints by name, updated from the instance list and heartbeats.
@@ -205,7 +209,10 @@
         if not found:
             return NoEndpointReason.SILENT
         found = [k for k in found if k.load.engine_up]
-        return found or NoEndpointReason.ENGINES_DOWN
+        if not found:
+            return NoEndpointReason.ENGINES_DOWN
+        # If all rest, their agents decide which requests can wait.
+        return [k for k in found if not k.is_resting(now)] or found
 
     def _is_staying(self, endpoint: EndpointRecord, snapshot: Snapshot) -> bool:
         if endpoint.leaving or not endpoint.is_listed:
--- a/eelgrassrack/mailbox/messages.py
+++ b/eelgrassrack/mailbox/messages.py
@@ -236,6 +236,7 @@
     organisations with most queued tokens, each with its number, and `patient_by`
     how many of these belong to long jobs with time to spare.  `window` is the
     concurrency limit, and `drain` the tokens per second that the endpoint works off.
+    `resting` is for how many seconds the endpoint wants no requests.
     """
 
     endpoint: str
@@ -254,6 +255,7 @@
     leaving: bool = False
     cold: bool = False
     engine_up: bool = True
+    resting: float = 0.0
 
 
 class Crash(Message, kw_only=True):
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -154,6 +154,12 @@
     )
 
 
+def find_rest(*, status: int, pairs: Iterable[tuple[str, str]]) -> float | None:
+    """Return for how many seconds an answer asks for rest, None if it doesn't."""
+    named = {name.lower(): value for name, value in pairs}
+    return _decode_rest(status, named.get(RETRY_AFTER.lower(), ""))
+
+
 def _list_tokens(value: str) -> frozenset[str]:
     return frozenset(token.strip().lower() for token in value.split(",") if token)
 
--- a/test/agent/test_rest.py
+++ b/test/agent/test_rest.py
@@ -15,6 +15,7 @@
 )
 from eelgrassrack.standins.service import PlainService
 
+from .fakes import FACTS, Station, make_start
 from .test_agent import BareEndpoint, make_chat, make_engine, run_agent, wait_until
 
 REST_SECONDS = 1.5
@@ -101,6 +102,29 @@
     asyncio.run(play())
 
 
+def test_what_is_connecting_when_the_rest_begins_waits_for_its_end():
+    """Guards against requests that are sent, or refused, since they were on their way.
+
+    The connection to the engine opens only after it turned another request away.
+    """
+
+    async def play():
+        station = Station()
+        await station.take(FACTS)
+        station.engine.connects = False
+        await station.take(make_start("a"), make_start("b", within=1.0))
+        said = await station.watch(lambda: station.runner.begin_rest(2.0))
+        assert [(m.attempt, m.refusal) for m in said] == [("b", Refusal.FULL)]
+        station.engine.connects = True
+        station.engine.calls["a"].connected.set()
+        assert await station.advance(1.75) == []
+        assert station.engine.ran == []
+        await station.advance(0.5)
+        assert station.engine.ran == ["a"]
+
+    asyncio.run(play())
+
+
 def test_entries_learn_of_a_rest_at_once():
     """Guards against entries that choose an agent whose engine rests."""
 
