--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -23,6 +23,7 @@
 CONFIDENCE = "X-Confidence"
 INSTANCE = "X-Instance"
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"
 SCHEME = "bearer "
 
 # Only the router may set these headers.  Values sent by a caller are dropped: they
