Give an engine that leaves no new work in its present lifetime

What callers saw: requests were sent to an engine whose answers said that it leaves, until it was gone, and were cut off there.

Cause: the agent didn't read `Server-Leaving`.

Change: the head of each answer, polls included, is read for it. The agent then refuses what waits, takes nothing new and tells entries, as when it stops itself; what runs goes on. `decisions/engineleaving.py` keeps the belief by the engine's incarnation; only a poll asked for after the last such answer ends it, if it shows another incarnation or a restart. Documents and pauses don't touch it.

--- a/eelgrassrack/agent/admission.py
+++ b/eelgrassrack/agent/admission.py
@@ -32,7 +32,8 @@
 
     `confirmed` is false after a pause of this process until an entry has confirmed
     that the facts still hold.  `question` is the nonce of the agent's request for
-    that confirmation, a new one after each pause.
+    that confirmation, a new one after each pause.  `engine_leaving` is whether the
+    engine said so in its present lifetime.
     """
 
     endpoint: str
@@ -44,6 +45,7 @@
     question: int = 0
     leaving: bool = False
     listed_leaving: bool = False
+    engine_leaving: bool = False
     engine_up: bool = True
     quarantined: frozenset[str] = frozenset()
 
@@ -57,7 +59,7 @@
 
     def is_leaving(self) -> bool:
         """Return whether the endpoint is leaving and accepts no new work."""
-        if self.leaving or self.listed_leaving:
+        if self.leaving or self.listed_leaving or self.engine_leaving:
             return True
         return self.facts is not None and self.endpoint in self.facts.endpoints_out
 
--- a/eelgrassrack/agent/agent.py
+++ b/eelgrassrack/agent/agent.py
@@ -15,7 +15,7 @@
     CRASHES,
     Metrics,
 )
-from ..platform.headers import find_rest
+from ..platform.headers import find_rest, says_leaving
 from ..settings import AgentSettings
 from ..store.instances import Instance, InstanceList, Role, follow_instances
 from ..store.objects import ObjectStore
@@ -304,6 +304,18 @@
             log.info("agent: the endpoint asks for {:g} s of rest", rest)
             self._runner.begin_rest(rest)
             self._heartbeat.send()
+        if says_leaving(headers):
+            self._health.note_leaving()
+            self._note_engine_leaving()
+
+    def _note_engine_leaving(self) -> None:
+        """Refuse what waits, and tell entries, unless that is known already."""
+        if self._state.engine_leaving:
+            return
+        log.info("agent: the endpoint says that it leaves")
+        self._state.engine_leaving = True
+        self._intake.refuse_waiting()
+        self._heartbeat.send()
 
     async def _is_alive(self, since: float) -> bool:
         alive = await self._health.is_alive(since)
@@ -356,15 +368,17 @@
             await self._poll_health()
 
     async def _poll_health(self) -> None:
-        was_up = self._state.engine_up
+        state = self._state
+        before = (state.engine_up, state.engine_leaving)
         await self._health.poll()
         self._apply_health()
-        if self._state.engine_up != was_up:
+        if (state.engine_up, state.engine_leaving) != before:
             self._heartbeat.send()
         self._runner.pump()
 
     def _apply_health(self) -> None:
         self._state.engine_up = self._health.is_up
+        self._state.engine_leaving = self._health.is_leaving
         self._core.window.is_growth_paused = self._health.is_cold
 
     async def _follow_instances(self) -> None:
--- a/eelgrassrack/agent/health.py
+++ b/eelgrassrack/agent/health.py
@@ -15,6 +15,7 @@
 
 from ..curl import make_client
 from ..decisions.coldstart import CollapseReason
+from ..decisions.engineleaving import EngineLeaving
 from .lag import LagMeter
 from .outcomes import OnHead
 
@@ -63,6 +64,7 @@
         "_client",
         "_clock",
         "_is_resting",
+        "_leaving",
         "_on_collapse",
         "_on_head",
         "_url",
@@ -95,6 +97,7 @@
         self._on_collapse = on_collapse
         self._on_head = on_head
         self._is_resting = is_resting
+        self._leaving = EngineLeaving()
         self._client = make_client(max_clients=MAX_CLIENTS)
 
     def close(self) -> None:
@@ -103,7 +106,24 @@
 
     async def poll(self) -> None:
         """Poll the endpoint and note what changed."""
-        self.note(await self._fetch_timely())
+        asked_at = self._clock()
+        report = await self._fetch_timely()
+        self.note(report)
+        if isinstance(report, HealthReport):
+            self._leaving.observe(
+                lifetime=report.incarnation,
+                restarted=self.restarted_at >= asked_at,
+                asked_at=asked_at,
+            )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the endpoint said that it leaves, in its present lifetime."""
+        return self._leaving.is_leaving
+
+    def note_leaving(self) -> None:
+        """Note that the endpoint said in an answer that it leaves."""
+        self._leaving.note(lifetime=self.incarnation, now=self._clock())
 
     async def is_alive(self, since: float) -> bool:
         """Return whether the endpoint is up and hasn't restarted since a time.
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -161,6 +161,14 @@
     return _decode_rest(status, named.get(RETRY_AFTER.lower(), ""))
 
 
+def says_leaving(pairs: Iterable[tuple[str, str]]) -> bool:
+    """Return whether an answer says that its sender is leaving."""
+    return any(
+        name.lower() == LEAVING.lower() and value.strip() == "1"
+        for name, value in pairs
+    )
+
+
 def _list_tokens(value: str) -> frozenset[str]:
     return frozenset(token.strip().lower() for token in value.split(",") if token)
 
