--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -155,13 +155,25 @@
         keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
         will_close="close" in listed,
         confidence=_decode_count(named.get("x-confidence", "")),
-        rest=_decode_rest(status, named.get("retry-after", "")),
-        is_leaving=named.get(LEAVING.lower(), NOT_LEAVING) != NOT_LEAVING,
+        rest=find_rest(status=status, pairs=named.items()),
+        is_leaving=says_leaving(named.items()),
         is_misdirected=status == MISDIRECTED,
         sender=named.get(INSTANCE.lower(), ""),
     )
 
 
+def find_rest(*, status: int, pairs: Iterable[tuple[str, str]]) -> float | None:
+    """Return for how many seconds an answer asks for rest, None if it doesn't."""
+    named = {name.lower(): value for name, value in pairs}
+    return _decode_rest(status, named.get(RETRY_AFTER.lower(), ""))
+
+
+def says_leaving(pairs: Iterable[tuple[str, str]]) -> bool:
+    """Return whether an answer says that its sender is leaving."""
+    named = {name.lower(): value for name, value in pairs}
+    return named.get(LEAVING.lower(), NOT_LEAVING) != NOT_LEAVING
+
+
 def _list_tokens(value: str) -> frozenset[str]:
     return frozenset(token.strip().lower() for token in value.split(",") if token)
 
