--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -182,16 +182,15 @@
                 await world.add_engine(f"e{number}", Break(), Events(count=EVENTS))
             await world.start_gateway()
             await world.wait_ready()
-            opened = []
 
-            async def open_first(*, address, timeout):
-                if address in opened:
+            async def open_late(*, address, timeout):
+                """Open a request's connection; those of checks take too long."""
+                if timeout < pool.CONNECT_TIMEOUT_SECONDS:
                     return await time_out(address=address, timeout=timeout)
-                opened.append(address)
                 return await open_connection(address=address, timeout=timeout)
 
             with monkeypatch.context() as patch:
-                patch.setattr(pool, "open_connection", open_first)
+                patch.setattr(pool, "open_connection", open_late)
                 assert (await world.call()).status == 502
                 await asyncio.sleep(1.0)
             assert (await world.call(attempt="a2")).status == 200
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -316,13 +316,15 @@
     run(main())
 
 
-WAIT_SECONDS = 0.3
+WAIT_SECONDS = 1.0
+# Far longer than a watch's wait and the time after which it is overdue.
+ARRIVAL_SECONDS = 3.0
 EVENT_PIECES = 20
 EVENT_BODY = b'{"storeRevision": 2, "events": []}'.ljust(EVENT_PIECES * 4_096)
 
 
 class ThinStore:
-    """Answers a list at once and a watch over a link that takes two seconds."""
+    """Answers a list at once and a watch over a link that takes seconds."""
 
     def __init__(self):
         self.calls = []
@@ -341,7 +343,7 @@
             step = len(body) // EVENT_PIECES if is_watch else len(body)
             for begin in range(0, len(body), step):
                 writer.write(body[begin : begin + step])
-                await asyncio.sleep(2.0 / EVENT_PIECES if is_watch else 0.0)
+                await asyncio.sleep(ARRIVAL_SECONDS / EVENT_PIECES if is_watch else 0.0)
 
 
 @contextlib.asynccontextmanager
@@ -376,7 +378,7 @@
 
     async def main():
         async with follow_thin_store() as (thin, follower):
-            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            await wait_for(lambda: follower.revision == 2)
             assert thin.calls[:2] == ["list", "watch"]
             assert thin.calls.count("list") == 1
 
@@ -393,9 +395,10 @@
     async def main():
         async with follow_thin_store() as (thin, follower):
             await wait_for(lambda: "watch" in thin.calls)
+            await wait_for(lambda: follower._store.is_receiving(follower.kind))
             await asyncio.sleep(0.5)
             follower.list_newer(2)
-            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            await wait_for(lambda: follower.revision == 2)
             assert thin.calls[:2] == ["list", "watch"]
             assert thin.calls.count("list") == 1
 
@@ -411,10 +414,11 @@
     async def main():
         async with follow_thin_store() as (thin, follower):
             await wait_for(lambda: "watch" in thin.calls)
+            await wait_for(lambda: follower._store.is_receiving(follower.kind))
             for _ in range(3):
                 await asyncio.sleep(0.4)
                 follower.relist()
-            await wait_for(lambda: follower.revision == 2, seconds=4.0)
+            await wait_for(lambda: follower.revision == 2)
             assert thin.calls[:2] == ["list", "watch"]
             assert thin.calls.count("list") == 1
 
