Answer requests whose heads are read at the very end of a stop

What callers saw: nothing at all, if a gateway was held up until open requests are no longer waited for, and read a request's head then while the body was still coming.

Cause: the end of a stop refuses the requests that are being read once, when it begins, and then looks only at idle connections and at requests that are served. Tornado has the head of a request for some passes of the loop before it calls the handler; a connection in that state is neither idle nor read, and when its request came to be read, the end was over and closed the connection without a byte. The loop of a gateway that was held up is in just that state for all callers that sent meanwhile.

Ruled out: that the end was too short (it takes twenty looks; the request was seen in the second and passed over).

Change: each look of the end refuses what is being read by then.

Evidence: test_a_head_that_is_read_at_the_end_of_the_process_gets_an_answer, which holds the gateway up across that deadline, failed before, three runs of three (0 bytes), and passes.

--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -217,13 +217,14 @@
         This ends at a time of the event loop, or after `MIN_END_POLLS` checks if that
         is later.
         """
-        for message in tuple(self._reading):
-            message.end()
-        polls = itertools.count(1)
-        while self._idle or self._serving:
-            self._end_idle()
-            if next(polls) > MIN_END_POLLS and self._loop.time() >= until:
+        for polls in itertools.count(1):
+            for message in tuple(self._reading):
+                message.end()
+            if not self._idle and not self._serving:
                 break
+            if polls > MIN_END_POLLS and self._loop.time() >= until:
+                break
+            self._end_idle()
             await asyncio.sleep(END_POLL_SECONDS)
         for message in tuple(self._reading):
             self._end_connection(message.connection, b"")
--- a/test/gateway/test_last_words.py
+++ b/test/gateway/test_last_words.py
@@ -158,6 +158,28 @@
     run(main())
 
 
+def test_a_head_that_is_read_at_the_end_of_the_process_gets_an_answer():
+    """A busy instance suspends the gateway, and the body is still on its way."""
+
+    async def main():
+        async with make_stopping(after=0.1) as (world, engine, _):
+            # An unfinished request keeps the gateway from ending earlier.
+            keeping = await connect(world.settings[0].listen)
+            keeping.writer.write(HALF.encode())
+            await asyncio.sleep(GRACE_SECONDS - 0.7)
+            caller = await connect(world.settings[0].listen)
+            await asyncio.sleep(0.15)
+            caller.writer.write(HALF.encode()[:-2])
+            # Blocks the event loop until open requests are no longer waited for.
+            time.sleep(0.55 - REQUEST_MARGIN_SECONDS)
+            assert (await caller.read()).status == 503
+            assert not engine.runs
+            caller.close()
+            keeping.close()
+
+    run(main())
+
+
 @pytest.mark.parametrize("is_kept", [True, False])
 def test_a_request_that_crosses_an_idle_close_is_answered_as_not_run(
     is_kept,
