Answer callers that wait when a gateway's start fails

What callers saw: a reset connection and no answer, if they had connected to a gateway whose start then failed: 8 of 8 callers, sent or not, in each of five ways (the metrics, readiness or news port in use, an address that isn't the machine's, a wrong setting). Nothing of theirs ran, and they couldn't know. The operator got a traceback without the address or the setting for the first four.

Cause: the port for callers is open before the libraries are loaded, so that callers wait during a start; whatever ended the process after that closed the port over its queue. The gateway also accepted callers before it had opened its other ports.

Ruled out: opening the port later (callers that retry once would be refused during each restart; test_a_caller_waits_while_the_process_loads).

Change: the port for callers is taken into use last, when nothing in the start can fail any more. A process that ends before that answers those in the queue, "503" with Retry-After to requests and "408" to others, closes the port, and reads on until they have closed or a second has passed (`dismissal.py`, which loads nothing slow). An address that can't be used is named with its setting.

Evidence: the five cases of test_a_start_that_fails_answers_the_callers_that_wait failed before and pass. A start that is killed, or has no memory left, still resets its queue.

--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -11,10 +11,10 @@
 from tornado.netutil import bind_sockets
 
 from ..decisions.hearing import Hearing
+from ..dismissal import REQUEST_TIMEOUT_ANSWER
 from ..document.snapshot import Snapshot
 from ..incarnations import make_incarnation
 from ..invariants import Invariants, Promise
-from ..lingering import REQUEST_TIMEOUT_ANSWER
 from ..listening import stop_listening
 from ..mailbox.messages import AnyMessage, Bill, MessageBatch
 from ..mailbox.socket import Mailbox
--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 
+from ..dismissal import dismiss_callers
 from .earlystop import EarlyStop
 from .listener import open_early
 
@@ -26,10 +27,15 @@
     early = EarlyStop()
     early.install_handlers()
     listener = open_early(path)
-    # This import is slow, so it waits until the socket is open.
-    from .process import run_process
-
-    return run_process(path, listener, early)
+    try:
+        # This import is slow, so it waits until the socket is open.
+        from .process import run_process
+
+        return run_process(path, listener, early)
+    finally:
+        if listener is not None and listener.fileno() >= 0:
+            # The start has failed, and callers may wait in the socket's queue.
+            dismiss_callers(listener)
 
 
 if __name__ == "__main__":
--- a/eelgrassrack/gateway/adminserver.py
+++ b/eelgrassrack/gateway/adminserver.py
@@ -48,18 +48,20 @@
 class AdminServer(HTTPServerConnectionDelegate):
     """Serve requests at one address.
 
-    `answer` returns the status and body for a path.
+    `setting` names the setting of `address`.  `answer` returns the status and body
+    for a path.
     """
 
-    def __init__(self, *, address: str, answer: AnswerFunction) -> None:
-        self._address = address
+    def __init__(self, *, setting: str, address: str, answer: AnswerFunction) -> None:
+        self.setting = setting
+        self.address = address
         self._answer = answer
         self._compressor = Compressor()
         self._server = HTTPServer(self)
 
     def open(self) -> None:
-        """Start to listen."""
-        host, port = self._address.rsplit(":", 1)
+        """Start to listen; raise `OSError`."""
+        host, port = self.address.rsplit(":", 1)
         self._server.listen(int(port), host)
 
     def close(self) -> None:
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -1,9 +1,10 @@
 """The gateway daemon: wires its parts together, starts and gracefully stops them."""
 
 import asyncio
+import contextlib
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import logbook
 from tornado.httpserver import HTTPServer
@@ -16,6 +17,7 @@
 from .configuration import Router
 from .earlystop import STOP_SIGNALS, EarlyStop
 from .endpoints import Endpoint
+from .errors import StartError
 from .fleet import Fleet
 from .follower import Store, StoreContact
 from .ingress import Ingress
@@ -63,6 +65,17 @@
 SETTINGS_POLL_SECONDS = 3.0
 
 
+@contextlib.contextmanager
+def _explain(setting: str, address: str) -> Iterator[None]:
+    """Raise `StartError` that names the setting of an address that can't be used."""
+    try:
+        yield
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or error
+        text = f"can't listen on {address} (setting {setting}): {reason}"
+        raise StartError(text) from error
+
+
 class Gateway:
     """One gateway with all its parts.
 
@@ -206,8 +219,13 @@
         )
         self._server = HTTPServer(self.ingress, body_timeout=BODY_TIMEOUT_SECONDS)
         self._admin_servers = (
-            AdminServer(address=settings.readiness, answer=self._answer_readiness),
             AdminServer(
+                setting="readiness",
+                address=settings.readiness,
+                answer=self._answer_readiness,
+            ),
+            AdminServer(
+                setting="metrics_port",
                 address=f"{settings.address}:{settings.metrics_port}",
                 answer=self._answer_internal,
             ),
@@ -216,7 +234,8 @@
     async def run(self, early: EarlyStop) -> None:
         """Serve until a stop signal, then stop gracefully.
 
-        `early` says whether a stop signal arrived before this call.
+        `early` says whether a stop signal arrived before this call.  Raises
+        `StartError` if the start fails; no caller has been accepted then.
         """
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
@@ -244,22 +263,33 @@
         return self._update_exchange.gateway_count
 
     async def start(self) -> None:
-        """Open all sockets and begin to follow the store."""
+        """Open all sockets and begin to follow the store.
+
+        Raises `StartError` if an address can't be used.  The socket for callers comes
+        last: until then all of them wait in its queue.
+        """
+        settings = self._settings
+        with _explain("news_port", f"{settings.address}:{settings.news_port}"):
+            await self._update_exchange.open()
+        for server in self._admin_servers:
+            with _explain(server.setting, server.address):
+                server.open()
+        with _explain("listen", settings.listen):
+            self._listener = self._listener or open_listener(settings.listen)
+        self._start_tasks()
+        self._server.add_socket(self._listener)
+        log.notice(
+            "gateway: {} started in {}", self._settings.name, self._settings.domain
+        )
+
+    def _start_tasks(self) -> None:
         for follower in self._store_sync.followers:
             self._supervisor.start(name=follower.kind, job=follower.run)
-        await self._update_exchange.open()
         self._supervisor.start(name="chores", job=self._do_chores)
         self._supervisor.start(name="news", job=self._update_exchange.run)
         self._supervisor.start(name="rollouts", job=self.rollouts.run)
         self._supervisor.start(name="peers", job=self._peers.run)
         self._supervisor.start(name="sharing", job=self._view_fetcher.run)
-        self._listener = self._listener or open_listener(self._settings.listen)
-        self._server.add_socket(self._listener)
-        for server in self._admin_servers:
-            server.open()
-        log.notice(
-            "gateway: {} started in {}", self._settings.name, self._settings.domain
-        )
 
     async def stop(self, *, signalled_at: float | None = None) -> None:
         """Leave the balancer's rotation, finish open requests, then close.
--- a/eelgrassrack/gateway/errors.py
+++ b/eelgrassrack/gateway/errors.py
@@ -1,12 +1,16 @@
 """Errors of the gateway."""
 
-from ..errors import EelgrassrackError
+from ..errors import EelgrassrackError, UserError
 
 
 class GatewayError(EelgrassrackError):
     """Base of the gateway's errors."""
 
 
+class StartError(UserError):
+    """The gateway can't start; the text says which setting to change."""
+
+
 class ConnectError(GatewayError):
     """No connection to an endpoint could be opened, so nothing was sent to it.
 
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -17,7 +17,8 @@
 )
 from tornado.iostream import IOStream
 
-from ..lingering import REQUEST_TIMEOUT_ANSWER, LingeringConnections
+from ..dismissal import REQUEST_TIMEOUT_ANSWER
+from ..lingering import LingeringConnections
 from .configuration import Limits
 from .connection import enable_keepalive
 from .errors import CallerGoneError
--- a/eelgrassrack/gateway/process.py
+++ b/eelgrassrack/gateway/process.py
@@ -23,16 +23,16 @@
     `listener` is the socket for callers if it is already open, and `early` says
     whether a stop signal has arrived in the meantime.
     """
+    early = early or EarlyStop()
     try:
         settings = read_gateway_settings(path)
+        handler = install_bounded(settings.log)
+        asyncio.run(
+            _run(settings, path=path, handler=handler, listener=listener, early=early)
+        )
     except UserError as error:
         print(f"eelgrassrack: {error}", file=sys.stderr)
         return error.exit_code
-    handler = install_bounded(settings.log)
-    early = early or EarlyStop()
-    asyncio.run(
-        _run(settings, path=path, handler=handler, listener=listener, early=early)
-    )
     return 0
 
 
--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -29,13 +29,6 @@
 
 READ_BYTES = 65_536
 
-# RFC 9110 defines 408 as "the server did not receive a complete request message
-# within the time that it was prepared to wait", so the caller knows that its
-# request has not run.
-REQUEST_TIMEOUT_ANSWER = (
-    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
-
 
 class LingeringConnections:
     """Connections that are closed for writing and wait for their callers to close."""
--- a/eelgrassrack/listening.py
+++ b/eelgrassrack/listening.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import socket
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 from tornado.tcpserver import TCPServer
 
+from .dismissal import accept_queued
+
 # Gives Tornado time to start reading from the connections accepted last.
 ACCEPT_SECONDS = 0.05
 
@@ -17,16 +19,7 @@
     callers could not know whether their requests ran.
     """
     for listener in listeners:
-        for connection, address in _accept_queued(listener):
+        for connection, address in accept_queued(listener):
             server._handle_connection(connection, address)
     server.stop()
     await asyncio.sleep(ACCEPT_SECONDS)
-
-
-def _accept_queued(listener: socket.socket) -> Iterator[tuple[socket.socket, object]]:
-    """Accept and yield each queued connection with its address."""
-    while True:
-        try:
-            yield listener.accept()
-        except BlockingIOError:
-            return
--- a/test/gateway/test_limits.py
+++ b/test/gateway/test_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrassrack.lingering import REQUEST_TIMEOUT_ANSWER
+from eelgrassrack.dismissal import REQUEST_TIMEOUT_ANSWER
 
 from .world import KEY, connect, make_world, run, wait_for
 
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from eelgrassrack.dismissal import REQUEST_TIMEOUT_ANSWER
 from eelgrassrack.gateway.daemon import ROTATION_SECONDS
 from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
-from eelgrassrack.lingering import REQUEST_TIMEOUT_ANSWER
 from eelgrassrack.standins.directengine import Events, Reply
 
 from .world import HOST, KEY, call, connect, make_world, run, wait_for
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -146,3 +147,69 @@
         host, port = taken.getsockname()
         settings.write_text(f"[gateway]\nlisten = {host}:{port}\n")
         assert open_early(str(settings)) is None
+
+
+async def read_outcome(caller):
+    """Return the status of a caller's answer, or how its connection ended."""
+    try:
+        return (await asyncio.wait_for(caller.read(), 10)).status
+    except (OSError, asyncio.IncompleteReadError) as error:
+        return repr(error)
+
+
+async def ask_in_queue(gateway):
+    """Have callers wait in the queue of a gateway that loads; return the outcomes."""
+    callers = [await connect_when_open(gateway.listen) for _ in range(8)]
+    for caller in callers[:6]:
+        caller.send("/look/1", attempt="early")
+    return await asyncio.gather(*(read_outcome(caller) for caller in callers))
+
+
+QUEUE_OUTCOMES = [503] * 6 + [408] * 2
+
+# Lines of a settings file that keep a gateway from starting, and what it says then.
+FAULTY_LINES = {
+    "metrics_port = {taken}": "(setting metrics_port): Address already in use",
+    "readiness = 127.0.0.1:{taken}": "(setting readiness): Address already in use",
+    "readiness = 192.0.2.1:{taken}": "(setting readiness): Cannot assign requested",
+    "news_port = {taken}": "(setting news_port): Address already in use",
+    "grace_seconds = soon": "grace_seconds",
+}
+
+
+def change_line(path, line):
+    """Replace the line of a settings file that sets the same key."""
+    key = line.split(" = ")[0]
+    lines = path.read_text().splitlines()
+    changed = [line if one.startswith(f"{key} = ") else one for one in lines]
+    path.write_text("\n".join(changed) + "\n")
+
+
+@pytest.mark.parametrize(("line", "message"), FAULTY_LINES.items())
+def test_a_start_that_fails_answers_the_callers_that_wait(tmp_path, line, message):
+    """The port for callers is open when the process finds out that it can't start."""
+
+    async def main():
+        async with make_world() as world:
+            gateway = GatewayProcess(
+                number=1,
+                news_port=find_port(),
+                store=world.store.url.removeprefix("http://"),
+                folder=str(tmp_path),
+            )
+            taken = find_port()
+            change_line(tmp_path / "entry-1.ini", line.format(taken=taken))
+            with (
+                open_listener(f"127.0.0.1:{taken}"),
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+            ):
+                datagrams.bind(("127.0.0.1", taken))
+                gateway.start()
+                outcomes = await ask_in_queue(gateway)
+                assert await asyncio.to_thread(gateway.process.wait, 10) == 1
+            assert outcomes == QUEUE_OUTCOMES
+            log = (tmp_path / "entry-1.log").read_text()
+            assert message in log
+            assert "Traceback" not in log
+
+    run(main())
