End a gateway that is told to stop while it loads without loading on

What callers saw: no answer, if a gateway got SIGTERM while it loaded and loading took longer than its grace period: it was killed with its callers in the queue.

Cause: the signal was only noted; the process loaded on, started, and stopped then.

Change: a signal that comes before the event loop runs is carried out at once, by the handler: callers in the queue get "503" with Retry-After, or "408" if they haven't sent, the port closes, and the process ends. Nothing of theirs has run by then.

Evidence: test_a_stop_while_the_process_loads_doesnt_wait_for_loading, with an import that takes six seconds and a grace of five, failed before (no answer at the end of the grace) and passes.

--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -7,9 +7,8 @@
 import signal
 import sys
 
-from ..dismissal import dismiss_callers
-from .earlystop import EarlyStop
 from .listener import open_early
+from .stopsignals import StopSignals, log_line
 
 # Exit code for wrong arguments.
 USAGE = 2
@@ -24,18 +23,19 @@
     # Without a handler, a SIGHUP during startup would end the process and cut off
     # callers in the socket's backlog.  The settings are read later anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    early = EarlyStop()
-    early.install_handlers()
-    listener = open_early(path)
+    signals = StopSignals()
+    signals.install_handlers()
+    signals.listener = open_early(path)
     try:
         # This import is slow, so it waits until the socket is open.
         from .process import run_process
 
-        return run_process(path, listener, early)
+        return run_process(path, signals)
     finally:
-        if listener is not None and listener.fileno() >= 0:
-            # The start has failed, and callers may wait in the socket's queue.
-            dismiss_callers(listener)
+        # A start that fails leaves callers in the queue.
+        count = signals.dismiss_queued()
+        if count:
+            log_line(f"gateway: not started, {count} callers refused")
 
 
 if __name__ == "__main__":
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -15,7 +15,6 @@
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
 from .configuration import Router
-from .earlystop import STOP_SIGNALS, EarlyStop
 from .endpoints import Endpoint
 from .errors import StartError
 from .fleet import Fleet
@@ -30,6 +29,7 @@
 from .rollouts import Rollouts
 from .serving import RequestHandler
 from .settings import GatewaySettings
+from .stopsignals import StopSignals
 from .storesync import Kinds, StoreSync
 from .storeviews import PullNeed, StoreViewFetcher, encode_view, parse_path
 from .translation import Translation
@@ -231,21 +231,20 @@
             ),
         )
 
-    async def run(self, early: EarlyStop) -> None:
+    async def run(self, signals: StopSignals) -> None:
         """Serve until a stop signal, then stop gracefully.
 
-        `early` says whether a stop signal arrived before this call.  Raises
-        `StartError` if the start fails; no caller has been accepted then.
+        Raises `UserError` if the start fails; no caller has been accepted then.
         """
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, stopping.set)
+
+        signals.forward(lambda: loop.call_soon_threadsafe(stopping.set))
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
-        if early.requested_at is None:
-            await stopping.wait()
-        await self.stop(signalled_at=early.requested_at)
+        await stopping.wait()
+        await self.stop()
+        signals.forward(lambda: None)
 
     @property
     def is_ready(self) -> bool:
@@ -291,19 +290,15 @@
         self._supervisor.start(name="peers", job=self._peers.run)
         self._supervisor.start(name="sharing", job=self._view_fetcher.run)
 
-    async def stop(self, *, signalled_at: float | None = None) -> None:
-        """Leave the balancer's rotation, finish open requests, then close.
-
-        `signalled_at` is the loop time of the stop signal, from which the grace
-        period counts; None means now.
-        """
+    async def stop(self) -> None:
+        """Leave the balancer's rotation, finish open requests, then close."""
         log.notice("gateway: stopping, {} open", self.ingress.open_requests)
         loop = asyncio.get_running_loop()
-        began = loop.time() if signalled_at is None else signalled_at
+        began = loop.time()
         self._is_closing = True
         ends_at = began + self._settings.grace_seconds
         self._handler.set_end(ends_at - ANSWER_MARGIN_SECONDS)
-        await asyncio.sleep(began + ROTATION_SECONDS - loop.time())
+        await asyncio.sleep(ROTATION_SECONDS)
         # The balancer keeps sending callers here if too few other gateways are
         # ready.  Serve those requests that certainly finish in time: a closed port
         # would cost each caller one attempt.
--- a/eelgrassrack/gateway/process.py
+++ b/eelgrassrack/gateway/process.py
@@ -1,7 +1,6 @@
 """Runs one gateway process on the platform's store."""
 
 import asyncio
-import socket
 import sys
 
 from ..errors import UserError
@@ -9,27 +8,21 @@
 from ..platform import headers
 from ..platform.store import Kinds, PlatformStore
 from .daemon import Gateway
-from .earlystop import EarlyStop
 from .settings import GatewaySettings, read_gateway_settings
+from .stopsignals import StopSignals
 
 
-def run_process(
-    path: str,
-    listener: socket.socket | None = None,
-    early: EarlyStop | None = None,
-) -> int:
+def run_process(path: str, signals: StopSignals | None = None) -> int:
     """Run with the settings at `path` until stopped; return the exit code.
 
-    `listener` is the socket for callers if it is already open, and `early` says
-    whether a stop signal has arrived in the meantime.
+    `signals` are the process's stop signals, with the socket for callers if it is
+    already open.
     """
-    early = early or EarlyStop()
+    signals = signals or StopSignals()
     try:
         settings = read_gateway_settings(path)
         handler = install_bounded(settings.log)
-        asyncio.run(
-            _run(settings, path=path, handler=handler, listener=listener, early=early)
-        )
+        asyncio.run(_run(settings, path=path, handler=handler, signals=signals))
     except UserError as error:
         print(f"eelgrassrack: {error}", file=sys.stderr)
         return error.exit_code
@@ -41,8 +34,7 @@
     *,
     path: str,
     handler: BoundedHandler,
-    listener: socket.socket | None,
-    early: EarlyStop,
+    signals: StopSignals,
 ) -> None:
     gateway = Gateway(
         settings=settings,
@@ -51,6 +43,6 @@
         translation=headers,
         count_dropped=lambda: handler.dropped,
         read_settings=lambda: read_gateway_settings(path),
-        listener=listener,
+        listener=signals.listener,
     )
-    await gateway.run(early)
+    await gateway.run(signals)
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -13,7 +13,7 @@
 from bench.gatewaysoak.gateways import GatewayProcess
 from eelgrassrack.gateway.listener import open_early, open_listener
 from eelgrassrack.standins.directengine import Echo
-from test.gateway.world import connect, make_world, run
+from test.gateway.world import connect, make_world, run, wait_for
 from test.ports import find_port
 
 pytestmark = pytest.mark.processes
@@ -213,3 +213,35 @@
             assert "Traceback" not in log
 
     run(main())
+
+
+SLOW_IMPORT = """\
+import sys, time
+
+class SlowFinder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "tornado":
+            sys.stderr.write("loading\\n")
+            time.sleep(6.0)
+
+sys.meta_path.insert(0, SlowFinder())
+"""
+
+
+def test_a_stop_while_the_process_loads_doesnt_wait_for_loading(tmp_path, monkeypatch):
+    """Loading takes longer than the grace period on an overloaded machine."""
+    (tmp_path / "sitecustomize.py").write_text(SLOW_IMPORT)
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+
+    async def main():
+        async with start_gateway(tmp_path) as gateway:
+            asking = asyncio.ensure_future(ask_in_queue(gateway))
+            await wait_for(lambda: "loading" in (tmp_path / "entry-1.log").read_text())
+            await asyncio.sleep(0.2)
+            gateway.send(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            await wait_for(lambda: not gateway.is_up, seconds=gateway.grace)
+            assert time.monotonic() < stopped_at + gateway.grace
+            assert await asking == QUEUE_OUTCOMES
+
+    run(main())
