Count a stop's grace from the signal, not from when it was noticed

What callers saw: connections cut without an answer, if an instance didn't run the process when SIGTERM came, or if the signal came during a start: the stop counted its grace from when the event loop had noticed the signal, or had started, and the process was killed before the end it had reckoned with.

Cause: a promise rested on the process being punctual; asyncio's handler runs when the loop comes to it, and a start that was under way was finished first, with the grace beginning after it.

Change: the signal is noted by Python's own handler, before the loop goes on. The time for which callers may still be sent here counts from the failing readiness check, as before, but not beyond the end. Entries and agents had the same fault and count in the same way.

--- a/eelgrassrack/agent/agent.py
+++ b/eelgrassrack/agent/agent.py
@@ -1,6 +1,7 @@
 """The agent: wires its parts together and supervises them."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -58,6 +59,7 @@
         "_clock",
         "_closed",
         "_core",
+        "_ends_at",
         "_engine",
         "_entries",
         "_health",
@@ -100,6 +102,7 @@
         self._store = store
         self._instances = instances
         self._clock = clock
+        self._ends_at = math.inf
         self._swept_at = float("-inf")
         self._closed = False
         self._grace_skipped = asyncio.Event()
@@ -209,20 +212,23 @@
         self._supervisor.start(name="instances", job=self._follow_instances)
         log.info("agent: {} listens on {}", self.incarnation, self.address)
 
-    async def stop(self) -> None:
+    async def stop(self, *, signalled_at: float | None = None) -> None:
         """Shut down gracefully.
 
         The agent refuses new work, lets running attempts end, waits for entries
         to settle its bills, and closes.  It waits for at least `lag_seconds`, so
         that entries which don't know of the stop yet still get a refusal, and
-        for at most `grace_seconds`.
+        for at most `grace_seconds`, counted from `signalled_at`, the monotonic time
+        of the stop signal; None means now.
         """
+        began = self._clock()
+        signalled_at = began if signalled_at is None else signalled_at
+        self._ends_at = signalled_at + self._settings.grace_seconds
         log.info("agent: {} is stopping", self.incarnation)
         self._state.leaving = True
         self._intake.refuse_waiting()
         self._outbox.flush()
         self._heartbeat.send()
-        began = self._clock()
         while not self._may_close(self._clock() - began):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         cut = len(self._attempts.running)
@@ -396,7 +402,7 @@
         self._heartbeat.send()
 
     def _may_close(self, waited: float) -> bool:
-        if self._grace_skipped.is_set() or waited >= self._settings.grace_seconds:
+        if self._grace_skipped.is_set() or self._clock() >= self._ends_at:
             return True
         done = self._core.is_idle and not self._attempts.unsettled
         return done and waited >= self._settings.lag_seconds
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -215,19 +215,21 @@
         self._supervisor.start(name="sweeper", job=self._serving.sweeper.run)
         log.info("entry: {} serves callers on {}", self.incarnation, self.url)
 
-    async def stop(self) -> None:
+    async def stop(self, *, signalled_at: float | None = None) -> None:
         """Drain: fail readiness, finish requests, flush bills and close.
 
         The load balancer reacts to the failed readiness check with a delay, so
         the entry takes requests for another `lag_seconds`.  Requests that aren't
         answered after `grace_seconds` are cancelled, and their callers are told
-        what is known about the outcome.
+        what is known about the outcome.  The grace period counts from `signalled_at`,
+        the loop time of the stop signal; None means now.
         """
+        began = self._loop.time()
         self.core.is_draining = True
-        self._set_end(self._loop.time() + self._settings.grace_seconds)
+        signalled_at = began if signalled_at is None else signalled_at
+        self._set_end(signalled_at + self._settings.grace_seconds)
         self._peers.leaving = True
         self._send_heartbeats()
-        began = self._loop.time()
         while not self._may_close(self._loop.time() - began):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self._end_requests()
@@ -376,7 +378,7 @@
         self._send_heartbeats()
 
     def _may_close(self, waited: float) -> bool:
-        if self._grace_skipped.is_set() or waited >= self._settings.grace_seconds:
+        if self._grace_skipped.is_set() or self._loop.time() >= self._ends_at:
             return True
         is_done = self.core.is_idle and not self.billing.waiting
         return is_done and waited >= self._settings.lag_seconds
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -12,6 +12,7 @@
 from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
 from ..listening import stop_listening
+from ..stoptime import StopTime
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
 from .configuration import Router
@@ -239,11 +240,18 @@
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
 
-        signals.forward(lambda: loop.call_soon_threadsafe(stopping.set))
+        stop_time = StopTime()
+
+        def note_signal() -> None:
+            stop_time.note_signal()
+            loop.call_soon_threadsafe(stopping.set)
+
+        signals.forward(note_signal)
+        self._supervisor.start(name="stop time", job=stop_time.watch)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await stopping.wait()
-        await self.stop()
+        await self.stop(signalled_at=stop_time.signalled_at)
         signals.forward(lambda: None)
 
     @property
@@ -290,15 +298,25 @@
         self._supervisor.start(name="peers", job=self._peers.run)
         self._supervisor.start(name="sharing", job=self._view_fetcher.run)
 
-    async def stop(self) -> None:
-        """Leave the balancer's rotation, finish open requests, then close."""
+    async def stop(self, *, signalled_at: float | None = None) -> None:
+        """Leave the balancer's rotation, finish open requests, then close.
+
+        `signalled_at` is the loop time of the stop signal, from which the grace
+        period counts; None means now.
+        """
         log.notice("gateway: stopping, {} open", self.ingress.open_requests)
         loop = asyncio.get_running_loop()
         began = loop.time()
+        signalled_at = began if signalled_at is None else signalled_at
+        log.notice(
+            "gateway: stop signal came {seconds} s ago",
+            seconds=round(began - signalled_at, 3),
+        )
         self._is_closing = True
-        ends_at = began + self._settings.grace_seconds
+        ends_at = signalled_at + self._settings.grace_seconds
         self._handler.set_end(ends_at - ANSWER_MARGIN_SECONDS)
-        await asyncio.sleep(ROTATION_SECONDS)
+        leaves_at = min(began + ROTATION_SECONDS, ends_at - ANSWER_MARGIN_SECONDS)
+        await asyncio.sleep(leaves_at - began)
         # The balancer keeps sending callers here if too few other gateways are
         # ready.  Serve those requests that certainly finish in time: a closed port
         # would cost each caller one attempt.
--- a/eelgrassrack/process.py
+++ b/eelgrassrack/process.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
+from types import FrameType
 from typing import Protocol
 
 import logbook
 
+from .stoptime import StopTime
+
 log = logbook.Logger("process")
 
 EXIT_STOPPED = 0
@@ -18,8 +22,8 @@
     async def start(self) -> None:
         """Start serving."""
 
-    async def stop(self) -> None:
-        """Stop gracefully."""
+    async def stop(self, *, signalled_at: float | None = None) -> None:
+        """Stop gracefully; the grace period counts from the loop time of a signal."""
 
     async def wait_failed(self) -> None:
         """Wait until a component has failed too often, then raise `SupervisorError`."""
@@ -34,21 +38,34 @@
     A second signal skips the rest of the grace period.
     """
     stopping = asyncio.Event()
+    stop_time = StopTime()
+    loop = asyncio.get_running_loop()
 
     def handle_signal() -> None:
         if stopping.is_set():
             daemon.skip_grace_period()
         stopping.set()
 
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle_signal)
+    def note_signal(_: int, __: FrameType | None) -> None:
+        # Runs before the event loop continues, which may have been held up.
+        stop_time.note_signal()
+        loop.call_soon_threadsafe(handle_signal)
+
+    _handle_stop_signals(note_signal)
+    watching = loop.create_task(stop_time.watch())
     await daemon.start()
     status = await _wait_for_end(daemon, stopping)
-    await daemon.stop()
+    await daemon.stop(signalled_at=stop_time.signalled_at)
+    watching.cancel()
+    _handle_stop_signals(signal.SIG_IGN)
     return status
 
 
+def _handle_stop_signals(handler: Callable | signal.Handlers) -> None:
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, handler)
+
+
 async def _wait_for_end(daemon: Daemon, stopping: asyncio.Event) -> int:
     """Wait for a signal or a failure; return the exit status."""
     loop = asyncio.get_running_loop()
--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -18,6 +18,8 @@
 
 pytestmark = pytest.mark.processes
 
+HALF_REQUEST = b"POST /look/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab"
+
 
 async def connect_when_open(address):
     """Connect to an address; retry until a process listens there."""
@@ -245,3 +247,28 @@
             assert await asking == QUEUE_OUTCOMES
 
     run(main())
+
+
+def test_a_suspended_process_counts_its_grace_from_the_signal(tmp_path):
+    """SIGTERM comes while the instance doesn't run the process.
+
+    It is killed after its grace period, with the requests that are still open.
+    """
+
+    async def main():
+        async with start_gateway(tmp_path) as gateway:
+            caller = await connect_when_open(gateway.listen)
+            caller.send("/look/1", attempt="first")
+            assert (await caller.read()).status == 200
+            caller.writer.write(HALF_REQUEST)
+            await asyncio.sleep(0.5)
+            gateway.send(signal.SIGSTOP)
+            stopped_at = time.monotonic()
+            gateway.send(signal.SIGTERM)
+            await asyncio.sleep(2.0)
+            gateway.send(signal.SIGCONT)
+            assert (await caller.read()).status == 503
+            await wait_for(lambda: not gateway.is_up)
+            assert time.monotonic() < stopped_at + gateway.grace
+
+    run(main())
