Answer requests that are read as an entry ends

What callers saw: nothing, if their request, or its head, was read in the last moments of an entry's stop, as after the entry was held up there: 10 of 18 orders ended with 0 bytes (all of a request, or its head and a part of its body, read two to five passes of the loop before idle callers are told to leave).

Requests were answered once, before that moment; then three passes of the loop were taken to be enough for handlers to see what was read, and connections of handlers that had appeared since were closed as they were. Besides, a request whose handler Tornado had made and not yet prepared, when open requests were ended, raised AttributeError, which ended the whole stop.

Change: the end looks up to twenty times, a hundredth of a second apart, or until no connection is left; each look answers what handlers have by then and tells idle callers. A handler that isn't prepared is answered by the next look.

Evidence: test_a_request_that_is_read_as_the_entry_ends_gets_an_answer, 18 orders, 10 failed before, none after; with the looks alone three failed with the AttributeError.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -54,6 +54,7 @@
         self.responder = HttpResponder(handler=self)
         self.task: asyncio.Task | None = None
         self.refused = False
+        self.is_prepared = False
         self.is_counted = False
         self.deadline = math.inf
         core.callers.add(self)
@@ -61,6 +62,7 @@
 
     def prepare(self) -> None:
         """Refuse a request that is too large before its body is read."""
+        self.is_prepared = True
         if self.core.is_draining:
             # With keep-alive the client would send its next request to an
             # entry that is about to exit.
@@ -125,8 +127,11 @@
             self.responder.buffer_until_complete()
 
     def end(self) -> None:
-        """Answer at once, because this entry exits."""
-        if self.responder.has_ended:
+        """Answer at once, because this entry exits.
+
+        Tornado can't answer yet if it hasn't called `prepare`.
+        """
+        if self.responder.has_ended or not self.is_prepared:
             return
         if self.task is None:
             self._refuse(refuse_unavailable(reason="draining"))
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -54,9 +54,11 @@
 # to reach their callers.
 AFTER_GRACE_SECONDS = 1.0
 
-# After this many iterations of the event loop the handlers have seen all requests
-# that were read.
-FINAL_READ_PASSES = 3
+# Requests that have been read but that no handler has seen are looked for this often
+# before all connections are closed.  A process that was suspended until then needs
+# several iterations of its event loop for them.
+FINAL_POLL_SECONDS = 0.01
+FINAL_POLLS = 20
 
 # Largest body that is read, because the document's limit may not be known yet.
 MAX_BODY_BYTES = 3_500_000
@@ -252,18 +254,25 @@
         await self._server.close_all_connections()
 
     async def _dismiss_callers(self) -> None:
-        """Tell callers with an idle connection that no request will be read."""
-        for _ in range(FINAL_READ_PASSES):
-            busy = self.core.list_streams()
-            for connection in tuple(self._server._connections):
-                stream = connection.stream
-                # A connection that isn't reading has received the headers of a request
-                # that no handler has seen yet.
-                if stream.reading() and stream not in busy:
-                    self.core.lingering.half_close(stream, REQUEST_TIMEOUT_ANSWER)
-            await asyncio.sleep(0)
+        """Answer requests that were read late, and tell idle callers to leave."""
+        for _ in range(FINAL_POLLS):
+            self.core.end_all()
+            self._dismiss_idle()
+            if not self._server._connections:
+                break
+            await asyncio.sleep(FINAL_POLL_SECONDS)
         await self.core.lingering.wait_closed(self._loop.time() + AFTER_GRACE_SECONDS)
 
+    def _dismiss_idle(self) -> None:
+        """Tell callers with an idle connection that no request will be read."""
+        busy = self.core.list_streams()
+        for connection in tuple(self._server._connections):
+            stream = connection.stream
+            # A connection that isn't reading has received the headers of a request
+            # that no handler has seen yet.
+            if stream.reading() and stream not in busy:
+                self.core.lingering.half_close(stream, REQUEST_TIMEOUT_ANSWER)
+
     async def _wait_idle(self, extra: float) -> None:
         """Wait until no request is open, at most `extra` seconds after the end."""
         while not self.core.is_idle and self._loop.time() < self._ends_at + extra:
--- a/test/entry/test_stop.py
+++ b/test/entry/test_stop.py
@@ -8,6 +8,7 @@
 import pytest
 
 from eelgrassrack.agent.attempts import Phase
+from eelgrassrack.entry.entry import EntryDaemon
 from eelgrassrack.entry.sessions import Sessions
 from eelgrassrack.standins import system
 
@@ -289,3 +290,44 @@
         return data
 
     assert len(world.run(read())) > BODY_BYTES
+
+
+@pytest.mark.parametrize("passes", range(6))
+@pytest.mark.parametrize("size", [1, 30, None])
+def test_a_request_that_is_read_as_the_entry_ends_gets_an_answer(
+    world, monkeypatch, passes, size
+):
+    """Its bytes are read some iterations of the event loop before idle callers go."""
+    world.start(plans=[TUTOR_EAST])
+    request = build_chat("late", tokens=5)
+    head_size = request.index(b"\r\n\r\n") + 4
+    part = request if size is None else request[: head_size + size]
+    dismiss = EntryDaemon._dismiss_callers
+    sockets = []
+
+    async def send_and_dismiss(daemon):
+        for one in sockets:
+            one.sendall(part)
+        for _ in range(passes):
+            await asyncio.sleep(0)
+        await dismiss(daemon)
+
+    monkeypatch.setattr(EntryDaemon, "_dismiss_callers", send_and_dismiss)
+    url, stopping = stop(world)
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    sockets += [socket.create_connection((host, int(port))) for _ in range(5)]
+    world.run(stopping)
+    for one in sockets:
+        status = read_status(one)
+        assert status in {408, 503}
+        one.close()
+
+
+def read_status(connection):
+    """Return the status of the answer on a blocking socket, 0 without one."""
+    connection.settimeout(2.0)
+    try:
+        line = connection.recv(BUFFER_BYTES).split(b"\r\n")[0]
+    except OSError:
+        return 0
+    return int(line.split()[1]) if line else 0
