Let no stop signal pass between opening a gateway's port and noting it

By reading: a signal in that moment would have closed the port over its queue. A signal after the event loop has closed is ignored rather than raising an error.

--- a/eelgrassrack/gateway/__main__.py
+++ b/eelgrassrack/gateway/__main__.py
@@ -8,7 +8,7 @@
 import sys
 
 from .listener import open_early
-from .stopsignals import StopSignals, log_line
+from .stopsignals import STOP_SIGNALS, StopSignals, log_line
 
 # Exit code for wrong arguments.
 USAGE = 2
@@ -25,7 +25,10 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signals = StopSignals()
     signals.install_handlers()
+    # A signal that came between opening the socket and noting it would reset callers.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     signals.listener = open_early(path)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
     try:
         # This import is slow, so it waits until the socket is open.
         from .process import run_process
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -239,7 +239,6 @@
         """
         stopping = asyncio.Event()
         loop = asyncio.get_running_loop()
-
         stop_time = StopTime()
 
         def note_signal() -> None:
@@ -249,10 +248,13 @@
         signals.forward(note_signal)
         self._supervisor.start(name="stop time", job=stop_time.watch)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        await self.start()
-        await stopping.wait()
-        await self.stop(signalled_at=stop_time.signalled_at)
-        signals.forward(lambda: None)
+        try:
+            await self.start()
+            await stopping.wait()
+            await self.stop(signalled_at=stop_time.signalled_at)
+        finally:
+            # The loop is about to close and can't be woken any more.
+            signals.forward(lambda: None)
 
     @property
     def is_ready(self) -> bool:
