Judge a gateway's stop in the soak by its own process's log

A process that was killed beyond its grace was excused if an earlier process of the same gateway had logged its stop, as all of them write to one file. The check looks at what the process itself wrote now, which is stricter.

--- a/bench/gatewaysoak/gateways.py
+++ b/bench/gatewaysoak/gateways.py
@@ -49,9 +49,11 @@
 
     `sigterm_at` is when SIGTERM was sent.  `exceeded_grace` means that the process
     still had callers, and so hadn't finished stopping, at the end of its grace period.
+    `log_begin` is the size that the gateway's log had before the process started.
     """
 
     began: float
+    log_begin: int = 0
     sigterm_at: float = float("inf")
     ended: float = float("inf")
     exceeded_grace: bool = False
@@ -116,8 +118,9 @@
         if self.is_up:
             return
         self._note_end()
-        self.lifetimes.append(ProcessLifetime(began=time.monotonic()))
         with self._log_path.open("ab") as log:
+            lifetime = ProcessLifetime(began=time.monotonic(), log_begin=log.tell())
+            self.lifetimes.append(lifetime)
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "eelgrassrack.gateway", str(self._path)],
                 stdout=log,
@@ -205,12 +208,13 @@
             at >= self.lifetimes[-1].began for at in self.list_start_times()
         )
 
-    def _read_log(self) -> str:
-        return self._log_path.read_text(errors="replace")
+    def _read_log(self, begin: int = 0) -> str:
+        """Return the log from a position in bytes on."""
+        return self._log_path.read_bytes()[begin:].decode(errors="replace")
 
     def _has_logged_stop(self) -> bool:
         """Return whether the process had finished stopping and only had to exit."""
-        text = self._read_log()
+        text = self._read_log(self.lifetimes[-1].log_begin)
         return text.rfind("gateway: stopped") > text.rfind("gateway: stopping")
 
     def _note_end(self) -> None:
--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -7,7 +7,11 @@
 from bench.gatewaysoak.callers import RequestResult
 from bench.gatewaysoak.draining import DRAIN_SECONDS, SLACK_SECONDS, DrainTracker
 from bench.gatewaysoak.failed import PRODUCT_FAULTS
-from bench.gatewaysoak.gateways import Disruption, ProcessLifetime
+from bench.gatewaysoak.gateways import (
+    Disruption,
+    GatewayProcess,
+    ProcessLifetime,
+)
 from bench.gatewaysoak.play import play
 from eelgrassrack.gateway.daemon import ROTATION_SECONDS
 
@@ -172,3 +176,16 @@
     outage.ended = 110.0
     assert not drains.list_late({"p1": [110.0 + BOUND - 0.1]})
     assert drains.list_late({"p1": [110.0 + BOUND + 0.1]})
+
+
+def test_a_stop_of_an_earlier_process_doesnt_excuse_a_late_one(tmp_path):
+    """All processes of a gateway write to one log."""
+    gateway = GatewayProcess(number=1, news_port=1, store="", folder=str(tmp_path))
+    log = tmp_path / "entry-1.log"
+    log.write_text("gateway: stopping, 0 open\ngateway: stopped, 0 cut\n")
+    began = ProcessLifetime(began=0.0, log_begin=log.stat().st_size)
+    gateway.lifetimes.append(began)
+    assert not gateway._has_logged_stop()
+    with log.open("a") as lines:
+        lines.write("gateway: stopping, 0 open\ngateway: stopped, 0 cut\n")
+    assert gateway._has_logged_stop()
