Answer callers of a gateway that has no descriptor left

What callers saw: a closed connection and no "408", if a stopping gateway, or one that closes idle connections, had as many descriptors as it may; in a stop, all of them, as accepting the queue raised an error that ended the process.

Cause: a connection that is to be read on needs a second descriptor, and was closed without its answer if there was none.

Change: then the answer is sent before the connection is closed; it isn't read on.

--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -45,6 +45,8 @@
         from it.
         """
         sock = _copy_socket(stream)
+        if sock is None:
+            _send_last(stream, answer)
         stream.close()
         if sock is not None:
             self._start_task(_linger(sock, answer))
@@ -90,6 +92,14 @@
         return None
 
 
+def _send_last(stream: IOStream, answer: bytes) -> None:
+    """Send a last answer on a connection that can't linger."""
+    if stream.closed():
+        return
+    with contextlib.suppress(OSError):
+        stream.socket.send(answer)
+
+
 async def _linger_after(stream: IOStream, sock: socket.socket) -> None:
     for _ in range(MAX_POLLS):
         if stream.closed():
