--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -55,13 +55,23 @@
         """Describe requests without a proper answer and gateways that stopped late."""
         found = [f"{one.attempt}: {self._find_fault(one)}" for one in self._results]
         overdue = [
-            f"{gateway.listen} went on beyond its grace"
+            f"{gateway.listen} went on beyond its grace, "
+            f"{self._describe_overdue(lifetime)}"
             for gateway in self._gateways.values()
             for lifetime in gateway.lifetimes
             if lifetime.exceeded_grace
         ]
         return [fault for fault in found if not fault.endswith(": ")] + overdue
 
+    def _describe_overdue(self, lifetime: ProcessLifetime) -> str:
+        ended = lifetime.ended if lifetime.killed_at is None else lifetime.killed_at
+        return (
+            f"process begun at {_format_wall_time(lifetime.began)}, SIGTERM at "
+            f"{_format_wall_time(lifetime.sigterm_at)}, killed "
+            f"{ended - lifetime.sigterm_at:.2f} s later, the soak was held up for "
+            f"{self._lateness.sum_within(lifetime.sigterm_at, ended):.2f} s"
+        )
+
     def _find_fault(self, result: RequestResult) -> str:
         """Return what is wrong with how a request ended, or an empty string."""
         lifetime = self._gateways[result.gateway].find_lifetime(result.connected_at)
--- a/bench/gatewaysoak/gateways.py
+++ b/bench/gatewaysoak/gateways.py
@@ -47,14 +47,18 @@
 class ProcessLifetime(msgspec.Struct, kw_only=True):
     """One process of a gateway, from its start to its end; times are monotonic.
 
-    `sigterm_at` is when SIGTERM was sent.  `exceeded_grace` means that the process
-    still had callers, and so hadn't finished stopping, at the end of its grace period.
-    `log_begin` is the size that the gateway's log had before the process started.
+    `sigterm_at` is taken right before SIGTERM is sent, `sigterm_sent_at` right after,
+    and `killed_at` is when a process that outlasted its grace was killed.
+    `exceeded_grace` means that the process still had callers, and so hadn't finished
+    stopping, at the end of its grace period.  `log_begin` is the size that the
+    gateway's log had before the process started.
     """
 
     began: float
     log_begin: int = 0
     sigterm_at: float = float("inf")
+    sigterm_sent_at: float | None = None
+    killed_at: float | None = None
     ended: float = float("inf")
     exceeded_grace: bool = False
     disruptions: list[Disruption] = msgspec.field(default_factory=list)
@@ -86,6 +90,7 @@
         self.lifetimes: list[ProcessLifetime] = []
         self._pauses: list[Disruption] = []
         self._log_path = Path(folder, f"entry-{number}.log")
+        self._stops_path = Path(folder, f"entry-{number}.stops")
         self._path = Path(folder, f"entry-{number}.ini")
         self._path.write_text(
             SETTINGS.format(
@@ -143,6 +148,8 @@
             return
         lifetime.sigterm_at = now
         self.send(signal.SIGTERM)
+        lifetime.sigterm_sent_at = time.monotonic()
+        pid = self.process.pid
         while self.is_up:
             if time.monotonic() > lifetime.sigterm_at + self.grace + END_SLACK_SECONDS:
                 was_disrupted = lifetime.was_disrupted(
@@ -151,9 +158,11 @@
                 lifetime.exceeded_grace = (
                     not was_disrupted and not self._has_logged_stop()
                 )
+                lifetime.killed_at = time.monotonic()
                 self.kill()
                 self.process.wait()
             await asyncio.sleep(POLL_SECONDS)
+        self._log_stop(lifetime, pid=pid)
         self.start()
 
     def kill(self) -> None:
@@ -208,6 +217,28 @@
             at >= self.lifetimes[-1].began for at in self.list_start_times()
         )
 
+    def _log_stop(self, lifetime: ProcessLifetime, *, pid: int) -> None:
+        """Write one line of JSON on a stop, with Unix times as in the gateway's log."""
+        offset = time.time() - time.monotonic()
+        times = {
+            "began": lifetime.began,
+            "sigterm": lifetime.sigterm_at,
+            "sigterm_sent": lifetime.sigterm_sent_at,
+            "killed": lifetime.killed_at,
+            "ended": time.monotonic(),
+        }
+        line = {
+            name: None if at is None else round(at + offset, 4)
+            for name, at in times.items()
+        } | {
+            "pid": pid,
+            "code": self.process.returncode,
+            "grace": self.grace,
+            "exceeded_grace": lifetime.exceeded_grace,
+        }
+        with self._stops_path.open("ab") as log:
+            log.write(msgspec.json.encode(line) + b"\n")
+
     def _read_log(self, begin: int = 0) -> str:
         """Return the log from a position in bytes on."""
         return self._log_path.read_bytes()[begin:].decode(errors="replace")
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 import socket
+import time
 from collections.abc import Callable, Iterator
 
 import logbook
@@ -288,7 +289,10 @@
         self._start_tasks()
         self._server.add_socket(self._listener)
         log.notice(
-            "gateway: {} started in {}", self._settings.name, self._settings.domain
+            "gateway: {} started in {}",
+            settings.name,
+            settings.domain,
+            processor_seconds=round(time.process_time(), 3),
         )
 
     def _start_tasks(self) -> None:
