Let no new handshake begin before a port is closed

What callers saw: they had connected, sent, and were reset, if they connected just when a stopping gateway or entry closed its port.

Cause: the kernel resets what enters the queue between the last accept and the close, and forgets handshakes that aren't over for it, though their callers are connected.

Change: a packet filter on the listening socket drops packets that begin a connection (`handshakes.py`); a tenth of a second later, when handshakes that had begun are over, the queue is accepted and the port closed. Who comes in that tenth is refused a second later, when its kernel tries again, which costs it time and leaves nothing unknown. Where the kernel has no such filter all is as before, and handshakes of links that are slower than a tenth of a second can still be reset.

--- a/eelgrassrack/dismissal.py
+++ b/eelgrassrack/dismissal.py
@@ -9,7 +9,8 @@
 import select
 import socket
 import time
-from collections.abc import Iterator
+
+from .handshakes import HANDSHAKE_SECONDS, accept_queued, block_handshakes
 
 # RFC 9110 defines 408 as "the server did not receive a complete request message
 # within the time that it was prepared to wait", so the caller knows that its
@@ -32,26 +33,14 @@
 LINGER_SECONDS = 1.0
 
 
-def accept_queued(listener: socket.socket) -> Iterator[tuple[socket.socket, object]]:
-    """Accept and yield each queued connection with its address.
-
-    This ends early if the process has no descriptor left.
-    """
-    while True:
-        try:
-            yield listener.accept()
-        except ConnectionAbortedError:
-            continue
-        except OSError:
-            return
-
-
 def dismiss_callers(listener: socket.socket) -> int:
     """Answer all queued callers that nothing ran, and stop listening.
 
     Returns the number of callers, after they have closed their connections or
     `LINGER_SECONDS` have passed.
     """
+    block_handshakes(listener)
+    time.sleep(HANDSHAKE_SECONDS)
     connections = [connection for connection, _ in accept_queued(listener)]
     listener.close()
     for connection in connections:
--- a/eelgrassrack/listening.py
+++ b/eelgrassrack/listening.py
@@ -6,7 +6,7 @@
 
 from tornado.tcpserver import TCPServer
 
-from .dismissal import accept_queued
+from .handshakes import HANDSHAKE_SECONDS, accept_queued, block_handshakes
 
 # Gives Tornado time to start reading from the connections accepted last.
 ACCEPT_SECONDS = 0.05
@@ -18,6 +18,10 @@
     Connections still queued when the socket closes would be reset, and their
     callers could not know whether their requests ran.
     """
+    listeners = tuple(listeners)
+    for listener in listeners:
+        block_handshakes(listener)
+    await asyncio.sleep(HANDSHAKE_SECONDS)
     for listener in listeners:
         for connection, address in accept_queued(listener):
             server._handle_connection(connection, address)
--- a/test/gateway/test_stop_orders.py
+++ b/test/gateway/test_stop_orders.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import pytest
+from tornado.httpserver import HTTPServer
 
 from eelgrassrack.gateway.daemon import (
     LISTEN_MARGIN_SECONDS,
@@ -246,6 +247,43 @@
     run(main())
 
 
+CONNECT_SECONDS = 0.3
+
+
+def test_a_caller_that_connects_just_as_the_port_closes_is_answered(monkeypatch):
+    """It would be in the port's queue after the queue has been accepted.
+
+    The kernel resets what is in the queue when the port closes.
+    """
+    connected = []
+    stop_server = HTTPServer.stop
+
+    async def main():
+        async with make_world() as world:
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            host, port = world.settings[0].listen.rsplit(":", 1)
+
+            def connect_and_stop(server):
+                if server is gateway._server and not connected:
+                    connected.append(connect_now(host, int(port)))
+                stop_server(server)
+
+            monkeypatch.setattr(HTTPServer, "stop", connect_and_stop)
+            await gateway.stop()
+            assert connected == [None]
+
+    run(main())
+
+
+def connect_now(host, port):
+    """Return a connection, None if the port takes none."""
+    try:
+        return socket.create_connection((host, port), CONNECT_SECONDS)
+    except OSError:
+        return None
+
+
 @contextlib.contextmanager
 def use_up_descriptors():
     """Let this process open no further descriptor."""
