Play a stop without a configuration in virtual time

Cause: test_a_request_that_waits_for_a_configuration_is_answered_at_a_stop lets its caller connect 0.1 s before the port closes, in real time. Holding the loop up after the request was sent changed nothing: the answer was 503.

Change: the test runs in virtual time with real sockets, so it sets the order of its steps itself. Its checks stay. It is stricter: a second request already waits when the stop begins, and both must be answered at once. Before, no request of this test waited at all, since the only one came after the stop had begun.

It fails like the old one if the gateway drops the refused request, closes the port 0.2 s early, closes everything 2 s early, or lets requests wait without a limit during a stop, and, unlike the old one, if they wait 0.4 s during a stop or until its end.

--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -12,6 +12,7 @@
 
 from eelgrassrack.gateway import pool
 from eelgrassrack.gateway.daemon import LISTEN_MARGIN_SECONDS, ROTATION_SECONDS
+from eelgrassrack.gateway.serving import LOADING_WAIT_SECONDS
 from eelgrassrack.standins.directengine import (
     Break,
     Echo,
@@ -21,6 +22,7 @@
     Reply,
 )
 
+from .virtualtime import run_in_virtual_time
 from .world import CallerResponse, connect, make_world, run
 
 LONG_TIMEOUT_MS = 8_000
@@ -33,6 +35,9 @@
 # A prompt whose answer is expected to take a tenth of a second.
 SHORT_ANSWER = (("X-Token-Usage", "1000,20"),)
 
+# Far less than a request without a configuration waits before a stop.
+AT_ONCE_SECONDS = LOADING_WAIT_SECONDS / 8
+
 
 async def call_stopping(world, path, *, after, **rest):
     """Send a request `after` seconds into a gateway's stop; return the answer."""
@@ -149,26 +154,42 @@
 
 
 def test_a_request_that_waits_for_a_configuration_is_answered_at_a_stop():
-    """A gateway without a configuration exits while a complete request waits for it."""
+    """A gateway without a configuration exits while complete requests wait for it.
+
+    One waits when the stop begins, the other comes just before the socket is closed.
+    """
 
     async def main():
+        clock = asyncio.get_running_loop().time
         async with make_world(configured=False) as world:
             gateway = await world.start_gateway()
             await asyncio.sleep(0.3)
             assert gateway.has_store
             keeping = await connect(world.settings[0].listen)
             keeping.writer.write(HALF)
+            early = await connect(world.settings[0].listen)
+            early.send("/look/0")
+            reading = asyncio.ensure_future(early.read())
+            await asyncio.sleep(LOADING_WAIT_SECONDS / 2)
+            assert not reading.done()
             stopping = asyncio.ensure_future(gateway.stop())
+            stopped_at = clock()
+            assert (await reading).status == 503
+            assert clock() < stopped_at + AT_ONCE_SECONDS
             grace = world.settings[0].grace_seconds
-            await asyncio.sleep(grace - LISTEN_MARGIN_SECONDS - 0.1)
+            closes_at = stopped_at + grace - LISTEN_MARGIN_SECONDS
+            await asyncio.sleep(closes_at - 0.1 - clock())
             caller = await connect(world.settings[0].listen)
+            sent_at = clock()
             caller.send("/look/1")
             assert (await caller.read()).status == 503
+            assert clock() < sent_at + AT_ONCE_SECONDS
             await stopping
+            early.close()
             caller.close()
             keeping.close()
 
-    run(main())
+    run_in_virtual_time(main())
 
 
 PLAIN_STEPS = (
