Play the callers of a stop in virtual time

Cause: test_each_request_of_a_stop_gets_a_complete_answer asks that at least one stream that came during the stop is answered with 200 and whole. Kinds and limits were also drawn when a caller connected, from one generator, so the seed's callers depended on timing.

Change: the test runs in virtual time with real sockets, and all callers are drawn before the stop, in the order in which they come. Checks, seeds and numbers stay.

--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -5,7 +5,6 @@
 import contextlib
 import itertools
 import random
-import time
 
 import msgspec
 import pytest
@@ -212,6 +211,7 @@
 )
 PATHS = ("/look/", "/issue/", "/chat/", "/final/", "/once/")
 CALLERS = 150
+TIMEOUTS_MS = (700, 1_500, LONG_TIMEOUT_MS)
 
 
 async def add_faulty_engines(world, rng):
@@ -233,30 +233,54 @@
     got: CallerResponse
 
 
-async def call_late(world, rng, number):
+class LateCall(msgspec.Struct, kw_only=True, frozen=True):
+    """A late caller's request, sent `after` seconds into a stop."""
+
+    number: int
+    after: float
+    kind: str
+    timeout_ms: int
+
+
+def draw_calls(rng, last):
+    """Draw all late callers up to `last` seconds of a stop, in their order.
+
+    A seed stands for the same callers however their tasks take turns.
+    """
+    times = [rng.uniform(ROTATION_SECONDS + 0.1, last) for _ in range(CALLERS)]
+    return [
+        LateCall(
+            number=number,
+            after=after,
+            kind=rng.choice(PATHS),
+            timeout_ms=rng.choice(TIMEOUTS_MS),
+        )
+        for number, after in sorted(enumerate(times), key=lambda pair: pair[1])
+    ]
+
+
+async def call_late(world, call):
     """Send a request late in a stop; return None if the process has already ended."""
-    last = world.settings[0].grace_seconds - LISTEN_MARGIN_SECONDS
-    await asyncio.sleep(rng.uniform(ROTATION_SECONDS + 0.1, last))
+    clock = asyncio.get_running_loop().time
+    await asyncio.sleep(call.after)
     try:
         caller = await connect(world.settings[0].listen)
     except ConnectionError:
         return None
-    kind = rng.choice(PATHS)
-    timeout_ms = rng.choice((700, 1_500, LONG_TIMEOUT_MS))
-    began = time.monotonic()
+    began = clock()
     caller.send(
-        f"{kind}{number}",
-        attempt=str(number),
+        f"{call.kind}{call.number}",
+        attempt=str(call.number),
         headers=SHORT_ANSWER,
-        timeout_ms=timeout_ms,
+        timeout_ms=call.timeout_ms,
     )
     got = await caller.read()
     caller.close()
     return LateAnswer(
-        attempt=str(number),
-        kind=kind,
-        timeout=timeout_ms / 1_000,
-        seconds=time.monotonic() - began,
+        attempt=str(call.number),
+        kind=call.kind,
+        timeout=call.timeout_ms / 1_000,
+        seconds=clock() - began,
         got=got,
     )
 
@@ -280,13 +304,14 @@
             keeping.send("/once/keep", timeout_ms=LONG_TIMEOUT_MS)
             await asyncio.sleep(0.1)
             stopping = asyncio.ensure_future(gateway.stop())
-            calls = (call_late(world, rng, number) for number in range(CALLERS))
+            last = world.settings[0].grace_seconds - LISTEN_MARGIN_SECONDS
+            calls = [call_late(world, call) for call in draw_calls(rng, last)]
             answers = await asyncio.gather(*calls, return_exceptions=True)
             await stopping
             keeping.close()
             check_answers([answer for answer in answers if answer is not None], world)
 
-    run(main())
+    run_in_virtual_time(main())
 
 
 def check_answers(answers, world):
