Test a configuration that comes while endpoints change and watchers are lost

Cause: the test of slow links sends a configuration of 400 KB to 16 gateways, and nothing else changes meanwhile.

Change: test_a_configuration_arrives_in_time_while_endpoints_change, in the model that is there, with four seeds.

Jitter and the order of sets aren't seeded, so which seeds fail may vary.

--- a/test/gateway/test_spread.py
+++ b/test/gateway/test_spread.py
@@ -16,15 +16,23 @@
 # Takes longer over the slowest link than a peer may be silent.
 LARGE_BYTES = 400_000
 
+# A site of many gateways with slow links, whose endpoints change all the time.
+MANY_GATEWAYS = 32
+SLOW_LINKS = (5e6, 10e6, 10e6)
+ENDPOINTS = 60
+ENDPOINT_CHANGES_PER_SECOND = 4.0
+# The cut follows the first change, and the configuration the cut, within this time.
+APART_SECONDS = 3.0
+
 
 @pytest.fixture
 def make(monkeypatch):
     """Return a function that makes a world from a seed."""
 
-    def make_world(*, seed, links=LINKS, size=USUAL_BYTES):
+    def make_world(*, seed, count=GATEWAYS, links=LINKS, size=USUAL_BYTES):
         return World(
             rng=make_rng(seed),
-            count=GATEWAYS,
+            count=count,
             domains=DOMAINS,
             links=links,
             size=size,
@@ -41,6 +49,13 @@
     await asyncio.sleep(SETTLED_SECONDS)
 
 
+async def change_endpoints(world):
+    """Change endpoints at random moments until cancelled."""
+    while True:
+        await asyncio.sleep(world.rng.expovariate(ENDPOINT_CHANGES_PER_SECOND))
+        await world.change_endpoint(world.rng.randrange(ENDPOINTS))
+
+
 def test_a_large_configuration_arrives_over_slow_links(make):
     """Its bytes take longer than a peer may be silent.
 
@@ -80,3 +95,34 @@
         world.stop()
 
     play(main())
+
+
+@pytest.mark.parametrize("seed", (3, 6, 9, 12))
+def test_a_configuration_arrives_in_time_while_endpoints_change(make, seed):
+    """Guards against callers that get 404 by a configuration replaced seconds ago.
+
+    Two of the four watchers lose the store, and each change of an endpoint sends all
+    other gateways to the two that are left, over slow links.
+    """
+
+    async def main():
+        world = make(seed=seed, count=MANY_GATEWAYS, links=SLOW_LINKS)
+        for number in range(ENDPOINTS):
+            await world.change_endpoint(number)
+        await start(world)
+        changes = asyncio.ensure_future(change_endpoints(world))
+        await asyncio.sleep(world.rng.uniform(0.0, APART_SECONDS))
+        watchers = world.find_watchers()
+        world.rng.shuffle(watchers)
+        for node in watchers[:2]:
+            node.is_cut_from_store = True
+            node.is_cut = world.rng.random() < 0.5
+        watchers[2].link = Link(bits_per_second=min(SLOW_LINKS))
+        await asyncio.sleep(world.rng.uniform(0.0, APART_SECONDS))
+        await world.configure(2)
+        await asyncio.sleep(BOUND_SECONDS)
+        assert not world.list_behind(2)
+        changes.cancel()
+        world.stop()
+
+    play(main())
