Play a stream beside a stop in virtual time

The stand-in pauses for 0.05 s after each event, 4.5 s in all; with 0.06 s, as on a machine that wakes it late, the stream takes longer than the gateway lives, and the old test fails on a correct program (shown).

The test plays in virtual time now, with the same checks. It passed ten times of ten at a load of about 25, and fails if the gateway ends its requests a second earlier.

--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -11,6 +11,7 @@
 from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.standins.directengine import Events, Reply
 
+from .virtualtime import run_in_virtual_time
 from .world import HOST, KEY, call, connect, make_world, run, wait_for
 
 REQUEST = (
@@ -282,7 +283,7 @@
             assert (await streaming.read()).is_whole
             await stopping
 
-    run(main())
+    run_in_virtual_time(main())
 
 
 def test_a_stream_that_may_outlast_the_process_isnt_begun():
