Refuse requests of a gateway that can't open a connection

What callers saw: a closed connection and no answer, if a gateway had no descriptor left when it wanted to connect to an endpoint, also when it wasn't stopping.

Cause: creating the socket raised OSError outside of the code that turns failures to connect into outcomes (connection.py, open_connection), so the request ended as one that hits a bug in the gateway (ingress.py, _serve), which closes.

Change: such a request is refused with 503, or 502 if an earlier attempt may have run, and doesn't count as an attempt. The endpoint's health isn't touched: the fault is the gateway's own, and reports on it would spread to other gateways.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -7,7 +7,7 @@
 from ..decisions.timeouts import find_first_timeout, find_gap_timeout
 from .connection import Connection
 from .endpoints import Endpoint
-from .errors import BrokenError, ConnectError, SilentError
+from .errors import BrokenError, ConnectError, NoDescriptorError, SilentError
 from .events import EventSplitter, skip_delivered
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Data, End, ResponseHead
@@ -61,7 +61,8 @@
     async def run(self, job: Job, endpoint: Endpoint, reply: Reply) -> Outcome:
         """Send a request to an endpoint, relay the response and return the outcome.
 
-        Raise `CallerGoneError` if the caller closes its connection.
+        Raise `CallerGoneError` if the caller closes its connection, and
+        `NoDescriptorError` if this process can't open one.
         """
         connection: Connection | None = None
         job.tried.append(endpoint.name)
@@ -91,6 +92,10 @@
                 return NotRun(reason=str(error), is_down=True)
             self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
             return NotRun(reason=str(error), is_unreachable=True)
+        except NoDescriptorError:
+            # Nothing reached the endpoint here either.
+            job.attempts -= 1
+            raise
         except BrokenError as error:
             self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
             return Lost(reason=str(error))
--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/connection.py
@@ -14,7 +14,7 @@
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
-from .errors import BrokenError, ConnectError
+from .errors import BrokenError, ConnectError, NoDescriptorError
 from .messages import Data, End
 
 READ_BYTES = 65_536
@@ -209,8 +209,14 @@
 
 
 async def open_connection(*, address: tuple[str, int], timeout: float) -> Connection:
-    """Connect within `timeout` seconds; raises `ConnectError` on failure."""
-    stream = IOStream(_make_socket())
+    """Connect within `timeout` seconds.
+
+    Raises `ConnectError` on failure and `NoDescriptorError` before it tries.
+    """
+    try:
+        stream = IOStream(_make_socket())
+    except OSError as error:
+        raise NoDescriptorError(str(error)) from error
     try:
         async with asyncio.timeout(timeout):
             await stream.connect(address)
--- a/eelgrassrack/gateway/errors.py
+++ b/eelgrassrack/gateway/errors.py
@@ -23,6 +23,13 @@
         self.is_refused = is_refused
 
 
+class NoDescriptorError(GatewayError):
+    """This process has no descriptor left for a connection to an endpoint.
+
+    Nothing was sent, and the endpoint isn't at fault.
+    """
+
+
 class BrokenError(GatewayError):
     """A response is incomplete or malformed."""
 
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -15,6 +15,7 @@
 from .attempts import AttemptRunner
 from .configuration import Permit, Router
 from .endpoints import Endpoint
+from .errors import NoDescriptorError
 from .job import Delivered, ExecutionStatus, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Arrival, Refusal
 from .metrics import GatewayMetrics
@@ -226,7 +227,12 @@
                     continue
                 await self._conclude(job, reply, placed)
                 return
-            outcome = await self._attempts.run(job, placed, reply)
+            try:
+                outcome = await self._attempts.run(job, placed, reply)
+            except NoDescriptorError:
+                refusal = self._make_unserved_refusal(job, "no descriptor is free")
+                await self._conclude(job, reply, refusal)
+                return
             self._note_outcome(job, placed, outcome)
             if isinstance(outcome, Delivered):
                 return
