Answer more waiting callers than a process has descriptors

What callers saw: a reset connection and no answer, if they waited in the port of a gateway that was stopped while it loaded, or whose start failed, and it had fewer free descriptors than callers.

Cause: accepting ends at the first EMFILE (dismissal.py, accept_queued), and the port was closed over the rest of the queue.

Change: callers are answered in turns, for two seconds at most. Only the last turn waits a second for callers to close, the others a tenth.

Evidence: test_more_callers_than_descriptors_are_answered, 40 callers and 12 descriptors, failed before.

--- a/eelgrassrack/dismissal.py
+++ b/eelgrassrack/dismissal.py
@@ -10,7 +10,12 @@
 import socket
 import time
 
-from .handshakes import HANDSHAKE_SECONDS, accept_queued, block_handshakes
+from .handshakes import (
+    HANDSHAKE_SECONDS,
+    accept_queued,
+    block_handshakes,
+    has_queued,
+)
 
 # RFC 9110 defines 408 as "the server did not receive a complete request message
 # within the time that it was prepared to wait", so the caller knows that its
@@ -32,21 +37,40 @@
 # after the process has closed one resets it, which may discard the answer.
 LINGER_SECONDS = 1.0
 
+# The same if more callers are queued than the process has descriptors, and how long
+# such callers are accepted.
+CROWDED_LINGER_SECONDS = 0.1
+CROWDED_SECONDS = 2.0
+
 
 def dismiss_callers(listener: socket.socket) -> int:
     """Answer all queued callers that nothing ran, and stop listening.
 
     Returns the number of callers, after they have closed their connections or
-    `LINGER_SECONDS` have passed.
+    `LINGER_SECONDS` have passed.  If there are more callers than descriptors, they
+    are answered in turns.
     """
     block_handshakes(listener)
     time.sleep(HANDSHAKE_SECONDS)
-    connections = [connection for connection, _ in accept_queued(listener)]
-    listener.close()
+    count = 0
+    until = time.monotonic() + CROWDED_SECONDS
+    while True:
+        connections = [connection for connection, _ in accept_queued(listener)]
+        count += len(connections)
+        is_crowded = bool(connections) and has_queued(listener)
+        if is_crowded and time.monotonic() < until:
+            _answer_all(connections, CROWDED_LINGER_SECONDS)
+            continue
+        listener.close()
+        _answer_all(connections, LINGER_SECONDS)
+        return count
+
+
+def _answer_all(connections: list[socket.socket], linger: float) -> None:
+    """Send last answers; close the connections after at most `linger` seconds."""
     for connection in connections:
         _send_answer(connection)
-    _wait_closed(connections, time.monotonic() + LINGER_SECONDS)
-    return len(connections)
+    _wait_closed(connections, time.monotonic() + linger)
 
 
 def _send_answer(connection: socket.socket) -> None:
--- a/eelgrassrack/handshakes.py
+++ b/eelgrassrack/handshakes.py
@@ -9,6 +9,7 @@
 """
 
 import array
+import select
 import socket
 import struct
 from collections.abc import Iterator
@@ -61,3 +62,10 @@
             continue
         except OSError:
             return
+
+
+def has_queued(listener: socket.socket) -> bool:
+    """Return whether a connection waits to be accepted."""
+    poll = select.poll()
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
