Accept callers that wait for a descriptor before a stop closes the port

What callers saw: a reset connection and no answer, if they were in the queue of a gateway or an entry that had no descriptor left for them and was stopped.

Cause: the queue was accepted once before the port closed (listening.py, stop_listening), and that ended at the first EMFILE. Idle connections and half-sent requests held the descriptors, and were answered only after the close.

Change: while callers are queued, those that needn't be waited for are answered first, as at the end of a stop, and accepting is tried again: in a gateway until open requests are no longer waited for, in an entry for a second.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -139,6 +139,11 @@
         self.task.cancel()
         self._send_error(report_unknown(reason=STOPPING))
 
+    def end_unread(self) -> None:
+        """Refuse the request unless work for it has begun."""
+        if self.task is None:
+            self.end()
+
     def on_finish(self) -> None:
         """Count the request once its response has been sent."""
         self._count_end()
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -38,6 +38,9 @@
     def end(self) -> None:
         """Answer at once, because this entry exits."""
 
+    def end_unread(self) -> None:
+        """Refuse the request unless work for it has begun."""
+
 
 class Core:
     """The parts of an entry that the handlers use, and its open requests."""
@@ -151,6 +154,11 @@
         for caller in tuple(self.callers):
             caller.end()
 
+    def end_unread(self) -> None:
+        """Refuse all open requests for which no work has begun."""
+        for caller in tuple(self.callers):
+            caller.end_unread()
+
     def describe(self) -> EntryStatus:
         """Return the status of this entry for operators."""
         now = asyncio.get_running_loop().time()
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -245,7 +245,12 @@
         self.core.is_closing = True
         if self._server is None:
             return
-        await stop_listening(self._server, self._listeners)
+        await stop_listening(
+            self._server,
+            self._listeners,
+            make_room=self._make_room,
+            until=self._loop.time() + AFTER_GRACE_SECONDS,
+        )
         await self._wait_idle(AFTER_GRACE_SECONDS)
         self.core.end_all()
         await self._wait_idle(2 * AFTER_GRACE_SECONDS)
@@ -263,6 +268,11 @@
             await asyncio.sleep(FINAL_POLL_SECONDS)
         await self.core.lingering.wait_closed(self._loop.time() + AFTER_GRACE_SECONDS)
 
+    def _make_room(self) -> None:
+        """Answer all callers for whose requests no work has begun."""
+        self.core.end_unread()
+        self._dismiss_idle()
+
     def _dismiss_idle(self) -> None:
         """Tell callers with an idle connection that no request will be read."""
         busy = self.core.list_streams()
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -328,7 +328,12 @@
         # would cost each caller one attempt.
         self._handler.refuse_unfinishable()
         await self.ingress.wait_answered(ends_at - LISTEN_MARGIN_SECONDS)
-        await stop_listening(self._server, [self._listener])
+        await stop_listening(
+            self._server,
+            [self._listener],
+            make_room=self.ingress.make_room,
+            until=ends_at - REQUEST_MARGIN_SECONDS,
+        )
         await self.ingress.wait_answered(ends_at - REQUEST_MARGIN_SECONDS)
         await self.ingress.end(ends_at - CLOSE_MARGIN_SECONDS)
         log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/ingress.py
@@ -219,8 +219,7 @@
         is later.
         """
         for polls in itertools.count(1):
-            for message in tuple(self._reading):
-                message.end()
+            self._end_reading()
             if not self._idle and not self._serving:
                 break
             if polls > MIN_END_POLLS and self._loop.time() >= until:
@@ -231,6 +230,15 @@
             self._end_connection(message.connection, b"")
         await self._lingering.wait_closed(until)
 
+    def make_room(self) -> None:
+        """Answer all callers whose requests haven't been read to their ends."""
+        self._end_reading()
+        self._end_idle()
+
+    def _end_reading(self) -> None:
+        for message in tuple(self._reading):
+            message.end()
+
     def _end_idle(self) -> None:
         for connection in tuple(self._idle):
             # If nothing reads from a stream, its headers are already with the parser.
--- /dev/null
+++ b/test/processes/test_descriptors.py
@@ -0,0 +1,81 @@
+"""Stops of processes that have fewer descriptors than callers."""
+
+import asyncio
+import collections
+import resource
+import signal
+
+import pytest
+
+from test.gateway.test_stop_orders import HALF, read_outcome
+from test.gateway.world import connect, run, wait_for
+
+from .fleet import Fleet
+from .test_signal_orders import make_process
+
+pytestmark = pytest.mark.processes
+
+CALLERS = 60
+
+# Some of them are the process's own: its event loop, ports and connections.
+DESCRIPTORS = 40
+SETTLE_SECONDS = 0.3
+HALF_CHAT = (
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nContent-Length: 9\r\n\r\nab"
+)
+
+
+def limit_descriptors(process):
+    """Let a process open few descriptors more than it has."""
+    _, hard = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
+
+
+async def stop_crowded(process, address, sent):
+    """Stop a process with callers that have sent something; count their outcomes."""
+    limit_descriptors(process)
+    callers = [await connect(address) for _ in range(CALLERS)]
+    for caller in callers:
+        caller.writer.write(sent)
+    await asyncio.sleep(SETTLE_SECONDS)
+    process.send_signal(signal.SIGTERM)
+
+    async def read(caller):
+        outcome = await read_outcome(caller)
+        caller.close()
+        return outcome
+
+    return collections.Counter(await asyncio.gather(*map(read, callers)))
+
+
+@pytest.mark.parametrize("sent", [b"", HALF])
+def test_a_gateway_that_stops_answers_callers_it_couldnt_accept(tmp_path, sent):
+    """Guards against a reset of callers that wait for a descriptor in the queue."""
+
+    async def main():
+        async with make_process(tmp_path) as gateway:
+            gateway.start()
+            await wait_for(lambda: gateway.has_started)
+            outcomes = await stop_crowded(gateway.process, gateway.listen, sent)
+            assert outcomes.keys() <= {408, 503}
+
+    run(main())
+
+
+@pytest.mark.parametrize("sent", [b"", HALF_CHAT])
+def test_an_entry_that_stops_answers_callers_it_couldnt_accept(tmp_path, sent):
+    """Guards against a reset of callers that wait for a descriptor in the queue."""
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start_entry("e1", grace=2)
+        fleet.wait_ready(revision=0)
+        outcomes = run(
+            stop_crowded(
+                fleet.entries["e1"].popen,
+                fleet.entry_urls["e1"].removeprefix("http://"),
+                sent,
+            )
+        )
+    finally:
+        fleet.close()
+    assert outcomes.keys() <= {408, 503}
