Ignore SIGHUP while callers are told that a start has failed

What callers saw: a reset or closed connection and no answer, if SIGHUP came to a gateway whose start had just failed.

Cause: asyncio restores the default action of the signals that it handles when its loop closes, which for SIGHUP ends the process; that comes before the callers in the queue are answered (daemon.py, run; __main__.py).

Change: the gateway sets the handler itself, and ignores SIGHUP after its loop.

Evidence: test_changed_settings_dont_end_a_process_whose_start_fails failed before (the process was ended by SIGHUP) and passes.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -248,7 +248,8 @@
 
         signals.forward(note_signal)
         self._supervisor.start(name="stop time", job=stop_time.watch)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        # With asyncio's handler, closing the loop would restore the default action.
+        signal.signal(signal.SIGHUP, lambda *_: loop.call_soon_threadsafe(self.reload))
         try:
             await self.start()
             await stopping.wait()
@@ -256,6 +257,7 @@
         finally:
             # The loop is about to close and can't be woken any more.
             signals.forward(lambda: None)
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     @property
     def is_ready(self) -> bool:
--- a/test/gateway/test_stop_orders.py
+++ b/test/gateway/test_stop_orders.py
@@ -389,7 +389,8 @@
 @pytest.fixture(autouse=True)
 def signal_handlers():
     """Restore the signal handlers that a gateway replaces."""
-    handlers = {number: signal.getsignal(number) for number in STOP_SIGNALS}
+    numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    handlers = {number: signal.getsignal(number) for number in numbers}
     yield
     for number, handler in handlers.items():
         signal.signal(number, handler)
--- a/test/processes/test_signal_orders.py
+++ b/test/processes/test_signal_orders.py
@@ -251,3 +251,29 @@
             assert find_unanswered(outcomes) == {}
 
     run(main())
+
+
+def test_changed_settings_dont_end_a_process_whose_start_fails(tmp_path):
+    """An operator sends SIGHUP while callers are told that the start has failed.
+
+    The default action would end the process and cut those that aren't told yet.
+    """
+
+    async def send_signals(gateway):
+        while gateway.is_up:
+            gateway.send(signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_EVERY_SECONDS)
+
+    async def main():
+        async with make_process(tmp_path) as gateway:
+            with spoil_start(tmp_path / "entry-1.ini", "metrics_port"):
+                gateway.start()
+                callers = await connect_first(gateway)
+                send_parts(callers)
+                sending = asyncio.ensure_future(send_signals(gateway))
+                outcomes = await read_outcomes(callers)
+                await sending
+            assert find_unanswered(outcomes) == {}
+            assert gateway.process.returncode == 1
+
+    run(main())
