Stop entries and agents gracefully on SIGHUP

What callers saw: a reset connection and no answer, if an entry got SIGHUP, as from a closed terminal or an operator who treats it like a gateway, which reads its settings.

Cause: entries and agents handled SIGTERM and SIGINT only (process.py), and the default action of SIGHUP ends a process at once.

Change: SIGHUP is a stop signal, unless the process was started to ignore it.

--- a/eelgrassrack/agent/daemon.py
+++ b/eelgrassrack/agent/daemon.py
@@ -11,7 +11,7 @@
 
 
 def run(settings: AgentSettings) -> int:
-    """Run an agent until SIGTERM or SIGINT; return the exit status."""
+    """Run an agent until a stop signal; return the exit status."""
     return asyncio.run(serve(settings=settings))
 
 
--- a/eelgrassrack/entry/daemon.py
+++ b/eelgrassrack/entry/daemon.py
@@ -11,12 +11,12 @@
 
 
 def run(settings: EntrySettings) -> int:
-    """Run an entry until SIGTERM or SIGINT; return the exit status."""
+    """Run an entry until a stop signal; return the exit status."""
     return asyncio.run(serve(settings=settings))
 
 
 async def serve(*, settings: EntrySettings) -> int:
-    """Run an entry on this event loop until SIGTERM or SIGINT."""
+    """Run an entry on this event loop until a stop signal."""
     store = HttpObjectStore(url=settings.objects_url, caller=settings.name)
     instances = HttpInstanceList(url=settings.instances_url)
     rating = RatingClient(url=settings.rating_url) if settings.rating_url else None
--- a/eelgrassrack/process.py
+++ b/eelgrassrack/process.py
@@ -33,7 +33,9 @@
 
 
 async def run_daemon(daemon: Daemon) -> int:
-    """Run a daemon until SIGTERM or SIGINT, or until it fails; return the exit status.
+    """Run a daemon until a stop signal or until it fails; return the exit status.
+
+    Stop signals are SIGTERM, SIGINT and SIGHUP, whose default action would cut callers.
 
     A second signal skips the rest of the grace period.
     """
@@ -64,6 +66,9 @@
 def _handle_stop_signals(handler: Callable | signal.Handlers) -> None:
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, handler)
+    # A process that was started to outlive its terminal ignores SIGHUP already.
+    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:
+        signal.signal(signal.SIGHUP, handler)
 
 
 async def _wait_for_end(daemon: Daemon, stopping: asyncio.Event) -> int:
--- a/test/test_process.py
+++ b/test/test_process.py
@@ -46,7 +46,7 @@
 @pytest.fixture(autouse=True)
 def signal_handlers():
     """Restore the signal handlers that the daemon replaces."""
-    numbers = (signal.SIGTERM, signal.SIGINT)
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     handlers = [signal.getsignal(number) for number in numbers]
     yield
     for number, handler in zip(numbers, handlers, strict=True):
