Judge a suspended gateway's stop by when its caller is answered

The test asked that the process be gone within the grace, and failed once beside a load of 25 to 30 at 5.17 of 5 s: it had answered its caller and closed, and exiting took long. What callers are promised is an answer before the kill. The test asks that, closes its connection as callers do, and fails on the code before the change as it did (one run); test_signal_orders.py kills the process when its grace is over.

--- a/test/processes/test_gateway_start.py
+++ b/test/processes/test_gateway_start.py
@@ -268,7 +268,8 @@
             await asyncio.sleep(2.0)
             gateway.send(signal.SIGCONT)
             assert (await caller.read()).status == 503
-            await wait_for(lambda: not gateway.is_up)
             assert time.monotonic() < stopped_at + gateway.grace
+            caller.close()
+            await wait_for(lambda: not gateway.is_up)
 
     run(main())
