Keep serving without descriptors though nobody reads the errors

What callers saw: no answer, and a close when the process was killed, if a gateway had no descriptor left for callers in its queue and its error output wasn't read fast enough: the process stood still, also for callers that it had, and didn't see SIGTERM.

Cause: Tornado's accept handler raises on EMFILE, and asyncio writes a traceback for that to the error output, which blocks, in each iteration of the event loop (19,113 in 4 s).

Change: a listening socket for callers says that its queue is empty if there is no room for another connection. The loop still turns without a pause meanwhile.

Evidence: test_a_gateway_without_descriptors_serves_though_nobody_reads_its_errors failed before (TimeoutError) and passes.

--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -15,6 +15,7 @@
 from ..document.snapshot import Snapshot
 from ..incarnations import make_incarnation
 from ..invariants import Invariants, Promise
+from ..listener import CallerListener
 from ..listening import stop_listening
 from ..mailbox.messages import AnyMessage, Bill, MessageBatch
 from ..mailbox.socket import Mailbox
@@ -335,10 +336,11 @@
     def _listen(self) -> None:
         host, _, port = self._settings.listen.rpartition(":")
         try:
-            self._listeners = bind_sockets(int(port), address=host, backlog=1024)
+            bound = bind_sockets(int(port), address=host, backlog=1024)
         except OSError as error:
             text = f"can't listen on {self._settings.listen}: {error.strerror}"
             raise EntryError(text) from error
+        self._listeners = [CallerListener(fileno=one.detach()) for one in bound]
         self.port = self._listeners[0].getsockname()[1]
         self._server = HTTPServer(
             build_application(core=self.core),
--- a/eelgrassrack/gateway/listener.py
+++ b/eelgrassrack/gateway/listener.py
@@ -10,6 +10,8 @@
 import configparser
 import socket
 
+from ..listener import CallerListener
+
 # Room for callers who connect while the process loads, and for bursts afterwards.
 BACKLOG = 1_024
 
@@ -31,7 +33,7 @@
 def open_listener(address: str) -> socket.socket:
     """Return a socket that listens at `IP:PORT`; raise `OSError`."""
     host, port = address.rsplit(":", 1)
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener = CallerListener(socket.AF_INET, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
--- a/test/processes/test_descriptors.py
+++ b/test/processes/test_descriptors.py
@@ -4,6 +4,8 @@
 import collections
 import resource
 import signal
+import subprocess
+import sys
 
 import pytest
 
@@ -11,6 +13,7 @@
 from test.gateway.world import connect, run, wait_for
 
 from .fleet import Fleet
+from .test_gateway_start import connect_when_open
 from .test_signal_orders import make_process
 
 pytestmark = pytest.mark.processes
@@ -79,3 +82,31 @@
     finally:
         fleet.close()
     assert outcomes.keys() <= {408, 503}
+
+
+def test_a_gateway_without_descriptors_serves_though_nobody_reads_its_errors(tmp_path):
+    """Guards against a process that stops in the midst of writing an error."""
+
+    async def main():
+        async with make_process(tmp_path) as gateway:
+            command = [sys.executable, "-m", "eelgrassrack.gateway"]
+            with (tmp_path / "entry-1.log").open("wb") as log:
+                gateway.process = subprocess.Popen(
+                    [*command, str(tmp_path / "entry-1.ini")],
+                    stdout=log,
+                    stderr=subprocess.PIPE,
+                )
+            caller = await connect_when_open(gateway.listen)
+            caller.send("/look/1", attempt="first")
+            assert await read_outcome(caller) == 200
+            limit_descriptors(gateway.process)
+            callers = [await connect(gateway.listen) for _ in range(CALLERS)]
+            await asyncio.sleep(SETTLE_SECONDS)
+            caller.send("/look/1", attempt="second")
+            assert await read_outcome(caller) in {200, 503}
+            for one in (caller, *callers):
+                one.close()
+            gateway.process.kill()
+            gateway.process.communicate()
+
+    run(main())
