Keep serving without descriptors while the balancer checks readiness

What callers saw: as with the port for callers: no answer of a gateway without a free descriptor whose error output isn't read fast enough, once a connection waited at its readiness or metrics port.

Cause: Tornado's accept handler raises on EMFILE there too (adminserver.py, open).

Change: these ports use the same listening socket as the one for callers.

Evidence: test_a_gateway_without_descriptors_serves_though_nobody_reads_its_errors, which has a readiness check wait now, failed before (TimeoutError) and passes.

--- a/eelgrassrack/gateway/adminserver.py
+++ b/eelgrassrack/gateway/adminserver.py
@@ -12,6 +12,9 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.netutil import bind_sockets
+
+from ..listener import CallerListener
 
 AnswerFunction = Callable[[str], tuple[int, bytes]]
 
@@ -62,7 +65,8 @@
     def open(self) -> None:
         """Start to listen; raise `OSError`."""
         host, port = self.address.rsplit(":", 1)
-        self._server.listen(int(port), host)
+        for bound in bind_sockets(int(port), address=host):
+            self._server.add_socket(CallerListener(fileno=bound.detach()))
 
     def close(self) -> None:
         """Stop listening."""
--- a/test/processes/test_descriptors.py
+++ b/test/processes/test_descriptors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import configparser
 import resource
 import signal
 import subprocess
@@ -84,6 +85,13 @@
     assert outcomes.keys() <= {408, 503}
 
 
+def find_readiness(folder):
+    """Return the address at which the balancer checks the gateway."""
+    settings = configparser.ConfigParser(interpolation=None)
+    settings.read(folder / "entry-1.ini")
+    return settings.get("gateway", "readiness")
+
+
 def test_a_gateway_without_descriptors_serves_though_nobody_reads_its_errors(tmp_path):
     """Guards against a process that stops in the midst of writing an error."""
 
@@ -101,6 +109,7 @@
             assert await read_outcome(caller) == 200
             limit_descriptors(gateway.process)
             callers = [await connect(gateway.listen) for _ in range(CALLERS)]
+            callers.append(await connect(find_readiness(tmp_path)))
             await asyncio.sleep(SETTLE_SECONDS)
             caller.send("/look/1", attempt="second")
             assert await read_outcome(caller) in {200, 503}
