--- a/eelgrassrack/listening.py
+++ b/eelgrassrack/listening.py
@@ -37,16 +37,23 @@
     loop = asyncio.get_running_loop()
     for listener in listeners:
         block_handshakes(listener)
-    await asyncio.sleep(HANDSHAKE_SECONDS)
-    _accept_all(server, listeners)
-    while any(map(has_queued, listeners)) and loop.time() < until:
-        make_room()
-        await asyncio.sleep(ROOM_POLL_SECONDS)
+    handshakes_until = loop.time() + HANDSHAKE_SECONDS
+    while loop.time() < handshakes_until or _is_queued(listeners, until):
         _accept_all(server, listeners)
+        if any(map(has_queued, listeners)):
+            make_room()
+        await asyncio.sleep(ROOM_POLL_SECONDS)
+    _accept_all(server, listeners)
     server.stop()
     await asyncio.sleep(ACCEPT_SECONDS)
 
 
+def _is_queued(listeners: Sequence[socket.socket], until: float) -> bool:
+    """Return whether connections are queued and there is time to accept them."""
+    is_late = asyncio.get_running_loop().time() >= until
+    return not is_late and any(map(has_queued, listeners))
+
+
 def _accept_all(server: TCPServer, listeners: Sequence[socket.socket]) -> None:
     for listener in listeners:
         for connection, address in accept_queued(listener):
