Fetch a newer configuration at once when no own watch will bring it

Change: a watcher without the store fetches a configuration that a peer says is newer at once, and one with it is woken by the peer's update to begin its wait.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -471,7 +471,10 @@
     def _receive_update(self, update: PeerUpdate) -> None:
         if self._store_sync.is_watcher():
             self._store_sync.list_newer(update)
-        elif self._store_sync.find_need() is not PullNeed.NONE:
+            is_due = self._store_sync.lacks_configuration
+        else:
+            is_due = self._store_sync.find_need() is not PullNeed.NONE
+        if is_due:
             self._view_fetcher.wake.set()
         self.rollouts.receive_update(update)
         self._placer.note_peer_updates()
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -168,9 +168,7 @@
             has_source = any(update.configuration for update in updates)
             return PullNeed.IMMEDIATE if has_source else PullNeed.NONE
         readers = [update for update in updates if update.knows_store]
-        is_newer = any(
-            update.configuration > self._router.version for update in updates
-        )
+        is_newer = self.lacks_configuration
         if not self.is_watcher():
             is_behind = is_newer or any(
                 mine < theirs
@@ -181,9 +179,18 @@
             )
             return PullNeed.IMMEDIATE if is_behind else PullNeed.NONE
         if self._contact.lost_at is not None:
+            if is_newer:
+                # No watch of its own will bring the configuration.
+                return PullNeed.IMMEDIATE
             return PullNeed.DEFERRED if readers else PullNeed.NONE
         return PullNeed.DEFERRED if is_newer else PullNeed.NONE
 
+    @property
+    def lacks_configuration(self) -> bool:
+        """Return whether a peer has a newer configuration."""
+        updates = self._list_peer_updates()
+        return any(update.configuration > self._router.version for update in updates)
+
     def _find_role(self) -> WatchRole:
         """Return this gateway's role in watching the store."""
         updates = self._list_peer_updates()
--- a/test/gateway/test_spread.py
+++ b/test/gateway/test_spread.py
@@ -126,3 +126,35 @@
         world.stop()
 
     play(main())
+
+
+# A site so small that all gateways watch the store.
+FEW_GATEWAYS = 4
+FAST_LINKS = (100e6,)
+# Half of what a configuration may take until it is in force everywhere.
+SPREAD_SECONDS = 1.0
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_gateways_without_the_store_take_a_newer_configuration_at_once(make, seed):
+    """Guards against callers that get 404 by a configuration replaced seconds ago.
+
+    All gateways watch the store and have lost it; one reaches it again.
+    """
+
+    async def main():
+        world = make(seed=seed, count=FEW_GATEWAYS, links=FAST_LINKS)
+        await start(world)
+        for node in world.nodes:
+            node.is_cut_from_store = True
+        await asyncio.sleep(world.rng.uniform(3.0, 6.0))
+        await world.configure(2)
+        first = world.rng.choice(world.nodes)
+        first.is_cut_from_store = False
+        while first.version < 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(SPREAD_SECONDS)
+        assert not [node for node in world.nodes if node.version < 2]
+        world.stop()
+
+    play(main())
