Take nothing but the configuration from a peer at once

The fetch that a gateway without the store makes at once brought the peer's whole view.

Such a fetch applies the configuration alone now; the rest waits for the usual fetch, as before.

--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -178,10 +178,9 @@
                 )
             )
             return PullNeed.IMMEDIATE if is_behind else PullNeed.NONE
+        if self._needs_only_configuration:
+            return PullNeed.IMMEDIATE
         if self._contact.lost_at is not None:
-            if is_newer:
-                # No watch of its own will bring the configuration.
-                return PullNeed.IMMEDIATE
             return PullNeed.DEFERRED if readers else PullNeed.NONE
         return PullNeed.DEFERRED if is_newer else PullNeed.NONE
 
@@ -191,6 +190,17 @@
         updates = self._list_peer_updates()
         return any(update.configuration > self._router.version for update in updates)
 
+    @property
+    def _needs_only_configuration(self) -> bool:
+        """Return whether to take nothing but a configuration from a peer.
+
+        No watch of its own brings it to a gateway that has lost the store.  Endpoints
+        whose leases lapsed meanwhile are missing at the peer until they have
+        registered again, so that their list can wait.
+        """
+        has_lost_store = self.is_watcher() and self._contact.lost_at is not None
+        return has_lost_store and self.lacks_configuration
+
     def _find_role(self) -> WatchRole:
         """Return this gateway's role in watching the store."""
         updates = self._list_peer_updates()
@@ -229,8 +239,11 @@
             "known" if view.knows_store else "lost",
             view.revisions,
         )
+        needs_only_configuration = self._needs_only_configuration
         if view.plan is not None:
             self._apply_configurations({name: view.plan})
+        if needs_only_configuration and self._fleet.is_loaded:
+            return
         if self._reads_store and self._fleet.is_loaded:
             return
         if view.knows_store or not self._fleet.is_loaded:
