--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -4,12 +4,11 @@
 """
 
 import collections
-import time
 from collections.abc import Iterable
 
 from .callers import RequestResult
 from .gateways import GatewayProcess, ProcessLifetime
-from .lateness import Lateness
+from .lateness import Lateness, format_wall_time
 
 # A request is late if it is sent this long after SIGTERM or later: by then the load
 # balancer has removed the gateway, which knows when its process will end.
@@ -66,8 +65,8 @@
     def _describe_overdue(self, lifetime: ProcessLifetime) -> str:
         ended = lifetime.ended if lifetime.killed_at is None else lifetime.killed_at
         return (
-            f"process begun at {_format_wall_time(lifetime.began)}, SIGTERM at "
-            f"{_format_wall_time(lifetime.sigterm_at)}, killed "
+            f"process begun at {format_wall_time(lifetime.began)}, SIGTERM at "
+            f"{format_wall_time(lifetime.sigterm_at)}, killed "
             f"{ended - lifetime.sigterm_at:.2f} s later, the soak was held up for "
             f"{self._lateness.sum_within(lifetime.sigterm_at, ended):.2f} s"
         )
@@ -132,14 +131,20 @@
             f"{result.ended_at - result.sent_at:.2f} of {_find_timeout(result):.1f} s, "
             f"{'kept' if result.is_reused else 'new'} connection of "
             f"{result.sent_at - result.connected_at:.2f} s, {result.error}, sent at "
-            f"{_format_wall_time(result.sent_at)}, the soak was held up for "
+            f"{format_wall_time(result.sent_at)}, {self._describe_break(result)}, "
+            "the soak was held up for "
             f"{self._lateness.sum_within(result.connected_at, result.ended_at):.2f} s"
         )
 
-
-def _format_wall_time(at: float) -> str:
-    """Format a monotonic time as a wall clock time, as the gateways' logs have it."""
-    return f"{time.time() - time.monotonic() + at:.3f}"
+    def _describe_break(self, result: RequestResult) -> str:
+        """Describe when the endpoint broke off the request, relative to its end."""
+        broken_at = self._broken_at.get(result.attempt)
+        if broken_at is None:
+            return "not broken off by its endpoint"
+        return (
+            f"broken off by its endpoint {result.ended_at - broken_at:.2f} s before "
+            "it was over"
+        )
 
 
 def _used_whole_timeout(result: RequestResult) -> bool:
--- a/bench/gatewaysoak/lateness.py
+++ b/bench/gatewaysoak/lateness.py
@@ -30,3 +30,8 @@
         """Return for how many seconds between two times the loop was delayed."""
         parts = (min(end, ended) - max(due, began) for due, end in self._delays)
         return sum(part for part in parts if part > 0)
+
+
+def format_wall_time(at: float) -> str:
+    """Format a monotonic time as a wall clock time, as the gateways' logs have it."""
+    return f"{time.time() - time.monotonic() + at:.3f}"
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -116,13 +116,13 @@
         # Monotonic times at which links to endpoints were reset.
         self._reset_times: list[float] = []
         self._gateways: list[GatewayProcess] = []
-        self._drains = DrainTracker()
         self._numbers = itertools.count(3)
         self._background: set[asyncio.Task] = set()
         self._versions = itertools.count(2)
         self._fault_counts: collections.Counter[str] = collections.Counter()
         self._is_series_running = False
         self._lateness = Lateness()
+        self._drains = DrainTracker(self._lateness)
 
     async def run(self) -> Verdict:
         """Play the seed and check its results."""
