Answer queued callers also when a crowded end is late

What callers saw: a reset connection and no answer, if they waited in the port of a gateway that ended while it loaded or whose start failed, it had fewer free descriptors than callers, and the process was held up for two seconds meanwhile.

Cause: callers are answered in turns of as many as there are descriptors, for two seconds; what was queued then was reset by the close. With handshakes blocked, the queue is finite, so no time bound is needed to end the turns. Now turns go on, without waiting for callers to close, and are bounded by a count.

Evidence: test_callers_of_a_process_that_is_late_are_answered advances the clock by three seconds a turn. It failed before (callers got ConnectionResetError) and passes.

--- a/eelgrassrack/dismissal.py
+++ b/eelgrassrack/dismissal.py
@@ -37,11 +37,15 @@
 # after the process has closed one resets it, which may discard the answer.
 LINGER_SECONDS = 1.0
 
-# The same if more callers are queued than the process has descriptors, and how long
-# such callers are accepted.
+# The same if more callers are queued than the process has descriptors.  After
+# `CROWDED_SECONDS` connections are closed at once: the process may be killed soon, and
+# the close resets all callers that are still queued.
 CROWDED_LINGER_SECONDS = 0.1
 CROWDED_SECONDS = 2.0
 
+# The queue holds far fewer; more only come where the kernel can't block handshakes.
+MAX_CROWDED_CALLERS = 4_096
+
 
 def dismiss_callers(listener: socket.socket) -> int:
     """Answer all queued callers that nothing ran, and stop listening.
@@ -58,8 +62,9 @@
         connections = [connection for connection, _ in accept_queued(listener)]
         count += len(connections)
         is_crowded = bool(connections) and has_queued(listener)
-        if is_crowded and time.monotonic() < until:
-            _answer_all(connections, CROWDED_LINGER_SECONDS)
+        if is_crowded and count < MAX_CROWDED_CALLERS:
+            is_late = time.monotonic() >= until
+            _answer_all(connections, 0.0 if is_late else CROWDED_LINGER_SECONDS)
             continue
         listener.close()
         _answer_all(connections, LINGER_SECONDS)
--- a/test/test_dismissal.py
+++ b/test/test_dismissal.py
@@ -1,12 +1,15 @@
 """Tests of answers to callers of a process that ends without serving them."""
 
+import itertools
 import os
 import resource
 import socket
 import threading
+import types
 
 import pytest
 
+from eelgrassrack import dismissal
 from eelgrassrack.dismissal import dismiss_callers
 from eelgrassrack.gateway.listener import open_listener
 
@@ -48,8 +51,8 @@
     answers.append(data.split(b"\r\n")[0][:12])
 
 
-def test_more_callers_than_descriptors_are_answered(few_descriptors):
-    """Guards against a reset of callers beyond the process's free descriptors."""
+def dismiss_all(few_descriptors):
+    """Dismiss callers that wait in a port's queue; return the answers and the count."""
     answers = []
     with open_listener(f"127.0.0.1:{find_port()}") as listener:
         callers = [
@@ -68,5 +71,21 @@
         count = dismiss_callers(listener)
         for reader in readers:
             reader.join()
+    return answers, count
+
+
+def test_more_callers_than_descriptors_are_answered(few_descriptors):
+    """Guards against a reset of callers beyond the process's free descriptors."""
+    answers, count = dismiss_all(few_descriptors)
+    assert answers == [b"HTTP/1.1 503"] * CALLERS
+    assert count == CALLERS
+
+
+def test_callers_of_a_process_that_is_late_are_answered(few_descriptors, monkeypatch):
+    """Guards against a reset of queued callers when a busy machine delays each turn."""
+    late = itertools.count(0.0, dismissal.CROWDED_SECONDS + 1.0)
+    clock = types.SimpleNamespace(monotonic=lambda: next(late), sleep=lambda _: None)
+    monkeypatch.setattr(dismissal, "time", clock)
+    answers, count = dismiss_all(few_descriptors)
     assert answers == [b"HTTP/1.1 503"] * CALLERS
     assert count == CALLERS
