Start the entry of a SIGHUP test with the signal's default action

Cause: a process that ignores SIGHUP hands that on to its children, and an entry that starts so goes on ignoring it, as intended (process.py). So the entry was never told to stop. The check is unchanged.

--- a/test/processes/test_entry_signals.py
+++ b/test/processes/test_entry_signals.py
@@ -20,7 +20,15 @@
 NOT_FOUND = 404
 
 
-def test_a_closed_terminal_cuts_no_caller(tmp_path):
+@pytest.fixture
+def sighup_by_default():
+    """Let child processes start with SIGHUP's default action, also under nohup."""
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
+def test_a_closed_terminal_cuts_no_caller(tmp_path, sighup_by_default):
     """Guards against SIGHUP's default action, which resets all connections."""
     fleet = Fleet(tmp_path)
     try:
