Rank the gateways that watch the store a few times a second, not with each update

Cause: each peer update that arrives, a hundred a second, made a gateway list all live peers and sort their hashed names two or three times, to find whether it watches the store and whether it is behind. That is the square of the gateways for the deployment. The roll of requests was ruled out: a model without any requests shows the same growth.

Change: a gateway's role is kept for 0.2 s, less than the interval at which followers ask for it; and an update is compared with what this gateway knows, without looking at other updates.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -33,7 +33,7 @@
 from .settings import GatewaySettings
 from .stopsignals import StopSignals
 from .storesync import Kinds, StoreSync
-from .storeviews import PullNeed, StoreViewFetcher, encode_view, parse_path
+from .storeviews import StoreViewFetcher, encode_view, parse_path
 from .translation import Translation
 
 log = logbook.Logger("gateway")
@@ -471,10 +471,7 @@
     def _receive_update(self, update: PeerUpdate) -> None:
         if self._store_sync.is_watcher():
             self._store_sync.list_newer(update)
-            is_due = self._store_sync.lacks_configuration
-        else:
-            is_due = self._store_sync.find_need() is not PullNeed.NONE
-        if is_due:
+        if self._store_sync.is_news(update):
             self._view_fetcher.wake.set()
         self.rollouts.receive_update(update)
         self._placer.note_peer_updates()
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -4,6 +4,7 @@
 away, fetch changes from peers.
 """
 
+import asyncio
 import itertools
 import time
 from collections.abc import Callable
@@ -27,6 +28,10 @@
 
 MILLISECONDS = 1000.0
 
+# How long a role is kept.  Finding it sorts the names of all gateways, and it is asked
+# for with each peer update, a hundred times a second.
+ROLE_SECONDS = 0.2
+
 
 class Kinds(Protocol):
     """The store's names for the kinds of objects that a gateway reads."""
@@ -50,6 +55,8 @@
         "_fleet",
         "_kinds",
         "_list_peer_updates",
+        "_role",
+        "_role_until",
         "_rollouts",
         "_router",
         "_settings",
@@ -77,6 +84,8 @@
         self._fleet = fleet
         self._rollouts = rollouts
         self._list_peer_updates = list_peer_updates
+        self._role = WatchRole(None, 0)
+        self._role_until = float("-inf")
         self._peer_revisions: tuple[int, ...] = (0, 0, 0, 0)
         self.followers = self._make_followers()
 
@@ -170,13 +179,7 @@
         readers = [update for update in updates if update.knows_store]
         is_newer = self.lacks_configuration
         if not self.is_watcher():
-            is_behind = is_newer or any(
-                mine < theirs
-                for update in readers
-                for mine, theirs in zip(
-                    self._peer_revisions, update.revisions, strict=False
-                )
-            )
+            is_behind = is_newer or any(map(self._is_ahead, readers))
             return PullNeed.IMMEDIATE if is_behind else PullNeed.NONE
         if self._needs_only_configuration:
             return PullNeed.IMMEDIATE
@@ -184,6 +187,20 @@
             return PullNeed.DEFERRED if readers else PullNeed.NONE
         return PullNeed.DEFERRED if is_newer else PullNeed.NONE
 
+    def is_news(self, update: PeerUpdate) -> bool:
+        """Return whether a peer's update tells of something to fetch from a peer.
+
+        This looks at no other update, since many arrive each second.
+        """
+        if update.configuration > self._router.version:
+            return True
+        return update.knows_store and not self.is_watcher() and self._is_ahead(update)
+
+    def _is_ahead(self, update: PeerUpdate) -> bool:
+        """Return whether a peer knows a later change than those fetched from peers."""
+        pairs = zip(self._peer_revisions, update.revisions, strict=False)
+        return any(mine < theirs for mine, theirs in pairs)
+
     @property
     def lacks_configuration(self) -> bool:
         """Return whether a peer has a newer configuration."""
@@ -202,7 +219,14 @@
         return has_lost_store and self.lacks_configuration
 
     def _find_role(self) -> WatchRole:
-        """Return this gateway's role in watching the store."""
+        """Return this gateway's role in watching the store, up to a moment old."""
+        now = asyncio.get_running_loop().time()
+        if now >= self._role_until:
+            self._role = self._compute_role()
+            self._role_until = now + ROLE_SECONDS
+        return self._role
+
+    def _compute_role(self) -> WatchRole:
         updates = self._list_peer_updates()
         return find_watch_role(
             name=self._settings.name,
--- /dev/null
+++ b/test/gateway/test_watch_role.py
@@ -0,0 +1,76 @@
+"""What a gateway does for each update that a peer sends."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from eelgrassrack.gateway import storesync
+from eelgrassrack.gateway.peerupdates import Audience
+
+from .spread import World, make_rng, play
+
+GATEWAYS = 60
+SECONDS = 10.0
+
+
+def test_updates_of_peers_don_t_each_rank_all_gateways(monkeypatch):
+    """Guards against processor time that grows with the square of the gateways.
+
+    A hundred updates a second arrive, however many gateways there are.
+    """
+
+    async def main():
+        world = World(
+            rng=make_rng(1),
+            count=GATEWAYS,
+            domains=3,
+            links=(20e6,),
+            size=20_000,
+            monkeypatch=monkeypatch,
+        )
+        await world.start()
+        await asyncio.sleep(SECONDS)
+        ranked = []
+        rank = storesync.find_watch_role
+        monkeypatch.setattr(
+            storesync,
+            "find_watch_role",
+            lambda **known: ranked.append(known["name"]) or rank(**known),
+        )
+        await asyncio.sleep(SECONDS)
+        per_second = len(ranked) / GATEWAYS / SECONDS
+        assert per_second <= 1.0 / storesync.ROLE_SECONDS
+        world.stop()
+
+    play(main())
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [("configuration", 2), ("revisions", (10, 99, 10, 10))]
+)
+def test_a_peer_s_news_wakes_the_fetcher_at_once(monkeypatch, field, value):
+    """Guards against a change that waits for the next poll."""
+
+    async def main():
+        world = World(
+            rng=make_rng(2),
+            count=12,
+            domains=3,
+            links=(20e6,),
+            size=20_000,
+            monkeypatch=monkeypatch,
+        )
+        await world.start()
+        await asyncio.sleep(SECONDS)
+        watchers = world.find_watchers()
+        other = next(node for node in world.nodes if node not in watchers)
+        update = watchers[0].gateway._update_exchange._make_update(
+            name="a", lifetime="b", port=7, number=1, audience=Audience.NEAR
+        )
+        sync = other.gateway._store_sync
+        assert not sync.is_news(update)
+        assert sync.is_news(msgspec.structs.replace(update, **{field: value}))
+        world.stop()
+
+    play(main())
