Fetch from peers only the endpoints that changed

Cause: a gateway that watches the store answered each peer that was behind by one change with the whole list of endpoints. A change costs as many lists as there are gateways, sent by the four that watch: the product of gateways and endpoints.

Change: a gateway that reads the store keeps which endpoints changed at which revision (changelog.py), and answers a peer that states its revision with these and with the names of those that are gone. A removal that only a list shows counts at the list's revision, since lists don't say when it was.

The modelled store now reports removals and only what changed, as the platform's does.

--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -111,10 +111,18 @@
         """
         self.is_loaded = True
         by_name = {endpoint.name: endpoint for endpoint in endpoints}
-        for state in tuple(self._states.values()):
-            if state.endpoint.name not in by_name:
+        gone = self._states.keys() - by_name.keys()
+        self.apply_changes_of_peer(by_name.values(), gone=gone)
+
+    def apply_changes_of_peer(
+        self, endpoints: Iterable[Endpoint], *, gone: Iterable[str]
+    ) -> None:
+        """Apply the changes since the last list of a peer that reaches the store."""
+        for name in gone:
+            state = self._states.get(name)
+            if state is not None:
                 self._drop(state, "missing at a peer")
-        for endpoint in by_name.values():
+        for endpoint in endpoints:
             self._apply(endpoint)
 
     def apply_evacuation_changes(self, changes: dict[str, object | None]) -> None:
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -15,6 +14,7 @@
 from ..decisions.sources import Source, rank_sources
 from ..decisions.watchers import WatchRole, find_watch_role
 from ..decisions.watchschedule import find_wait
+from .changelog import ChangeLog
 from .configuration import Configuration, Router
 from .endpoints import Endpoint
 from .fleet import Fleet
@@ -52,6 +52,7 @@
     __slots__ = (
         "_peer_revisions",
         "_contact",
+        "_endpoint_changes",
         "_fleet",
         "_kinds",
         "_list_peer_updates",
@@ -84,6 +85,7 @@
         self._fleet = fleet
         self._rollouts = rollouts
         self._list_peer_updates = list_peer_updates
+        self._endpoint_changes = ChangeLog()
         self._role = WatchRole(None, 0)
         self._role_until = float("-inf")
         self._peer_revisions: tuple[int, ...] = (0, 0, 0, 0)
@@ -101,18 +103,22 @@
     def describe(self, known: KnownRevisions) -> StoreView:
         """Return the part of the store view that the asking peer lacks."""
         revisions = self.revisions
+        kinds = [follower.kind for follower in self.followers]
+        theirs = dict(zip(kinds, known.revisions, strict=False))
         fresh = {
-            follower.kind
-            for follower, mine, theirs in itertools.zip_longest(
-                self.followers, revisions, known.revisions[: len(revisions)]
-            )
-            if theirs is None or mine > theirs
+            kind
+            for kind, mine in zip(kinds, revisions, strict=True)
+            if kind not in theirs or mine > theirs[kind]
         }
         kinds = self._kinds
         is_newer = self._router.version > known.configuration
+        endpoints, gone = None, None
+        if kinds.ENDPOINTS in fresh:
+            since = theirs.get(kinds.ENDPOINTS) if known.takes_changes else None
+            endpoints, gone = self._list_endpoints_since(since)
         return StoreView(
             plan=self._router.configuration if is_newer else None,
-            endpoints=self._list_endpoints() if kinds.ENDPOINTS in fresh else None,
+            endpoints=endpoints,
             evacuated=(
                 tuple(sorted(self._fleet.evacuated))
                 if kinds.EVACUATIONS in fresh
@@ -121,8 +127,25 @@
             orders=self._rollouts.orders if kinds.ROLLOUTS in fresh else None,
             knows_store=self.knows_store,
             revisions=revisions,
+            gone=gone,
         )
 
+    def _list_endpoints_since(
+        self, revision: int | None
+    ) -> tuple[tuple[Endpoint, ...], tuple[str, ...] | None]:
+        """Return the endpoints that changed after a revision, and which are gone.
+
+        If the changes aren't known, return all endpoints and None.
+        """
+        endpoints = self._list_endpoints()
+        if revision is None:
+            return endpoints, None
+        changed = self._endpoint_changes.list_since(revision)
+        if changed is None:
+            return endpoints, None
+        kept = tuple(one for one in endpoints if one.name in changed)
+        return kept, tuple(changed - {one.name for one in endpoints})
+
     def _list_endpoints(self) -> tuple[Endpoint, ...]:
         present = (state for state in self._fleet if state.missing_since is None)
         return tuple(state.endpoint for state in present)
@@ -136,6 +159,7 @@
         return KnownRevisions(
             configuration=self._router.version,
             revisions=self._peer_revisions if is_from_peers else (),
+            takes_changes=is_from_peers,
         )
 
     def rank_sources(self) -> list[str]:
@@ -279,8 +303,15 @@
 
     def _apply_view(self, view: StoreView) -> None:
         """Apply the kinds that the view contains; the others haven't changed."""
-        if view.endpoints is not None:
-            self._fleet.replace_from_peer(view.endpoints)
+        match view:
+            case StoreView(endpoints=None):
+                pass
+            case StoreView(gone=None):
+                self._endpoint_changes.clear()
+                self._fleet.replace_from_peer(view.endpoints)
+            case _:
+                self._endpoint_changes.clear()
+                self._fleet.apply_changes_of_peer(view.endpoints, gone=view.gone)
         if view.evacuated is not None:
             self._fleet.replace_evacuations(view.evacuated)
         if view.orders is not None:
@@ -300,8 +331,8 @@
             ),
             self._follow(
                 kind=kinds.ENDPOINTS,
-                replace_all=fleet.replace_all,
-                apply_changes=fleet.apply_changes,
+                replace_all=self._replace_endpoints,
+                apply_changes=self._apply_endpoint_changes,
                 find_bound_ms=lambda: self._settings.drain_ms,
             ),
             self._follow(
@@ -345,6 +376,30 @@
             if follower is not cause:
                 follower.relist()
 
+    def _replace_endpoints(self, objects: dict[str, object]) -> None:
+        """Replace all endpoints by the store's list, and note what that changes."""
+        before = set(self._list_endpoints())
+        self._fleet.replace_all(objects)
+        changed = before.symmetric_difference(self._list_endpoints())
+        follower = self._endpoint_follower
+        # A list doesn't tell when an object was removed, only that it was by now.
+        revision = max(follower.revision or 0, follower.event_revision)
+        self._endpoint_changes.note({one.name for one in changed}, revision=revision)
+
+    def _apply_endpoint_changes(self, objects: dict[str, object | None]) -> None:
+        self._fleet.apply_changes(objects)
+        self._endpoint_changes.note(
+            objects, revision=self._endpoint_follower.event_revision
+        )
+
+    @property
+    def _endpoint_follower(self) -> Follower:
+        return next(
+            follower
+            for follower in self.followers
+            if follower.kind == self._kinds.ENDPOINTS
+        )
+
     def _apply_configurations(self, objects: dict[str, object | None]) -> None:
         for found in objects.values():
             match found:
--- a/eelgrassrack/gateway/storeviews.py
+++ b/eelgrassrack/gateway/storeviews.py
@@ -40,6 +40,12 @@
 PATH = "/beliefs"
 SEPARATOR = "."
 
+# Number of kinds whose revisions a path holds.  A further number, 1, says that the
+# asker takes changed endpoints instead of the whole list; gateways that don't know it
+# ignore it.
+KINDS = 4
+TAKES_CHANGES = 1
+
 # Connections to one peer.
 MOST_CONNECTIONS = 2
 
@@ -48,11 +54,13 @@
     """What the asking gateway has already.
 
     `configuration` is a version, 0 for none, and `revisions` holds the store's
-    revision of the last change of each kind.
+    revision of the last change of each kind.  `takes_changes` says that it can add
+    changed endpoints to those of its revision.
     """
 
     configuration: int = 0
     revisions: tuple[int, ...] = ()
+    takes_changes: bool = False
 
 
 class StoreView(msgspec.Struct, kw_only=True, frozen=True):
@@ -60,7 +68,9 @@
 
     Kinds that the asker has already are None: most changes are of one kind, and
     the configuration takes more bytes than all the rest.  `knows_store` says that
-    the view comes directly from the store, not from another peer.
+    the view comes directly from the store, not from another peer.  `gone` holds the
+    names of the endpoints that are gone since the asker's revision, and `endpoints`
+    those that changed; None says that `endpoints` is the whole list.
     """
 
     plan: Configuration | None
@@ -69,6 +79,7 @@
     orders: tuple[RolloutOrder, ...] | None
     knows_store: bool
     revisions: tuple[int, ...]
+    gone: tuple[str, ...] | None = None
 
 
 class PullNeed(enum.Enum):
@@ -86,7 +97,9 @@
 
 def make_path(known: KnownRevisions) -> str:
     """Return the path that asks a peer for newer kinds than those known."""
-    numbers = (known.configuration, *known.revisions)
+    numbers = [known.configuration, *known.revisions]
+    if known.takes_changes:
+        numbers.append(TAKES_CHANGES)
     return f"{PATH}/{SEPARATOR.join(map(str, numbers))}"
 
 
@@ -97,7 +110,11 @@
     if f"/{name}" != PATH or not all(number.isdecimal() for number in numbers):
         return None
     configuration, *revisions = map(int, numbers or ["0"])
-    return KnownRevisions(configuration=configuration, revisions=tuple(revisions))
+    return KnownRevisions(
+        configuration=configuration,
+        revisions=tuple(revisions[:KINDS]),
+        takes_changes=revisions[KINDS : KINDS + 1] == [TAKES_CHANGES],
+    )
 
 
 class StoreViewFetcher:
--- a/test/gateway/spread.py
+++ b/test/gateway/spread.py
@@ -123,15 +123,33 @@
             10,
         )
         self.objects = {kind: {} for kind in self.newest}
+        self.revisions = {kind: {} for kind in self.newest}
         self._changed = asyncio.Condition()
 
     async def put(self, kind, name, value):
+        """Write an object, or remove it if the value is None."""
         self.revision += 1
         self.newest[kind] = self.revision
+        self.revisions[kind][name] = self.revision
         self.objects[kind][name] = value
+        if value is None:
+            del self.objects[kind][name]
         async with self._changed:
             self._changed.notify_all()
 
+    def find_newest(self, kind):
+        """Return the last revision of the objects of a kind that exist."""
+        revisions = self.revisions[kind]
+        return max((revisions[name] for name in self.objects[kind]), default=0)
+
+    def list_changes(self, kind, revision):
+        """Return what changed after a revision, None for a removed object."""
+        return {
+            name: self.objects[kind].get(name)
+            for name, at in self.revisions[kind].items()
+            if at > revision
+        }
+
     async def wait_newer(self, kind, revision):
         async with self._changed:
             await self._changed.wait_for(lambda: self.newest[kind] > revision)
@@ -169,7 +187,7 @@
         store = self._store
         found = ListResult(
             revision=store.revision,
-            newest=store.newest[kind],
+            newest=store.find_newest(kind),
             objects=dict(store.objects[kind]),
         )
         await self._cross(self._node.measure(kind))
@@ -185,7 +203,7 @@
         found = WatchResult(
             revision=store.revision,
             newest=store.newest[kind] if is_newer else 0,
-            objects=dict(store.objects[kind]) if is_newer else {},
+            objects=store.list_changes(kind, revision),
         )
         await self._cross(self._node.measure(kind) if is_newer else 0)
         return found
@@ -392,6 +410,9 @@
     async def drain_endpoint(self, number):
         await self.change_endpoint(number, is_draining=True)
 
+    async def remove_endpoint(self, number):
+        await self.store.put(Kinds.ENDPOINTS, f"p{number}", None)
+
     async def change_endpoint(self, number, **changes):
         name = f"p{number}"
         endpoint = Endpoint(
