Add up peers' reports of endpoints as they change, not all of them for each request

Cause: nearly every request, and a periodic task five times a second, added up all reports of all peers, since an update arrives every few milliseconds: the product of gateways and requests, some milliseconds each with 300 gateways.

Change: totals are kept, in integers so that what is taken out leaves nothing behind; a merge adds and takes out only the updates that differ from the last one. Totals of lifetimes that have ended are dropped.

--- a/eelgrassrack/gateway/endpointreports.py
+++ b/eelgrassrack/gateway/endpointreports.py
@@ -8,6 +8,7 @@
 
 from ..decisions.backlog import ReadingBacklog
 from ..decisions.slowness import Timing, find_slow
+from ..decisions.urgency import RANKS
 from .endpointstate import EndpointState
 from .fleet import Fleet
 from .peerupdates import BacklogReport, EndpointReport, PeerUpdate
@@ -18,6 +19,9 @@
 MILLISECONDS = 1000.0
 HUNDREDTHS = 100.0
 
+# Totals are added up again once there are this many times more than endpoints.
+MAX_TOTALS_FACTOR = 4
+
 
 def report_endpoints(fleet: Fleet, now: float) -> tuple[EndpointReport, ...]:
     """Return this gateway's in-flight requests and its endpoints' slowness."""
@@ -40,39 +44,96 @@
     )
 
 
-def merge_reports(fleet: Fleet, updates: Iterable[PeerUpdate]) -> None:
-    """Replace the peers' share of each endpoint state by their latest updates."""
-    updates = tuple(updates)
-    totals: dict[int, PeerTotals] = collections.defaultdict(PeerTotals)
-    for report in itertools.chain.from_iterable(update.endpoints for update in updates):
-        totals[report.lifetime].add(report)
-    suspected = set(
-        itertools.chain.from_iterable(update.suspected for update in updates)
-    )
-    for state in fleet:
-        found = totals.get(state.key) or PeerTotals()
-        state.peer_running = found.running
-        state.peer_backlog = found.backlog
-        state.peer_timing = found.timing
-        state.is_suspected_by_peers = state.key in suspected
-
-
 class PeerTotals:
-    """The sum of all peers' reports of one endpoint."""
+    """The sum of peers' reports of one lifetime of an endpoint.
+
+    It is kept in the reports' integers, so that what is added and subtracted again
+    leaves nothing behind.
+    """
 
-    __slots__ = ("backlog", "running", "timing")
+    __slots__ = ("_answers", "_milliseconds", "_slowness", "running")
 
     def __init__(self) -> None:
         self.running = 0
-        self.backlog = ReadingBacklog()
-        self.timing = Timing()
+        self._milliseconds = [0] * RANKS
+        self._answers = 0
+        self._slowness = 0
 
-    def add(self, report: EndpointReport) -> None:
-        """Add the report of one peer."""
-        self.running += report.running
+    def add(self, report: EndpointReport, sign: int) -> None:
+        """Add the report of one peer, or take it out if `sign` is -1."""
+        self.running += sign * report.running
         for part in report.backlog:
-            self.backlog.add(part.urgency, part.milliseconds / MILLISECONDS)
-        self.timing += Timing(report.answers / HUNDREDTHS, report.slowness / HUNDREDTHS)
+            self._milliseconds[part.urgency] += sign * part.milliseconds
+        self._answers += sign * report.answers
+        self._slowness += sign * report.slowness
+
+    @property
+    def backlog(self) -> ReadingBacklog:
+        """Return the reading time of the peers' pending prompts."""
+        return ReadingBacklog(
+            (urgency, milliseconds / MILLISECONDS)
+            for urgency, milliseconds in enumerate(self._milliseconds)
+        )
+
+    @property
+    def timing(self) -> Timing:
+        """Return the response times that the peers saw."""
+        return Timing(self._answers / HUNDREDTHS, self._slowness / HUNDREDTHS)
+
+
+NO_REPORTS = PeerTotals()
+
+
+class PeerReports:
+    """What all peers report of each endpoint, by their latest updates.
+
+    Only reports that differ from the last merge are added and taken out: with hundreds
+    of gateways, adding up all of them for each request takes longer than the rest of
+    its processing.
+    """
+
+    __slots__ = ("_totals", "_updates")
+
+    def __init__(self) -> None:
+        self._updates: dict[str, PeerUpdate] = {}
+        self._totals: dict[int, PeerTotals] = collections.defaultdict(PeerTotals)
+
+    def merge(self, fleet: Fleet, updates: Iterable[PeerUpdate]) -> None:
+        """Replace the peers' share of each endpoint state by their latest updates."""
+        latest = {update.name: update for update in updates}
+        for name, update in self._updates.items():
+            if latest.get(name) is not update:
+                self._add(update, -1)
+        for name, update in latest.items():
+            if self._updates.get(name) is not update:
+                self._add(update, 1)
+        self._updates = latest
+        self._apply(fleet)
+
+    def _add(self, update: PeerUpdate, sign: int) -> None:
+        for report in update.endpoints:
+            self._totals[report.lifetime].add(report, sign)
+
+    def _apply(self, fleet: Fleet) -> None:
+        suspected = set(
+            itertools.chain.from_iterable(
+                update.suspected for update in self._updates.values()
+            )
+        )
+        if len(self._totals) > MAX_TOTALS_FACTOR * (1 + len(tuple(fleet))):
+            self._recount()
+        for state in fleet:
+            found = self._totals.get(state.key) or NO_REPORTS
+            state.peer_running = found.running
+            state.peer_backlog = found.backlog
+            state.peer_timing = found.timing
+            state.is_suspected_by_peers = state.key in suspected
+
+    def _recount(self) -> None:
+        """Add all reports up again, which drops the totals of ended lifetimes."""
+        self._totals.clear()
+        for update in self._updates.values():
+            self._add(update, 1)
 
 
 def detect_slow(fleet: Fleet, now: float) -> None:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -24,7 +24,7 @@
 from ..decisions.sharedbudget import share_cold_rate
 from ..decisions.suspects import avoid_suspected
 from .configuration import Service
-from .endpointreports import detect_slow, merge_reports, report_endpoints
+from .endpointreports import PeerReports, detect_slow, report_endpoints
 from .endpoints import Endpoint
 from .endpointstate import EndpointState
 from .fleet import Fleet
@@ -83,6 +83,7 @@
         "_list_sharers",
         "_loop",
         "_pace",
+        "_peer_reports",
         "_rollouts",
         "_settings",
         "_usage",
@@ -109,6 +110,7 @@
         self._has_peer_updates = False
         self._merged_at = 0.0
         self._pace = Pace()
+        self._peer_reports = PeerReports()
         self.wishes = EndpointWishes(fleet=fleet)
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
@@ -344,7 +346,7 @@
         self._has_peer_updates = False
         self._merged_at = self._loop.time()
         updates = self._list_peer_updates()
-        merge_reports(self._fleet, updates)
+        self._peer_reports.merge(self._fleet, updates)
         self.health.merge_crashes(updates)
 
     def _select(self, job: "Job", excluded: Collection[str]) -> list[EndpointState]:
