Bound what a start logs and reads by the number of gateways

Cause: each gateway logged a line for each peer that it first heard and for each endpoint: 8,162 lines with 68 gateways before the first request, which grows with their square; above 400 a second lines are dropped, also those that explain requests. And each gateway reads the whole list of gateways, page by page, every 5 s, which grows with the square as well.

Change: peers heard in one round, and endpoints that come up together, are logged in one line with their names (50 endpoints a line; a single one is described as before). With more than 32 gateways the list is read less often; a new gateway sends updates by itself, so that only the bound for one that nobody hears is longer.

--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -1,5 +1,6 @@
 """The fleet: all known endpoints and their state."""
 
+import itertools
 from collections.abc import Callable, Iterable
 
 import logbook
@@ -17,6 +18,9 @@
 # the store's return.  The time that its entry takes to arrive here is subtracted.
 LAPSE_SECONDS = 1.8
 
+# Endpoints that come up together, up to this many, are logged in one line.
+MAX_LOGGED_TOGETHER = 50
+
 
 class VersionChoice(msgspec.Struct, kw_only=True, frozen=True):
     """The versions that may get a request: `only` one, or all except `never`.
@@ -50,6 +54,7 @@
         "_states",
         "_forget",
         "_leaving",
+        "_unlogged",
         "evacuated",
         "is_loaded",
     )
@@ -66,6 +71,7 @@
         self._forget = forget
         self._states: dict[str, EndpointState] = {}
         self._leaving = LeavingEndpoints()
+        self._unlogged: list[Endpoint] = []
         self.evacuated: frozenset[str] = frozenset()
         self.is_loaded = False
 
@@ -95,6 +101,7 @@
                     # An entry in an unknown format names no usable endpoint.
                     log.warning("fleet: entry {} can't be read: {}", name, found)
                     self._note_missing(name)
+        self._log_up()
 
     def replace_evacuations(self, domains: Iterable[str]) -> None:
         """Set which failure domains are out of service."""
@@ -124,6 +131,7 @@
                 self._drop(state, "missing at a peer")
         for endpoint in endpoints:
             self._apply(endpoint)
+        self._log_up()
 
     def apply_evacuation_changes(self, changes: dict[str, object | None]) -> None:
         """Apply changes of which failure domains are out of service."""
@@ -185,6 +193,21 @@
             if state is not None:
                 self._drop(state, "started again")
             self._states[endpoint.name] = EndpointState(endpoint=endpoint, now=now)
+            self._unlogged.append(endpoint)
+            return
+        if endpoint.is_draining and not state.endpoint.is_draining:
+            log.info("fleet: {} is draining", endpoint.name)
+        state.endpoint = endpoint
+        state.missing_since = None
+        state.cold_until = now + endpoint.cold
+
+    def _log_up(self) -> None:
+        """Log the endpoints that have come up: many at once by their names only.
+
+        At a start a line for each would use up the lines that a process may write.
+        """
+        if len(self._unlogged) == 1:
+            (endpoint,) = self._unlogged
             log.info(
                 "fleet: {} of {} {} is up in {}, cold for {:.1f} s",
                 endpoint.name,
@@ -193,12 +216,11 @@
                 endpoint.domain,
                 endpoint.cold,
             )
-            return
-        if endpoint.is_draining and not state.endpoint.is_draining:
-            log.info("fleet: {} is draining", endpoint.name)
-        state.endpoint = endpoint
-        state.missing_since = None
-        state.cold_until = now + endpoint.cold
+            self._unlogged.clear()
+        names = (endpoint.name for endpoint in self._unlogged)
+        while batch := tuple(itertools.islice(names, MAX_LOGGED_TOGETHER)):
+            log.info("fleet: {} endpoints are up: {}", len(batch), ", ".join(batch))
+        self._unlogged.clear()
 
     def _note_missing(self, name: str) -> None:
         """Drop a removed endpoint, unless its lease may only have lapsed."""
--- a/eelgrassrack/gateway/peerlist.py
+++ b/eelgrassrack/gateway/peerlist.py
@@ -22,6 +22,10 @@
 # a call's price.
 POLL_SECONDS = 5.0
 
+# With more gateways than this the interval grows with their number, so that the calls
+# of all of them don't: each reads the whole list, page by page.
+FULL_RATE_GATEWAYS = 32
+
 
 class PeerStore(Protocol):
     """The calls to the store by which gateways find each other."""
@@ -46,7 +50,7 @@
     itself.
     """
 
-    __slots__ = ("_kind", "_settings", "_store", "_add_peers")
+    __slots__ = ("_add_peers", "_count", "_kind", "_settings", "_store")
 
     def __init__(
         self,
@@ -60,6 +64,7 @@
         self._store = store
         self._kind = kind
         self._add_peers = add_peers
+        self._count = 0
 
     async def run(self) -> None:
         """Register, then read the list regularly until cancelled."""
@@ -74,7 +79,7 @@
             await asyncio.sleep(START_SECONDS if is_written else 1.0)
         await self._list(allow_stale=False)
         while True:
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(find_interval(self._count))
             await self._list(allow_stale=True)
 
     async def _list(self, *, allow_stale: bool) -> None:
@@ -85,4 +90,11 @@
             log.debug("gateway: peers couldn't be listed: {}", listed)
             return
         found = listed.objects.items()
-        self._add_peers({name: peer for name, peer in found if isinstance(peer, Peer)})
+        peers = {name: peer for name, peer in found if isinstance(peer, Peer)}
+        self._count = len(peers)
+        self._add_peers(peers)
+
+
+def find_interval(gateways: int) -> float:
+    """Return the seconds between two reads of a list of so many gateways."""
+    return POLL_SECONDS * max(1.0, gateways / FULL_RATE_GATEWAYS)
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -52,6 +52,10 @@
 SHARE_SECONDS = 20.0
 
 
+# Number of new peers whose names are logged in one line.
+MAX_LOGGED_NAMES = 20
+
+
 class BacklogReport(msgspec.Struct, frozen=True, array_like=True):
     """How long an endpoint still needs to read its prompts of one urgency."""
 
@@ -189,6 +193,7 @@
         self._slowdown = 1.0
         self._far_urgent_state: tuple[object, ...] = ()
         self._listed_at: dict[str, float] = {}
+        self._unlogged: list[str] = []
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Set the IP addresses of the seed gateways."""
@@ -209,6 +214,7 @@
         """Send updates until cancelled."""
         while True:
             self.send()
+            self._log_new_peers()
             far = self._find_far()
             datagrams = (
                 len(self._peers) - len(far) + len(far) / _find_far_interval(len(far))
@@ -247,6 +253,20 @@
             self._count_crossed(len(data) * len(addresses))
         return update
 
+    def _log_new_peers(self) -> None:
+        """Log the peers heard since the last round in one line."""
+        if not self._unlogged:
+            return
+        names = ", ".join(self._unlogged[:MAX_LOGGED_NAMES])
+        more = "" if len(self._unlogged) <= MAX_LOGGED_NAMES else ", ..."
+        log.info(
+            "news: receiving updates of {} gateways: {}{}",
+            len(self._unlogged),
+            names,
+            more,
+        )
+        self._unlogged.clear()
+
     def _find_far(self) -> set[tuple[str, int]]:
         """Return the addresses of the peers known to be in other failure domains."""
         return {self._peers[name] for name in self._received if self.is_far(name)}
@@ -331,7 +351,7 @@
             if previous.update.number >= update.number:
                 return
         elif previous is None or not self._is_live(previous, now):
-            log.info("news: receiving updates of {}", update.name)
+            self._unlogged.append(update.name)
         self._received[update.name] = ReceivedUpdate(update, now)
         self._receive_update(update)
 
