--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requestlog.py
@@ -125,6 +125,7 @@
         gap_objective=route.gap,
         attempts=job.attempts,
         confidence=job.confidence,
+        prompt_tokens=job.arrival.tokens_in,
         reason=reason,
     )
 
