Begin to watch the store only once a gateway that starts knows its role

Cause: until a gateway has heard of the others it takes itself for one of the few that watch, and begins a watch of each kind; and it reads the list of gateways twice, though after a restart the first list has itself, and so all others.

Change: all kinds are listed at once as before, and endpoints are watched at once, since they change just then; the other watches begin when most listed gateways and one reader have been heard, at the latest after 1.25 s. With fewer than eight others nothing waits. The list of gateways is read a second time only by a gateway that the first one lacks.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -190,6 +190,7 @@
             fleet=self.fleet,
             rollouts=self.rollouts,
             list_peer_updates=lambda: self._update_exchange.latest,
+            knows_peers=lambda: self._update_exchange.knows_peers,
         )
         self._view_fetcher = StoreViewFetcher(
             find_url=self._find_url,
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -36,8 +36,10 @@
 # change may take two seconds to be in force.
 BATCH_SECONDS = 0.4
 
-# How often a gateway that doesn't watch checks whether it should.
+# How often a gateway that doesn't watch checks whether it should, and one that has just
+# started whether it may begin.
 INACTIVE_POLL_SECONDS = 0.25
+STARTING_POLL_SECONDS = 0.05
 
 # Exponential backoff after failures.  Jitter keeps gateways that lost the store
 # together from calling it again together.
@@ -129,13 +131,19 @@
             log.warning("store: lost: {} {}", kind, reason)
 
 
+def _always() -> bool:
+    """Return True; the default of `may_watch`."""
+    return True
+
+
 class Follower:
     """Keep the objects of one kind up to date.
 
     `replace_all` gets all objects, `apply_changes` the changed ones, with None for
     a removed object.  `find_wait` returns for how many seconds a watch waits,
     `is_active` whether this gateway watches at all, and `is_standby` whether it
-    watches only because no regular watcher reaches the store.
+    watches only because no regular watcher reaches the store.  `may_watch` returns
+    whether watches may begin; lists may at any time.
     `revision` is the store's revision to watch from, None if a list is due.
     `event_revision` is the store's revision at the last change seen.
     `on_gap` is called when this follower may have missed changes.
@@ -147,6 +155,7 @@
         "_has_changed",
         "_is_active",
         "_is_standby",
+        "_may_watch",
         "_store",
         "_apply_changes",
         "_replace_all",
@@ -169,9 +178,11 @@
         find_wait: Callable[[], float],
         is_active: Callable[[], bool],
         is_standby: Callable[[], bool],
+        may_watch: Callable[[], bool] = _always,
     ) -> None:
         self._is_active = is_active
         self._is_standby = is_standby
+        self._may_watch = may_watch
         self._find_wait = find_wait
         self._listed_for = 0
         self._has_changed = False
@@ -189,6 +200,9 @@
         """Follow until cancelled."""
         backoff = FIRST_BACKOFF_SECONDS
         while True:
+            if self.revision is not None and not self._may_watch():
+                await asyncio.sleep(STARTING_POLL_SECONDS)
+                continue
             if not self._is_active():
                 # Changes arrive through peers meanwhile.
                 self.revision = None
--- a/eelgrassrack/gateway/peerlist.py
+++ b/eelgrassrack/gateway/peerlist.py
@@ -44,13 +44,21 @@
 
     `add_peers` gets each list, by name.
 
-    The first read after registering isn't stale.  If all gateways start together, a
-    stale list contains none of them, and each would watch the store as if there were
-    only a few.  Later a stale list is enough, because a new peer sends updates by
-    itself.
+    If all gateways start together for the first time, a stale list contains none of
+    them, and each would watch the store as if there were only a few.  So a list that
+    lacks this gateway is read once more, not stale.  One that has it, as after a
+    restart, has the others too.  Later a stale list is enough, because a new peer sends
+    updates by itself.
     """
 
-    __slots__ = ("_add_peers", "_count", "_kind", "_settings", "_store")
+    __slots__ = (
+        "_add_peers",
+        "_count",
+        "_is_listed",
+        "_kind",
+        "_settings",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -65,6 +73,7 @@
         self._kind = kind
         self._add_peers = add_peers
         self._count = 0
+        self._is_listed = False
 
     async def run(self) -> None:
         """Register, then read the list regularly until cancelled."""
@@ -77,7 +86,8 @@
             )
             await self._list(allow_stale=True)
             await asyncio.sleep(START_SECONDS if is_written else 1.0)
-        await self._list(allow_stale=False)
+        if not self._is_listed:
+            await self._list(allow_stale=False)
         while True:
             await asyncio.sleep(find_interval(self._count))
             await self._list(allow_stale=True)
@@ -92,6 +102,7 @@
         found = listed.objects.items()
         peers = {name: peer for name, peer in found if isinstance(peer, Peer)}
         self._count = len(peers)
+        self._is_listed = self._settings.name in peers
         self._add_peers(peers)
 
 
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -52,6 +52,11 @@
 SHARE_SECONDS = 20.0
 
 
+# Share of the listed gateways, among more than this number, that must have been heard
+# before their roles can be told.  The list never forgets any.
+MANY_PEERS = 8
+HEARD_SHARE = 0.8
+
 # Number of new peers whose names are logged in one line.
 MAX_LOGGED_NAMES = 20
 
@@ -292,6 +297,21 @@
             if self._is_live(received, now)
         )
 
+    @property
+    def knows_peers(self) -> bool:
+        """Return whether enough is known of the other gateways to tell their roles.
+
+        Of many gateways most must have been heard, and one that reads the store: the
+        first updates of a start are sent before the store has answered.
+        """
+        if not self.is_listed:
+            return False
+        count = len(self._peers)
+        latest = self.latest
+        has_reader = any(update.knows_store for update in latest)
+        is_heard = has_reader and len(latest) >= HEARD_SHARE * count
+        return is_heard or count < MANY_PEERS
+
     @property
     def gateway_count(self) -> int:
         """Return how many gateways share the common limits, including this one."""
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -32,6 +32,10 @@
 # for with each peer update, a hundred times a second.
 ROLE_SECONDS = 0.2
 
+# How long a gateway that has just started waits at most to learn whether it is one of
+# those that watch, before it begins to watch anything but endpoints.
+STARTING_SECONDS = 1.25
+
 
 class Kinds(Protocol):
     """The store's names for the kinds of objects that a gateway reads."""
@@ -58,9 +62,12 @@
         "_list_peer_updates",
         "_role",
         "_role_until",
+        "_is_starting",
+        "_knows_peers",
         "_rollouts",
         "_router",
         "_settings",
+        "_started_at",
         "_store",
         "followers",
     )
@@ -76,6 +83,7 @@
         fleet: Fleet,
         rollouts: Rollouts,
         list_peer_updates: Callable[[], tuple[PeerUpdate, ...]],
+        knows_peers: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._store = store
@@ -85,6 +93,9 @@
         self._fleet = fleet
         self._rollouts = rollouts
         self._list_peer_updates = list_peer_updates
+        self._knows_peers = knows_peers
+        self._is_starting = True
+        self._started_at = asyncio.get_running_loop().time()
         self._endpoint_changes = ChangeLog()
         self._role = WatchRole(None, 0)
         self._role_until = float("-inf")
@@ -262,6 +273,20 @@
             },
         )
 
+    def _may_watch(self) -> bool:
+        """Return whether this gateway knows its role, or has waited long enough.
+
+        Each watch is a call to the store.  When all gateways start together, each of
+        them would begin to watch every kind before it has heard of the others.
+        """
+        if not self._is_starting:
+            return True
+        now = asyncio.get_running_loop().time()
+        if self._knows_peers() or now >= self._started_at + STARTING_SECONDS:
+            self._is_starting = False
+            self._role_until = now
+        return not self._is_starting
+
     def is_watcher(self) -> bool:
         """Return whether this gateway watches the store itself."""
         return self._find_role().rank is not None
@@ -366,6 +391,8 @@
             find_wait=lambda: self._find_wait(find_bound_ms() / MILLISECONDS),
             is_active=self.is_watcher,
             is_standby=lambda: self._find_role().is_standby,
+            # Changes of endpoints are frequent at a start, and urgent.
+            may_watch=lambda: kind == self._kinds.ENDPOINTS or self._may_watch(),
         )
         follower.on_gap = lambda: self._relist_others(follower)
         return follower
--- a/test/gateway/test_many_gateways.py
+++ b/test/gateway/test_many_gateways.py
@@ -6,12 +6,17 @@
 import msgspec
 import pytest
 
+from eelgrassrack.gateway import peerlist
 from eelgrassrack.gateway.endpoints import Endpoint
 from eelgrassrack.gateway.fleet import MAX_LOGGED_TOGETHER, Fleet
 from eelgrassrack.gateway.follower import StoreContact
-from eelgrassrack.gateway.peerlist import POLL_SECONDS, find_interval
+from eelgrassrack.gateway.peerlist import POLL_SECONDS, PeerList, find_interval
 from eelgrassrack.gateway.peerupdates import PeerUpdate, UpdateExchange
+from eelgrassrack.gateway.settings import GatewaySettings
+from eelgrassrack.gateway.storeobjects import ListResult, Peer
+from eelgrassrack.platform.store import Kinds
 
+from .spread import StorePath, World, make_rng, play
 from .world import run
 
 GATEWAYS = 300
@@ -101,3 +106,89 @@
         return gateways * gateways / find_interval(gateways)
 
     assert count_gateways_read(600) == pytest.approx(2 * count_gateways_read(300))
+
+
+class RecordedLists:
+    """A store with a list of gateways, which may be outdated, and its reads."""
+
+    def __init__(self, *, outdated):
+        self.reads = []
+        self._outdated = outdated
+
+    async def write_peer(self, *, name, address, timeout):
+        return True
+
+    async def list(self, *, kind, timeout, allow_stale=False):
+        self.reads.append("stale" if allow_stale else "fresh")
+        names = self._outdated if allow_stale else ["me", "other"]
+        peers = {name: Peer(name=name, address=("10.0.0.1", 7)) for name in names}
+        return ListResult(revision=1, newest=1, objects=peers)
+
+
+@pytest.mark.parametrize(
+    ("outdated", "reads"),
+    [([], ["stale", "fresh"]), (["me", "other"], ["stale"])],
+    ids=["first start", "restart"],
+)
+def test_a_list_is_read_twice_only_by_a_gateway_that_it_lacks(
+    monkeypatch, outdated, reads
+):
+    """Guards against calls to the store by hundreds of gateways that start again."""
+
+    async def main():
+        monkeypatch.setattr(peerlist, "START_SECONDS", 0.01)
+        store = RecordedLists(outdated=outdated)
+        settings = GatewaySettings(
+            name="me",
+            domain="north",
+            listen="10.0.0.1:1",
+            readiness="10.0.0.1:2",
+            address="10.0.0.1",
+            news_port=7,
+            metrics_port=8,
+            objects_url="",
+        )
+        peers = PeerList(
+            settings=settings,
+            store=store,
+            kind=Kinds.PEERS,
+            add_peers=lambda peers: None,
+        )
+        running = asyncio.ensure_future(peers.run())
+        await asyncio.sleep(0.1)
+        running.cancel()
+        assert store.reads == reads
+
+    run(main())
+
+
+def test_gateways_that_start_together_don_t_all_watch_every_kind(monkeypatch):
+    """Guards against a watch of each kind by each gateway after a loss of all power.
+
+    None of them has heard of the others yet, so each would take itself for one of the
+    few that watch.
+    """
+    watched = []
+    watch = StorePath.watch
+
+    async def count(self, **call):
+        watched.append(call["kind"])
+        return await watch(self, **call)
+
+    async def main():
+        monkeypatch.setattr(StorePath, "watch", count)
+        world = World(
+            rng=make_rng(4),
+            count=40,
+            domains=5,
+            links=(20e6,),
+            size=20_000,
+            monkeypatch=monkeypatch,
+        )
+        await world.start()
+        await asyncio.sleep(4.0)
+        world.stop()
+
+    play(main())
+    assert 4 <= watched.count(Kinds.CONFIGURATION) <= 20
+    assert 4 <= watched.count(Kinds.ROLLOUTS) <= 20
