Take nothing from a peer's view that is older than what was read here

Cause: a gateway that watches, and loses the store, takes the view of a peer that reads the store, though that one may be some changes behind. Its own watch then goes on from the revision that it had read, so that the changes between are never reported again; and it hands them on.

Change: a kind of which a later change is known here, read or fetched, isn't taken from a view.

Test: test_a_view_older_than_what_a_gateway_read_itself_changes_nothing failed before.

--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 import logbook
+import msgspec
 
 from ..decisions.sources import Source, rank_sources
 from ..decisions.watchers import WatchRole, find_watch_role
@@ -319,12 +320,33 @@
             return
         if self._reads_store and self._fleet.is_loaded:
             return
-        if view.knows_store or not self._fleet.is_loaded:
-            newest = map(max, self._peer_revisions, view.revisions)
-            self._peer_revisions = (
-                tuple(newest) if self._fleet.is_loaded else view.revisions
-            )
+        if not self._fleet.is_loaded:
+            self._peer_revisions = view.revisions
             self._apply_view(view)
+        elif view.knows_store:
+            known = tuple(map(max, self._peer_revisions, self.revisions))
+            newest = map(max, self._peer_revisions, view.revisions)
+            self._peer_revisions = tuple(newest)
+            self._apply_view(self._drop_older(view, known))
+
+    def _drop_older(self, view: StoreView, known: tuple[int, ...]) -> StoreView:
+        """Return a view without the kinds of which later changes are known here.
+
+        This gateway may have read them itself until it lost the store, and its next
+        watch doesn't report them again.
+        """
+        kinds = [follower.kind for follower in self.followers]
+        older = {
+            kind
+            for kind, mine, theirs in zip(kinds, known, view.revisions, strict=False)
+            if theirs < mine
+        }
+        return msgspec.structs.replace(
+            view,
+            endpoints=None if self._kinds.ENDPOINTS in older else view.endpoints,
+            evacuated=None if self._kinds.EVACUATIONS in older else view.evacuated,
+            orders=None if self._kinds.ROLLOUTS in older else view.orders,
+        )
 
     def _apply_view(self, view: StoreView) -> None:
         """Apply the kinds that the view contains; the others haven't changed."""
--- a/test/gateway/test_changelog.py
+++ b/test/gateway/test_changelog.py
@@ -130,6 +130,37 @@
     play(main())
 
 
+def test_a_view_older_than_what_a_gateway_read_itself_changes_nothing(make):
+    """Guards against an endpoint that drains, and gets work again for good.
+
+    A watcher loses the store and is given the view of a peer that is behind.  Its next
+    watch goes on from what it has read, and doesn't report the change again.
+    """
+
+    async def main():
+        world = make(seed=5, count=14)
+        await world.start()
+        await asyncio.sleep(SETTLED_SECONDS)
+        watcher, peer, *_ = world.find_watchers()
+        older = peer.gateway._store_sync.describe(KnownRevisions())
+        await world.drain_endpoint(2)
+        await asyncio.sleep(1.0)
+        assert watcher.gateway.fleet.find("p2").endpoint.is_draining
+        born_later = msgspec.structs.replace(
+            watcher.gateway.fleet.find("p2").endpoint, slots=99
+        )
+        await world.store.put(Kinds.ENDPOINTS, "p2", born_later)
+        await asyncio.sleep(1.0)
+        watcher.gateway._contact.note_lost(
+            now=asyncio.get_running_loop().time(), kind="servers", reason="cut"
+        )
+        watcher.gateway._store_sync.apply_peer_view(older, peer.name)
+        assert watcher.gateway.fleet.find("p2").endpoint.slots == 99
+        world.stop()
+
+    play(main())
+
+
 def test_a_peer_of_an_earlier_build_gets_the_whole_list(make):
     """Guards against endpoints that such a peer would drop as missing."""
 
