Weigh some dozens of very many endpoints, and touch only those that changed

Cause: each request, and each of its models, weighed every endpoint of its service, after four lists of them had been made; and the periodic tasks and each merge of peers' reports went through the state of each endpoint, used or not.

If none of them may get it, all are looked at. What may get requests is kept until an endpoint changes, and states without reports, timings or prefixes are passed over.

--- a/eelgrassrack/decisions/engines.py
+++ b/eelgrassrack/decisions/engines.py
@@ -20,7 +20,8 @@
 from collections.abc import Sequence
 
 import msgspec
-import xxhash
+
+from .candidates import rank_endpoint
 
 # Share of its slack that a request may spend on waiting for an endpoint of its own
 # failure domain.  It is small because other requests wait as well and the estimate may
@@ -109,7 +110,7 @@
         usable,
         key=lambda candidate: (
             work[candidate.name] + (0.0 if candidate.is_near else far),
-            _rank(spread, candidate.name),
+            rank_endpoint(spread, candidate.name),
         ),
     )
     own = reading.whole - (reading.shared if best.holds_parts else 0.0)
@@ -124,7 +125,9 @@
     if not affinity:
         return None
     near = [candidate for candidate in usable if candidate.is_near]
-    return max(near or usable, key=lambda candidate: _rank(affinity, candidate.name))
+    return max(
+        near or usable, key=lambda candidate: rank_endpoint(affinity, candidate.name)
+    )
 
 
 def _estimate_work(
@@ -147,8 +150,3 @@
     """Return a rough estimate of the seconds to wait for a slot if all are taken."""
     waiting = candidate.running + 1 - candidate.slots
     return waiting * PLAIN_REQUEST_SECONDS if waiting > 0 else 0.0
-
-
-def _rank(key: str, name: str) -> int:
-    """Return the rendezvous hash of an endpoint for a key."""
-    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/eelgrassrack/gateway/endpointreports.py
+++ b/eelgrassrack/gateway/endpointreports.py
@@ -25,7 +25,8 @@
 
 def report_endpoints(fleet: Fleet, now: float) -> tuple[EndpointReport, ...]:
     """Return this gateway's in-flight requests and its endpoints' slowness."""
-    reports = (_report(state, now) for state in fleet)
+    used = (state for state in fleet if state.own_running or state.timing.answers)
+    reports = (_report(state, now) for state in used)
     return tuple(report for report in reports if report.running or report.answers)
 
 
@@ -92,9 +93,11 @@
     its processing.
     """
 
-    __slots__ = ("_totals", "_updates")
+    __slots__ = ("_changed", "_suspected", "_totals", "_updates")
 
     def __init__(self) -> None:
+        self._changed: set[int] = set()
+        self._suspected: set[int] = set()
         self._updates: dict[str, PeerUpdate] = {}
         self._totals: dict[int, PeerTotals] = collections.defaultdict(PeerTotals)
 
@@ -113,38 +116,55 @@
     def _add(self, update: PeerUpdate, sign: int) -> None:
         for report in update.endpoints:
             self._totals[report.lifetime].add(report, sign)
+            self._changed.add(report.lifetime)
 
     def _apply(self, fleet: Fleet) -> None:
-        suspected = set(
+        """Apply what has changed to the endpoints' states, and all to new ones."""
+        before = self._suspected
+        self._suspected = set(
             itertools.chain.from_iterable(
                 update.suspected for update in self._updates.values()
             )
         )
-        if len(self._totals) > MAX_TOTALS_FACTOR * (1 + len(tuple(fleet))):
+        changed = self._changed | (before ^ self._suspected)
+        self._changed = set()
+        states = tuple(fleet)
+        for state in states:
+            if state.key in changed or not state.has_reports:
+                self._apply_to(state)
+        if len(self._totals) > MAX_TOTALS_FACTOR * (1 + len(states)):
             self._recount()
-        for state in fleet:
-            found = self._totals.get(state.key) or NO_REPORTS
-            state.peer_running = found.running
-            state.peer_backlog = found.backlog
-            state.peer_timing = found.timing
-            state.is_suspected_by_peers = state.key in suspected
+
+    def _apply_to(self, state: EndpointState) -> None:
+        found = self._totals.get(state.key) or NO_REPORTS
+        state.has_reports = True
+        state.peer_running = found.running
+        state.peer_backlog = found.backlog
+        state.peer_timing = found.timing
+        state.is_suspected_by_peers = state.key in self._suspected
 
     def _recount(self) -> None:
         """Add all reports up again, which drops the totals of ended lifetimes."""
         self._totals.clear()
         for update in self._updates.values():
             self._add(update, 1)
+        # Their sums haven't changed.
+        self._changed.clear()
 
 
 def detect_slow(fleet: Fleet, now: float) -> None:
     """Set the slowness of endpoints that take far longer than others of a service."""
     by_service: dict[str, dict[str, Timing]] = collections.defaultdict(dict)
     for state in fleet:
+        if not (state.timing.answers or state.peer_timing.answers):
+            continue
         timing = state.find_timing(now) + state.peer_timing
         by_service[state.endpoint.service][state.endpoint.name] = timing
     slow = collections.ChainMap(*map(find_slow, by_service.values()))
     for state in fleet:
-        _set_slowness(state, slow.get(state.endpoint.name, 1.0))
+        factor = slow.get(state.endpoint.name, 1.0)
+        if factor != state.slowness:
+            _set_slowness(state, factor)
 
 
 def _set_slowness(state: EndpointState, factor: float) -> None:
--- a/eelgrassrack/gateway/endpointstate.py
+++ b/eelgrassrack/gateway/endpointstate.py
@@ -24,6 +24,7 @@
     the time of their last use.  `failure_rate` is the moving average of failures,
     from 0 to 1.  `cold_sends` holds the times of the last second's requests to a cold
     endpoint, and `cold_share` is their limit, valid until `cold_share_until`.
+    `has_reports` says that the peers' reports have been applied to this state.
     `timing` holds the response times that this gateway saw until `timed_at`.
     `slowness` is the ratio of the endpoint's response times to those of others, as
     seen by all gateways.  Times are the event loop's.
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "failure_rate",
+        "has_reports",
         "cold_sends",
         "cold_share",
         "cold_share_until",
@@ -70,6 +72,7 @@
         self.avoided_until = float("-inf")
         self.suspected_until = float("-inf")
         self.is_suspected_by_peers = False
+        self.has_reports = False
         self.timing = Timing()
         self.timed_at = now
         self.peer_timing = Timing()
@@ -106,6 +109,8 @@
 
     def evict_prefixes(self, *, before: float) -> None:
         """Forget prefixes that were last used before a time."""
+        if not self.cached_prefixes:
+            return
         self.cached_prefixes = {
             name: at for name, at in self.cached_prefixes.items() if at >= before
         }
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/fleet.py
@@ -54,6 +54,7 @@
         "_states",
         "_forget",
         "_leaving",
+        "_selected",
         "_unlogged",
         "evacuated",
         "is_loaded",
@@ -71,6 +72,8 @@
         self._forget = forget
         self._states: dict[str, EndpointState] = {}
         self._leaving = LeavingEndpoints()
+        # What was selected since the last change of an endpoint.
+        self._selected: dict[tuple[str, VersionChoice], list[EndpointState]] = {}
         self._unlogged: list[Endpoint] = []
         self.evacuated: frozenset[str] = frozenset()
         self.is_loaded = False
@@ -109,6 +112,7 @@
         if domains != self.evacuated:
             log.notice("fleet: domains taken out: {}", ", ".join(sorted(domains)))
         self.evacuated = domains
+        self._selected.clear()
 
     def replace_from_peer(self, endpoints: Iterable[Endpoint]) -> None:
         """Replace all endpoints by the list of a peer that reaches the store.
@@ -158,7 +162,16 @@
     def select(
         self, *, service: str, versions: VersionChoice = ANY_VERSION
     ) -> list[EndpointState]:
-        """Return the endpoints that may get a request now."""
+        """Return the endpoints that may get a request now.
+
+        The same list is returned until an endpoint changes; don't modify it.
+        """
+        found = self._selected.get((service, versions))
+        if found is None:
+            found = self._selected[service, versions] = self._find(service, versions)
+        return found
+
+    def _find(self, service: str, versions: VersionChoice) -> list[EndpointState]:
         usable = [
             state
             for state in self._states.values()
@@ -177,12 +190,14 @@
         state = self.find_state(endpoint)
         if state is not None:
             state.endpoint = msgspec.structs.replace(state.endpoint, is_draining=True)
+            self._selected.clear()
 
     def _apply(self, endpoint: Endpoint) -> None:
         now = self._clock()
         state = self._states.get(endpoint.name)
         if state is not None and state.endpoint.born > endpoint.born:
             return
+        self._selected.clear()
         if endpoint.is_draining:
             self._leaving.note(endpoint.lifetime)
         elif endpoint.lifetime in self._leaving:
@@ -243,4 +258,5 @@
     def _drop(self, state: EndpointState, reason: str) -> None:
         log.info("fleet: {} is gone: {}", state.endpoint.name, reason)
         del self._states[state.endpoint.name]
+        self._selected.clear()
         self._forget(state.endpoint.lifetime)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -6,11 +6,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import TYPE_CHECKING
 
 import logbook
 
+from ..decisions.candidates import draw_candidates, find_home
 from ..decisions.engines import (
     EngineCandidate,
     EngineChoice,
@@ -65,6 +66,45 @@
 QUERY_OF_DEATH = Refusal(status=502, reason="crashes the endpoints that run it")
 
 
+class DomainSplit:
+    """Endpoints of this gateway's failure domain and of others.
+
+    `states` is the list that was split.
+    """
+
+    __slots__ = ("_homes", "far", "near", "states")
+
+    def __init__(
+        self,
+        *,
+        states: list[EndpointState],
+        near: list[EndpointState],
+        far: list[EndpointState],
+    ) -> None:
+        self.states = states
+        self.near = near
+        self.far = far
+        self._homes: dict[str, EndpointState] = {}
+
+    @classmethod
+    def make(
+        cls, states: list[EndpointState], *, is_near: Callable[[Endpoint], bool]
+    ) -> "DomainSplit":
+        """Split a list of endpoints."""
+        near = [state for state in states if is_near(state.endpoint)]
+        far = [state for state in states if not is_near(state.endpoint)]
+        return cls(states=states, near=near, far=far)
+
+    def find_home(self, affinity: str) -> EndpointState:
+        """Return the endpoint that is to cache a prefix, preferably a near one."""
+        home = self._homes.get(affinity)
+        if home is None:
+            by_name = {one.endpoint.name: one for one in self.near or self.far}
+            home = by_name[find_home(tuple(by_name), affinity)]
+            self._homes[affinity] = home
+        return home
+
+
 class Placer:
     """Choose endpoints and track the requests that run on them.
 
@@ -86,6 +126,7 @@
         "_peer_reports",
         "_rollouts",
         "_settings",
+        "_split",
         "_usage",
         "health",
         "heavy",
@@ -108,6 +149,7 @@
         self._list_sharers = list_sharers
         self._list_peer_updates = list_peer_updates
         self._has_peer_updates = False
+        self._split: DomainSplit | None = None
         self._merged_at = 0.0
         self._pace = Pace()
         self._peer_reports = PeerReports()
@@ -209,7 +251,7 @@
         The endpoint may have been taken out while a connection to it was opened.
         """
         state = self._fleet.find_state(endpoint)
-        return state in self._select(job, excluded=frozenset())
+        return state in self._list_all(job) and not self.wishes.is_resting(endpoint)
 
     def note_sent(self, job: "Job", endpoint: Endpoint) -> None:
         """Count a request against a cold endpoint's rate from now on.
@@ -281,7 +323,9 @@
     def estimate(self, job: "Job", model: str) -> Estimate:
         """Return the time until a model's first token; infinite without endpoints."""
         self._merge_peer_updates()
-        states = self._select(job, excluded=job.excluded.difference(job.tried[-1:]))
+        states = self._select(
+            job, model, excluded=job.excluded.difference(job.tried[-1:])
+        )
         if not states:
             return Estimate(float("inf"), float("inf"), float("inf"))
         choice = self._choose_engine(job, model, states)
@@ -349,29 +393,61 @@
         self._peer_reports.merge(self._fleet, updates)
         self.health.merge_crashes(updates)
 
-    def _select(self, job: "Job", excluded: Collection[str]) -> list[EndpointState]:
-        """Return the endpoints that may get a request now."""
+    def _select(
+        self, job: "Job", model: str, excluded: Collection[str]
+    ) -> list[EndpointState]:
+        """Return the endpoints to weigh, of those that may get a request now."""
+        drawn = self._draw(job, model)
+        found = self._list_ready(drawn, excluded)
+        if found or len(drawn) == len(self._list_all(job)):
+            return found
+        return self._list_ready(self._list_all(job), excluded)
+
+    def _list_ready(
+        self, states: Iterable[EndpointState], excluded: Collection[str]
+    ) -> list[EndpointState]:
         return [
             state
-            for state in self._list_permitted(job, excluded)
-            if not self.wishes.is_resting(state.endpoint)
+            for state in states
+            if state.endpoint.name not in excluded
+            and not self.wishes.is_resting(state.endpoint)
         ]
 
+    def _draw(self, job: "Job", model: str) -> list[EndpointState]:
+        """Return the endpoints to weigh, with the home of the prompt's prefix."""
+        states = self._list_all(job)
+        if self._split is None or self._split.states is not states:
+            self._split = DomainSplit.make(states, is_near=self.is_near)
+        split = self._split
+        drawn = draw_candidates(near=split.near, far=split.far, request=job.arrival.id)
+        affinity = find_affinity(job, model)
+        if not affinity or len(drawn) == len(states):
+            return drawn
+        home = split.find_home(affinity)
+        return drawn if home in drawn else [*drawn, home]
+
     def _list_permitted(
         self, job: "Job", excluded: Collection[str]
     ) -> list[EndpointState]:
         """Return the endpoints that may get a request, also those that rest."""
+        return [
+            state
+            for state in self._list_all(job)
+            if state.endpoint.name not in excluded
+        ]
+
+    def _list_all(self, job: "Job") -> list[EndpointState]:
+        """Return the endpoints of a request's service and versions."""
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
             session=job.arrival.session,
             request=job.arrival.id,
         )
-        states = self._fleet.select(service=job.permit.service.name, versions=versions)
-        return [state for state in states if state.endpoint.name not in excluded]
+        return self._fleet.select(service=job.permit.service.name, versions=versions)
 
     def _select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
         return avoid_suspected(
-            self._select(job, excluded=job.excluded),
+            self._select(job, job.model, excluded=job.excluded),
             is_suspected=lambda state: state.is_suspected(now),
             is_repeatable=job.is_repeatable,
         )
--- a/test/gateway/test_many_gateways.py
+++ b/test/gateway/test_many_gateways.py
@@ -108,6 +108,40 @@
     assert count_gateways_read(600) == pytest.approx(2 * count_gateways_read(300))
 
 
+def test_what_may_get_requests_is_found_once_for_many_requests():
+    """Guards against time of each request that grows with the endpoints listed."""
+    fleet = make_fleet()
+    fleet.replace_from_peer(map(make_endpoint, range(ENDPOINTS)))
+    found = fleet.select(service="plain")
+    assert len(found) == ENDPOINTS
+    assert fleet.select(service="plain") is found
+
+
+def drain(fleet):
+    endpoint = msgspec.structs.replace(make_endpoint(1), is_draining=True)
+    fleet.apply_changes({endpoint.name: endpoint})
+
+
+@pytest.mark.parametrize(
+    ("change", "left"),
+    [
+        (drain, 2),
+        (lambda fleet: fleet.apply_changes({make_endpoint(1).name: None}), 2),
+        (lambda fleet: fleet.note_leaving(make_endpoint(1)), 2),
+        (lambda fleet: fleet.replace_evacuations(["north"]), 0),
+        (lambda fleet: fleet.replace_from_peer(map(make_endpoint, range(4))), 4),
+    ],
+    ids=["drains", "removed", "says that it leaves", "evacuated", "added"],
+)
+def test_a_change_of_an_endpoint_is_seen_by_the_next_request(change, left):
+    """Guards against requests to an endpoint that has left, from what was kept."""
+    fleet = make_fleet()
+    fleet.replace_from_peer(map(make_endpoint, range(3)))
+    assert len(fleet.select(service="plain")) == 3
+    change(fleet)
+    assert len(fleet.select(service="plain")) == left
+
+
 class RecordedLists:
     """A store with a list of gateways, which may be outdated, and its reads."""
 
