Tell neighbours how fast models read prompts

Change: gateways of one domain tell each other the pace that they have seen, and each takes the weighted median, so that delayed answers at one of them don't count. Other domains aren't told: bytes between them cost money.

--- a/eelgrassrack/decisions/pace.py
+++ b/eelgrassrack/decisions/pace.py
@@ -13,9 +13,17 @@
 model first.  The first answers that come sooner than estimated therefore have more
 weight.  Answers that come later always have the small weight: something else may have
 delayed them, whereas no endpoint answers before it has read the prompt.
+
+An entry sees few answers of the best model, one in hundreds of requests.  Entries
+therefore tell their neighbours what they have seen, and each takes the median, so that
+a few delayed answers at one of them don't count.
 """
 
+import itertools
+from collections.abc import Iterable
+
 import msgspec
+import xxhash
 
 # Initial guess of the seconds that the cheapest model takes to read a token.
 INITIAL_SECONDS_PER_TOKEN = 1 / 120_000
@@ -42,6 +50,23 @@
 # requests.
 INITIAL_STREAM_SECONDS_PER_TOKEN = 0.005
 
+# Reports hold whole nanoseconds, which are encoded shorter than fractions.
+NANOSECONDS = 1e9
+
+# Number of answers beyond which a report has no more weight.
+MAX_REPORT_WEIGHT = 12
+
+
+class PaceReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one entry has seen of a model's pace, in nanoseconds a prompt token.
+
+    `model` is a short hash of its name.
+    """
+
+    model: int
+    nanoseconds: int
+    answers: int
+
 
 class Learned(msgspec.Struct, frozen=True):
     """Estimated seconds per token, and the number of answers behind the estimate."""
@@ -62,10 +87,12 @@
 class Pace:
     """The models' estimated seconds to read a prompt and to generate an answer."""
 
-    __slots__ = ("_paces", "_streams")
+    __slots__ = ("_paces", "_peers", "_seen", "_streams")
 
     def __init__(self) -> None:
         self._paces: dict[str, Learned] = {}
+        self._seen: dict[str, Learned] = {}
+        self._peers: dict[int, list[PaceReport]] = {}
         self._streams: dict[str, float] = {}
 
     def note(self, *, model: str, cost: float, tokens: int, seconds: float) -> None:
@@ -78,13 +105,41 @@
             return
         estimate = self._find(model, cost)
         seen = max(seconds - BASE_SECONDS, 0.0) / tokens
-        self._paces[model] = estimate.note(
-            min(seen, estimate.seconds * MAX_SLOWER_FACTOR)
+        seen = min(seen, estimate.seconds * MAX_SLOWER_FACTOR)
+        self._paces[model] = estimate.note(seen)
+        before = self._seen.get(model, Learned(seen))
+        weight = max(ANSWER_WEIGHT, 1 / (before.answers + 1))
+        self._seen[model] = Learned(
+            before.seconds + (seen - before.seconds) * weight, before.answers + 1
         )
 
     def estimate(self, *, model: str, cost: float, tokens: int) -> float:
         """Return the seconds that an engine takes to read a prompt of `tokens`."""
-        return self._find(model, cost).seconds * tokens
+        own = self._find(model, cost)
+        reports = self._peers.get(_hash_name(model), ())
+        if not reports:
+            return own.seconds * tokens
+        # The guess in the own estimate counts as one answer.
+        found = [(own.seconds, min(own.answers, MAX_REPORT_WEIGHT) + 1)]
+        found += [
+            (report.nanoseconds / NANOSECONDS, min(report.answers, MAX_REPORT_WEIGHT))
+            for report in reports
+        ]
+        return _find_median(found) * tokens
+
+    def report(self) -> tuple[PaceReport, ...]:
+        """Return what this entry has seen itself, for peers."""
+        return tuple(
+            PaceReport(_hash_name(model), int(seen.seconds * NANOSECONDS), seen.answers)
+            for model, seen in self._seen.items()
+        )
+
+    def replace_reports(self, reports: Iterable[PaceReport]) -> None:
+        """Replace what peers have seen by their latest reports."""
+        self._peers = {}
+        for report in reports:
+            if report.answers > 0:
+                self._peers.setdefault(report.model, []).append(report)
 
     def note_stream(self, *, model: str, tokens: int, seconds: float) -> None:
         """Learn from a complete stream: `tokens` took `seconds` after the first."""
@@ -100,3 +155,19 @@
     def _find(self, model: str, cost: float) -> Learned:
         guess = Learned(INITIAL_SECONDS_PER_TOKEN * max(cost * COST_FACTOR, 1.0))
         return self._paces.get(model, guess)
+
+
+def _hash_name(model: str) -> int:
+    return xxhash.xxh32_intdigest(model.encode())
+
+
+def _find_median(weighted: Iterable[tuple[float, int]]) -> float:
+    """Return the value at which half of the weights of (value, weight) are reached."""
+    ordered = sorted(weighted)
+    reached = itertools.accumulate(weight for _, weight in ordered)
+    half = sum(weight for _, weight in ordered) / 2
+    return next(
+        value
+        for (value, _), weight in zip(ordered, reached, strict=True)
+        if weight >= half
+    )
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -425,6 +425,7 @@
             domain=self._settings.domain,
             is_ready=self.is_ready,
             link_mbps=self._settings.link_mbps,
+            paces=self._placer.report_paces(audience),
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ..decisions.fairshare import UsageReport
+from ..decisions.pace import PaceReport
 from ..decisions.precedence import Sharer
 from ..decisions.queryofdeath import Crash
 from ..decisions.stopping import Readiness
@@ -114,7 +115,8 @@
     that lost an answer lately, and `usage` is how much engine time the prompts of
     each organisation took.  `is_ready` says whether the balancer may send callers to
     the gateway; a gateway that doesn't send the field is ready.  `link_mbps` is its
-    link in Mbit/s, 0 if unknown.
+    link in Mbit/s, 0 if unknown.  `paces` is what it has seen of the models' paces, for
+    peers of its own domain only.
     """
 
     name: str
@@ -133,6 +135,7 @@
     domain: str = ""
     is_ready: bool = True
     link_mbps: float = 0.0
+    paces: tuple[PaceReport, ...] = ()
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable, Collection, Iterable
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,7 @@
 )
 from ..decisions.fairshare import Usage, UsageReport
 from ..decisions.modelchoice import Estimate
-from ..decisions.pace import BASE_SECONDS, Pace
+from ..decisions.pace import BASE_SECONDS, Pace, PaceReport
 from ..decisions.precedence import Sharer, count_before
 from ..decisions.rest import may_wait
 from ..decisions.sharedbudget import share_cold_rate
@@ -32,7 +33,7 @@
 from .job import Placement
 from .messages import Refusal
 from .passivehealth import PassiveHealthCheck
-from .peerupdates import EndpointReport, PeerUpdate
+from .peerupdates import Audience, EndpointReport, PeerUpdate
 from .prompts import (
     estimate_answer_tokens,
     estimate_reading,
@@ -353,15 +354,28 @@
         """Return the load and response times of endpoints, for peers."""
         return report_endpoints(self._fleet, self._loop.time())
 
+    def report_paces(self, audience: Audience) -> tuple[PaceReport, ...]:
+        """Return the models' paces that this gateway has seen.
+
+        Bytes between domains cost money, and a domain has enough gateways to learn
+        from.
+        """
+        return self._pace.report() if audience is Audience.NEAR else ()
+
     def detect_outliers(self) -> None:
-        """Update which endpoints are slow and which organisations are deprioritised."""
+        """Take in what peers know of endpoints, models and organisations.
+
+        Updates which endpoints are slow and which organisations are deprioritised.
+        """
         self._merge_peer_updates()
         now = self._loop.time()
         detect_slow(self._fleet, now)
         self._usage.fade(now)
-        heavy = self._usage.find_heavy(
-            update.usage for update in self._list_peer_updates()
+        updates = self._list_peer_updates()
+        self._pace.replace_reports(
+            itertools.chain.from_iterable(update.paces for update in updates)
         )
+        heavy = self._usage.find_heavy(update.usage for update in updates)
         if heavy != self.heavy:
             names = ", ".join(sorted(heavy)) or "none"
             log.info("placing: organisations that give way: {}", names)
--- a/test/decisions/test_pace.py
+++ b/test/decisions/test_pace.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrassrack.decisions.pace import Pace
+from eelgrassrack.decisions.pace import Pace, PaceReport
 
 # Seconds that an engine takes before the first token, and per token read by a model.
 BASE = 0.048
@@ -65,3 +65,65 @@
     assert guess > 3 * TRUE_PACES["large"] * 20_000
     teach(pace, "large", count=4)
     assert estimate(pace, "large", 20_000) < 2 * TRUE_PACES["large"] * 20_000
+
+
+def teach_peers(count, *, answers, queue=0.0):
+    """Return the reports of entries that have each seen a few answers."""
+    reports = []
+    for number in range(count):
+        pace = Pace()
+        teach(pace, "large", count=answers, seed=number, queue=queue)
+        reports += pace.report()
+    return reports
+
+
+def test_an_entry_knows_a_model_that_only_its_neighbours_have_used():
+    """Answers to the pattern of a restart under load, with long prompts.
+
+    The best model answers one request in hundreds.  With a guess three times too slow
+    long prompts seem to leave no time for it, and their callers get the cheapest
+    model's answer, or the best one's late.
+    """
+    pace = Pace()
+    pace.replace_reports(teach_peers(5, answers=2))
+    truth = TRUE_PACES["large"] * 20_000
+    assert estimate(pace, "large", 20_000) == pytest.approx(truth, rel=0.4)
+
+
+def test_neighbours_that_start_together_learn_from_one_answer_each():
+    """All gateways lost power, so none has learned anything before."""
+    pace = Pace()
+    pace.replace_reports(teach_peers(12, answers=1))
+    truth = TRUE_PACES["large"] * 20_000
+    assert estimate(pace, "large", 20_000) == pytest.approx(truth, rel=0.4)
+
+
+def test_delayed_answers_of_a_neighbour_don_t_slow_the_estimate():
+    """Guards against a pace that one entry's long queue makes three times too slow."""
+    pace = Pace()
+    reports = teach_peers(11, answers=12)
+    pace.replace_reports(reports)
+    before = estimate(pace, "large", 20_000)
+    delayed = PaceReport(reports[0].model, 200_000, 12)
+    pace.replace_reports([*reports, delayed])
+    assert estimate(pace, "large", 20_000) == pytest.approx(before, rel=0.1)
+
+
+def test_an_entry_s_own_answers_count_beside_one_neighbour_s():
+    """The neighbour has seen one answer, which something delayed."""
+    pace = Pace()
+    teach(pace, "large", count=12)
+    before = estimate(pace, "large", 20_000)
+    report = PaceReport(pace.report()[0].model, 90_000, 1)
+    pace.replace_reports([report])
+    assert estimate(pace, "large", 20_000) == before
+
+
+def test_reports_replace_each_other():
+    pace = Pace()
+    guess = estimate(pace, "large", 20_000)
+    pace.replace_reports(teach_peers(5, answers=3))
+    assert estimate(pace, "large", 20_000) < guess
+    pace.replace_reports([])
+    assert estimate(pace, "large", 20_000) == guess
+    assert pace.report() == ()
