Make peers fetch all endpoints after a list, and list no more often than needed

Cause: after a list, the log of changes held the difference between the states before and after it. An endpoint that changed and changed back, or lapsed and came back, isn't in that difference, but a peer may have learned of the state between from another gateway that watches.

Change: the log begins anew with each list, so that a peer that knows less than the list fetches all endpoints. Lists were frequent, because a peer's update of a newer revision made a watcher list also while its own next watch was about to begin, which brings the change; now only a watch that is pending is given up for it.

--- a/eelgrassrack/gateway/changelog.py
+++ b/eelgrassrack/gateway/changelog.py
@@ -15,8 +15,9 @@
 class ChangeLog:
     """The names of changed objects, by the store's revision of their change.
 
-    It is complete from the revision of the first list on.  Clear it when the objects
-    change in any other way than by reading the store.
+    It is complete from the revision of the last list on: a list doesn't show what came
+    and went before it, which peers may have learned from others.  Clear it when the
+    objects change in any other way than by reading the store.
     """
 
     __slots__ = ("_changes", "_complete_since")
@@ -26,10 +27,15 @@
         self._complete_since: int | None = None
 
     def clear(self) -> None:
-        """Forget all changes, and wait for a list."""
+        """Forget all changes; the log is complete from the next one on."""
         self._changes.clear()
         self._complete_since = None
 
+    def restart(self, revision: int) -> None:
+        """Forget all changes; the log is complete from a list's revision on."""
+        self._changes.clear()
+        self._complete_since = revision
+
     def note(self, names: Iterable[str], *, revision: int) -> None:
         """Note that objects changed, at this revision at the latest."""
         if self._complete_since is None:
--- a/eelgrassrack/gateway/follower.py
+++ b/eelgrassrack/gateway/follower.py
@@ -281,9 +281,10 @@
 
         Each revision causes one list only: if that brings nothing new, further
         updates with the same revision would only cause more calls.  While an answer
-        is arriving it probably brings the change.
+        is arriving it probably brings the change, and so does a watch that is about
+        to begin.
         """
-        if self._store.is_receiving(self.kind):
+        if self._watching is None or self._store.is_receiving(self.kind):
             return
         if self.revision is None or revision <= max(self.revision, self._listed_for):
             return
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -426,14 +426,10 @@
                 follower.relist()
 
     def _replace_endpoints(self, objects: dict[str, object]) -> None:
-        """Replace all endpoints by the store's list, and note what that changes."""
-        before = set(self._list_endpoints())
         self._fleet.replace_all(objects)
-        changed = before.symmetric_difference(self._list_endpoints())
         follower = self._endpoint_follower
-        # A list doesn't tell when an object was removed, only that it was by now.
         revision = max(follower.revision or 0, follower.event_revision)
-        self._endpoint_changes.note({one.name for one in changed}, revision=revision)
+        self._endpoint_changes.restart(revision)
 
     def _apply_endpoint_changes(self, objects: dict[str, object | None]) -> None:
         self._fleet.apply_changes(objects)
--- a/test/gateway/test_changelog.py
+++ b/test/gateway/test_changelog.py
@@ -201,7 +201,21 @@
     assert len(log.list_since(6)) == MAX_CHANGES
 
 
-def test_a_cleared_log_waits_for_a_list():
+def test_a_list_hides_what_came_and_went_before_it():
+    """Guards against an endpoint that lapsed, came back, and is missing elsewhere.
+
+    A peer learned of the lapse from another gateway.  The one that lists has seen
+    the endpoint before and after, and nothing in between.
+    """
+    log = ChangeLog()
+    log.restart(10)
+    log.note({"a"}, revision=11)
+    log.restart(14)
+    assert log.list_since(12) is None
+    assert log.list_since(14) == set()
+
+
+def test_a_cleared_log_is_complete_from_the_next_change_on():
     log = ChangeLog()
     log.note((), revision=1)
     log.note({"a"}, revision=2)
