--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -411,11 +411,12 @@
         self, job: "Job", model: str, excluded: Collection[str]
     ) -> list[EndpointState]:
         """Return the endpoints to weigh, of those that may get a request now."""
-        drawn = self._draw(job, model)
+        states = self._list_all(job)
+        drawn = self._draw(job, model, states)
         found = self._list_ready(drawn, excluded)
-        if found or len(drawn) == len(self._list_all(job)):
+        if found or len(drawn) == len(states):
             return found
-        return self._list_ready(self._list_all(job), excluded)
+        return self._list_ready(states, excluded)
 
     def _list_ready(
         self, states: Iterable[EndpointState], excluded: Collection[str]
@@ -427,9 +428,10 @@
             and not self.wishes.is_resting(state.endpoint)
         ]
 
-    def _draw(self, job: "Job", model: str) -> list[EndpointState]:
+    def _draw(
+        self, job: "Job", model: str, states: list[EndpointState]
+    ) -> list[EndpointState]:
         """Return the endpoints to weigh, with the home of the prompt's prefix."""
-        states = self._list_all(job)
         if self._split is None or self._split.states is not states:
             self._split = DomainSplit.make(states, is_near=self.is_near)
         split = self._split
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/storesync.py
@@ -115,11 +115,10 @@
     def describe(self, known: KnownRevisions) -> StoreView:
         """Return the part of the store view that the asking peer lacks."""
         revisions = self.revisions
-        kinds = [follower.kind for follower in self.followers]
-        theirs = dict(zip(kinds, known.revisions, strict=False))
+        theirs = dict(zip(self._followed, known.revisions, strict=False))
         fresh = {
             kind
-            for kind, mine in zip(kinds, revisions, strict=True)
+            for kind, mine in zip(self._followed, revisions, strict=True)
             if kind not in theirs or mine > theirs[kind]
         }
         kinds = self._kinds
@@ -201,6 +200,11 @@
         has_read = all(follower.event_revision for follower in self.followers)
         return has_read and self._reads_store
 
+    @property
+    def _followed(self) -> tuple[str, ...]:
+        """Return the followed kinds, in the order of all revisions."""
+        return tuple(follower.kind for follower in self.followers)
+
     @property
     def revisions(self) -> tuple[int, ...]:
         """Return the revision of the last change of each kind, in their order."""
@@ -335,12 +339,8 @@
         This gateway may have read them itself until it lost the store, and its next
         watch doesn't report them again.
         """
-        kinds = [follower.kind for follower in self.followers]
-        older = {
-            kind
-            for kind, mine, theirs in zip(kinds, known, view.revisions, strict=False)
-            if theirs < mine
-        }
+        revisions = zip(self._followed, known, view.revisions, strict=False)
+        older = {kind for kind, mine, theirs in revisions if theirs < mine}
         return msgspec.structs.replace(
             view,
             endpoints=None if self._kinds.ENDPOINTS in older else view.endpoints,
--- a/test/gateway/test_watch_role.py
+++ b/test/gateway/test_watch_role.py
@@ -14,6 +14,18 @@
 SECONDS = 10.0
 
 
+def make(monkeypatch, *, seed, count):
+    """Return a world of gateways with equal links."""
+    return World(
+        rng=make_rng(seed),
+        count=count,
+        domains=3,
+        links=(20e6,),
+        size=20_000,
+        monkeypatch=monkeypatch,
+    )
+
+
 def test_updates_of_peers_don_t_each_rank_all_gateways(monkeypatch):
     """Guards against processor time that grows with the square of the gateways.
 
@@ -21,14 +33,7 @@
     """
 
     async def main():
-        world = World(
-            rng=make_rng(1),
-            count=GATEWAYS,
-            domains=3,
-            links=(20e6,),
-            size=20_000,
-            monkeypatch=monkeypatch,
-        )
+        world = make(monkeypatch, seed=1, count=GATEWAYS)
         await world.start()
         await asyncio.sleep(SECONDS)
         ranked = []
@@ -53,14 +58,7 @@
     """Guards against a change that waits for the next poll."""
 
     async def main():
-        world = World(
-            rng=make_rng(2),
-            count=12,
-            domains=3,
-            links=(20e6,),
-            size=20_000,
-            monkeypatch=monkeypatch,
-        )
+        world = make(monkeypatch, seed=2, count=12)
         await world.start()
         await asyncio.sleep(SECONDS)
         watchers = world.find_watchers()
