--- a/eelgrassrack/decisions/queryofdeath.py
+++ b/eelgrassrack/decisions/queryofdeath.py
@@ -62,15 +62,21 @@
         self._forget(now)
         self._losses.append((now, crash))
 
-    def note_down(self, *, endpoint: str, born: int, now: float) -> None:
-        """Note that a lifetime of an endpoint was found down."""
+    def note_down(self, *, endpoint: str, born: int, now: float) -> tuple[str, ...]:
+        """Note that a lifetime of an endpoint was found down.
+
+        Return the fingerprints of the requests that are newly suspected for it.
+        """
         self._forget(now)
+        suspected = []
         for _, crash in self._losses:
             if crash.endpoint != endpoint or crash.born != born:
                 continue
             if crash not in self._crashes:
                 self._found.append((now, crash))
+                suspected.append(crash.fingerprint)
             self._crashes[crash] = now
+        return tuple(suspected)
 
     def merge(self, *, crashes: tuple[Crash, ...], now: float) -> None:
         """Add the crashes that another entry has found."""
--- a/eelgrassrack/gateway/passivehealth.py
+++ b/eelgrassrack/gateway/passivehealth.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+import logbook
+
 from ..decisions.queryofdeath import Crash, QueryOfDeathDetector
 from ..decisions.suspects import SUSPICION_SECONDS
 from .endpoints import Endpoint
@@ -19,6 +21,8 @@
 if TYPE_CHECKING:
     from .job import Job, NotRun
 
+log = logbook.Logger("health")
+
 # How long an endpoint is avoided after a single failure, and if it fails often.  The
 # latter is about as long as it takes to find out whether it has recovered.
 SHORT_AVOIDANCE_SECONDS = 0.3
@@ -27,6 +31,9 @@
 # Share of failures among the latest answers from which an endpoint fails often.
 HIGH_FAILURE_RATE = 0.3
 
+# Number of suspected requests that the log line of a crash names.
+MAX_LOGGED_REQUESTS = 20
+
 
 class PassiveHealthCheck:
     """Learns from attempts which endpoints to avoid and which requests crash them."""
@@ -73,8 +80,7 @@
 
     def note_down(self, endpoint: Endpoint) -> None:
         """Note that an endpoint accepts no connections, other endpoints do."""
-        now = self._loop.time()
-        self._detector.note_down(endpoint=endpoint.name, born=endpoint.born, now=now)
+        self._note_crash(endpoint.lifetime)
         state = self._fleet.find_state(endpoint)
         if state is not None:
             state.note_end(failed=True)
@@ -108,8 +114,19 @@
 
     def note_lifetime_ended(self, lifetime: tuple[str, int]) -> None:
         """Note that an endpoint's entry is gone, or that it has restarted."""
+        self._note_crash(lifetime)
+
+    def _note_crash(self, lifetime: tuple[str, int]) -> None:
         name, born = lifetime
-        self._detector.note_down(endpoint=name, born=born, now=self._loop.time())
+        now = self._loop.time()
+        suspected = self._detector.note_down(endpoint=name, born=born, now=now)
+        if suspected:
+            log.info(
+                "health: {endpoint} crashed: {count} requests suspected",
+                endpoint=name,
+                count=len(suspected),
+                fingerprints=",".join(suspected[:MAX_LOGGED_REQUESTS]),
+            )
 
     def is_culprit(self, job: "Job") -> bool:
         """Return whether a request crashes the endpoints that run it."""
--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requestlog.py
@@ -13,6 +13,9 @@
 
 log = logbook.Logger("serving")
 
+# Number of a prompt's parts that a log line names.
+MAX_LOGGED_PARTS = 8
+
 
 def log_attempt(
     job: Job, endpoint: Endpoint, outcome: Outcome, *, seconds: float
@@ -36,6 +39,8 @@
         running=placement.running,
         slowness=round(placement.slowness, 2),
         news_age=round(placement.update_age, 3),
+        fingerprint=job.fingerprint,
+        parts=",".join(part.name for part in job.arrival.parts[:MAX_LOGGED_PARTS]),
     )
 
 
