--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -23,6 +23,7 @@
     LIMIT,
     MODEL,
     NOT_RUN,
+    PARTS,
     RETRY_AFTER,
     STAMP,
 )
@@ -30,6 +31,9 @@
 READ_BYTES = 65_536
 STAMP_VALUE = "1.0.1.0.stand-in"
 
+# Time between the first event of an answer that crashes the endpoint and the crash.
+CRASH_DELAY_SECONDS = 0.08
+
 
 class Reply(msgspec.Struct, kw_only=True, frozen=True):
     """Answer after `delay` seconds; `extra` bytes follow the answer.
@@ -118,6 +122,12 @@
     body: bytes
     at: float
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Return the names of the prompt's parts."""
+        items = self.headers.get(PARTS.lower(), "").split(",")
+        return frozenset(item.split(":")[0] for item in items)
+
 
 class DirectEngine:
     """An endpoint that follows a script; the last step is repeated forever."""
@@ -131,6 +141,8 @@
         "broken_at",
         "cancelled",
         "connections",
+        "crashed_at",
+        "crashing_parts",
         "is_leaving",
         "limit",
         "name",
@@ -151,6 +163,10 @@
         # The monotonic time when the stream of each attempt last broke off.
         self.broken_at: dict[str, float] = {}
         self.connections = 0
+        # The endpoint crashes as it begins an answer on a prompt with one of these
+        # parts; the monotonic time when it did.
+        self.crashing_parts: frozenset[str] = frozenset()
+        self.crashed_at: float | None = None
         # Whether all answers say that the endpoint leaves.
         self.is_leaving = False
         # The limit that all answers name if `names_limit` is set or it isn't empty, in
@@ -177,11 +193,20 @@
         self._steps = itertools.chain(steps, itertools.repeat(steps[-1]))
 
     async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        self._cut()
+        await self._server.wait_closed()
+
+    def _crash(self) -> None:
+        if self.crashed_at is None:
+            self.crashed_at = time.monotonic()
+            self._cut()
+
+    def _cut(self) -> None:
         """Stop listening and reset all connections."""
         self._server.close()
         for writer in tuple(self._writers):
             reset_connection(writer)
-        await self._server.wait_closed()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -239,6 +264,8 @@
         step = next(self._steps)
         if not isinstance(step, Refuse):
             self.runs.append(run)
+            if self.crashing_parts & run.parts:
+                asyncio.get_running_loop().call_later(CRASH_DELAY_SECONDS, self._crash)
         match step:
             case Reply():
                 await asyncio.sleep(step.delay)
