Find the part of a prompt that crashes endpoints, though no two requests are alike

The class: guilt is counted by an identity that the cause doesn't have. Beside it, an answer that the gateway drops itself just before the crash wasn't a suspect, and crashes were told for 1.5 s only.

Change: all traits of the requests beside a crash are suspects, the hash of each and the hash of each part of its prompt but the last (decisions/runs.py). decisions/queryofdeath.py finds the fewest traits that explain the crashes: a trait is cleared by an answer that its endpoint outlives, endpoints that end together are one event, and what was there only beside a guilty trait is explained by it. Three unexplained events block it for an hour; with two its requests go one at a time, gateways in turn. Gateways tell each other the crashes of suspected traits, also to one that starts. gateway/queryguard.py asks it before each attempt, and again once a connection is open.

--- a/bench/plays/mechanisms.py
+++ b/bench/plays/mechanisms.py
@@ -40,7 +40,7 @@
     _make(
         "poison",
         "decisions/queryofdeath",
-        "QueryOfDeathDetector.is_culprit = lambda self, **rest: False\n",
+        "QueryOfDeathDetector.judge = lambda self, traits, **rest: Clear()\n",
     ),
     _make(
         "silence",
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -65,6 +65,7 @@
         `NoDescriptorError` if this process can't open one.
         """
         connection: Connection | None = None
+        outcome: Outcome | None = None
         job.tried.append(endpoint.name)
         job.excluded.add(endpoint.name)
         job.attempts += 1
@@ -74,7 +75,7 @@
             connection = await self._pool.acquire(
                 endpoint=endpoint, now=self._loop.time()
             )
-            if connection.is_unused and not self._placer.may_send(job, endpoint):
+            if self._is_withdrawn(job, endpoint, connection):
                 # Nothing was sent, so this does not count as an attempt.
                 job.attempts -= 1
                 return NotRun(
@@ -90,14 +91,15 @@
             job.attempts -= 1
             if error.is_refused:
                 return NotRun(reason=str(error), is_down=True)
-            self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
+            self._check(endpoint)
             return NotRun(reason=str(error), is_unreachable=True)
         except NoDescriptorError:
             # Nothing reached the endpoint here either.
             job.attempts -= 1
             raise
         except BrokenError as error:
-            self._pool.check(endpoint=endpoint, note_down=self._placer.health.note_down)
+            self._placer.guard.note_broken(endpoint)
+            self._check(endpoint)
             return Lost(reason=str(error))
         except asyncio.CancelledError:
             if connection is None:
@@ -107,11 +109,31 @@
             raise
         finally:
             self._placer.end(job, endpoint)
+            self._placer.guard.note_end(
+                job,
+                has_run=not isinstance(outcome, NotRun),
+                is_whole=isinstance(outcome, Delivered),
+            )
             if connection is not None:
                 self._count_bytes(endpoint, connection)
                 self._pool.release(endpoint=endpoint, connection=connection)
         return outcome
 
+    def _is_withdrawn(
+        self, job: Job, endpoint: Endpoint, connection: Connection
+    ) -> bool:
+        """Return whether a request may not be sent any more, once it could be.
+
+        Opening a connection takes time, in which its endpoint may have been taken out.
+        """
+        if self._placer.guard.find_refusal(job) is not None:
+            return True
+        return connection.is_unused and not self._placer.may_send(job, endpoint)
+
+    def _check(self, endpoint: Endpoint) -> None:
+        """Check whether an endpoint is down that broke or opened no connection."""
+        self._pool.check(endpoint=endpoint, note_down=self._placer.note_down)
+
     def _count_bytes(self, endpoint: Endpoint, connection: Connection) -> None:
         if not self._placer.is_near(endpoint):
             self._metrics.count_crossed(connection.sent, "requests")
@@ -235,7 +257,7 @@
         """Return the model to escalate to if this one's confidence is low.
 
         The response is dropped only if the caller has received none of it, another
-        attempt is left and the retry budget allows one.
+        attempt is left, the retry budget allows one and the request isn't held back.
         """
         if (
             head.status not in SUCCESS_STATUSES
@@ -247,6 +269,8 @@
             return None
         objective = job.permit.route.objective
         job.confidence = head.confidence
+        if self._placer.guard.is_held(job):
+            return None
         model = choose_next(
             models=job.permit.route.models,
             model=job.model,
@@ -302,6 +326,7 @@
                 case End():
                     break
                 case Data(data=data):
+                    self._placer.guard.note_event(job)
                     events = splitter.feed(data)
             if events is None:
                 continue
@@ -311,7 +336,7 @@
             await self._forward_events(job, reply, head, data)
             job.resume_after = events.last_id
         if splitter.pending:
-            return Lost(reason="a stream that ended within an event")
+            raise BrokenError("a stream that ended within an event")
         if not reply.is_started:
             if not job.resume_after:
                 return Lost(reason="a stream without any event")
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -177,6 +177,7 @@
                 else None
             ),
             list_peer_updates=lambda: self._update_exchange.latest,
+            tell_peers=self._update_exchange.hurry,
         )
 
     def _make_store_sync(self) -> None:
@@ -391,6 +392,7 @@
             self.fleet.sweep()
             self.ingress.close_overdue()
             self._placer.evict_prefixes()
+            self._placer.guard.sweep()
             self._placer.detect_outliers()
             if now >= next_reload:
                 # The file may change without a SIGHUP.
@@ -419,7 +421,6 @@
             endpoints=self._placer.report_endpoints(),
             trials=trials,
             pins=pins,
-            crashes=self._placer.health.report_crashes(),
             suspected=self._placer.health.report_suspected(),
             usage=self._placer.report_usage(),
             domain=self._settings.domain,
@@ -428,6 +429,7 @@
             paces=self._placer.report_paces(audience),
             has_lost_store=self._store_sync.has_lost_store,
             limits=self._placer.limits.report(),
+            traits=self._placer.guard.report(),
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
@@ -443,6 +445,8 @@
             self._metrics.slow.set(self._placer.count_slow())
             self._metrics.limited.set(self._placer.limits.count())
             self._metrics.heavy.set(len(self._placer.heavy))
+            self._metrics.suspected.set(self._placer.guard.suspected_count)
+            self._metrics.blocked.set(self._placer.guard.blocked_count)
             self._metrics.dropped_lines.set(self._count_dropped())
             return (200, self._metrics.render())
         return (200, encode_view(self._store_sync.describe(known)))
@@ -481,6 +485,7 @@
             self._view_fetcher.wake.set()
         self.rollouts.receive_update(update)
         self._placer.limits.merge(update.limits)
+        self._placer.guard.merge(update.traits)
         self._placer.note_peer_updates()
 
     def _find_write_rank(self) -> int:
@@ -495,7 +500,7 @@
 
     def _forget(self, lifetime: tuple[str, int]) -> None:
         self._pool.forget(lifetime=lifetime)
-        self._placer.health.note_lifetime_ended(lifetime)
+        self._placer.guard.note_down(lifetime, is_abrupt=False)
 
 
 def find_seeds(settings: GatewaySettings) -> tuple[str, ...]:
--- a/eelgrassrack/gateway/endpointstate.py
+++ b/eelgrassrack/gateway/endpointstate.py
@@ -56,8 +56,7 @@
 
     def __init__(self, *, endpoint: Endpoint, now: float) -> None:
         self.endpoint = endpoint
-        name, born = endpoint.lifetime
-        self.key = xxhash.xxh32_intdigest(f"{name}.{born}".encode())
+        self.key = hash_lifetime(endpoint.lifetime)
         self.cold_until = now + endpoint.cold
         self.own_running = 0
         self.own_backlog = ReadingBacklog()
@@ -122,3 +121,9 @@
     def is_cold(self, now: float) -> bool:
         """Return whether the endpoint is in its cold start."""
         return now < self.cold_until
+
+
+def hash_lifetime(lifetime: tuple[str, int]) -> int:
+    """Return the short hash of a lifetime that gateways use in updates."""
+    name, born = lifetime
+    return xxhash.xxh32_intdigest(f"{name}.{born}".encode())
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/job.py
@@ -3,11 +3,12 @@
 import enum
 
 import msgspec
-import xxhash
 
+from ..decisions.runs import Run
 from ..decisions.urgency import LEAST_URGENT
 from .configuration import Permit
 from .messages import Arrival, ResponseHead
+from .queryguard import find_traits
 
 # Callers send this model name to let the router choose the model.
 ANY_MODEL = "*"
@@ -95,7 +96,9 @@
     asked for rest.
     `endpoint_was_idle` is set if the endpoint had no backlog at the time of
     placement.  `holds_retry` is set while a retry is reserved that the retry budget
-    has granted and no attempt has used.  Times are the event loop's.
+    has granted and no attempt has used.  `traits` are what crashes may be blamed on,
+    `trial` those that are suspected while an attempt is under way, and `run` is that
+    attempt since it was sent.  Times are the event loop's.
     """
 
     __slots__ = (
@@ -105,7 +108,6 @@
         "deadline",
         "expected_seconds",
         "failure",
-        "fingerprint",
         "first_at",
         "holds_retry",
         "longest_gap",
@@ -118,7 +120,10 @@
         "sent_at",
         "resting",
         "resume_after",
+        "run",
         "execution_status",
+        "traits",
+        "trial",
         "tried",
         "unreachable",
         "urgency",
@@ -138,7 +143,9 @@
         self.first_at: float | None = None
         self.sent_at = 0.0
         self.excluded: set[str] = set()
-        self.fingerprint = make_fingerprint(arrival, permit)
+        self.traits = find_traits(arrival, permit)
+        self.trial: frozenset[int] = frozenset()
+        self.run: Run | None = None
         self.model = arrival.model
         self.placement = NO_PLACEMENT
         self.last_event_at = 0.0
@@ -177,12 +184,3 @@
     def has_choice(self) -> bool:
         """Return whether the router chooses the model."""
         return self.arrival.model == ANY_MODEL and bool(self.permit.route.models)
-
-
-def make_fingerprint(arrival: Arrival, permit: Permit) -> str:
-    """Return a hash that is the same each time a caller repeats a request."""
-    digest = xxhash.xxh3_64()
-    for text in (arrival.method, arrival.target, permit.organisation_name):
-        digest.update(text.encode() + b"\0")
-    digest.update(arrival.body)
-    return digest.hexdigest()
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -16,6 +16,7 @@
         "_crossed_bytes",
         "_ends",
         "_seconds",
+        "blocked",
         "dropped_lines",
         "gateways",
         "heavy",
@@ -24,6 +25,7 @@
         "registry",
         "slow",
         "store_answers",
+        "suspected",
         "version",
     )
 
@@ -68,6 +70,14 @@
             "gateway_limited_endpoints",
             "Endpoints that named a limit of which this gateway has a share.",
         )
+        self.suspected = self._make_gauge(
+            "gateway_suspected_parts",
+            "Prompt parts that may crash endpoints; their requests go one at a time.",
+        )
+        self.blocked = self._make_gauge(
+            "gateway_blocked_queries",
+            "Prompt parts and requests that are refused, as they crash endpoints.",
+        )
         self.heavy = self._make_gauge(
             "gateway_heavy_organisations",
             "Organisations that give way, taking several times the mean.",
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import math
 import secrets
@@ -21,7 +22,7 @@
 from ..decisions.fairshare import UsageReport
 from ..decisions.pace import PaceReport
 from ..decisions.precedence import Sharer
-from ..decisions.queryofdeath import Crash
+from ..decisions.queryofdeath import TraitReport
 from ..decisions.stopping import Readiness
 from ..decisions.urgency import LEAST_URGENT
 from ..decisions.versiontrial import Tally
@@ -33,6 +34,9 @@
 # second, and this is a quarter of that time.
 UPDATE_SECONDS = 0.25
 
+# An urgent update waits this long for others that are urgent too.
+HURRY_SECONDS = 0.02
+
 # Up to this many peers of other failure domains get every update.  With more of them
 # they all get every second update, every third and so on, but at least every
 # fourth.  An urgent change goes to all of them immediately.
@@ -130,7 +134,8 @@
     link in Mbit/s, 0 if unknown.  `paces` is what it has seen of the models' paces, for
     peers of its own domain only.  `has_lost_store` says that the store doesn't
     answer it, or that a watch is overdue.  `limits` are those that endpoints named to
-    it.
+    it, `traits` what it knows of queries of death.  `crashes` is empty: gateways of an
+    earlier version fill it.
     """
 
     name: str
@@ -143,7 +148,7 @@
     endpoints: tuple[EndpointReport, ...] = ()
     trials: tuple[TrialReport, ...] = ()
     pins: tuple[SessionPin, ...] = ()
-    crashes: tuple[Crash, ...] = ()
+    crashes: tuple[object, ...] = ()
     suspected: tuple[int, ...] = ()
     usage: UsageReport = UsageReport()
     domain: str = ""
@@ -152,6 +157,7 @@
     paces: tuple[PaceReport, ...] = ()
     has_lost_store: bool = False
     limits: tuple[LimitReport, ...] = ()
+    traits: tuple[TraitReport, ...] = ()
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
@@ -160,7 +166,11 @@
         known = (self.configuration, self.knows_store, self.revisions)
         flags = (self.is_ready, self.has_lost_store)
         limits = tuple((report.lifetime, report.rate) for report in self.limits)
-        return (known, bad, self.crashes, self.suspected, flags, limits)
+        crashes = tuple(
+            (report.trait, {crash.lifetime for crash in report.crashes})
+            for report in self.traits
+        )
+        return (known, bad, crashes, self.suspected, flags, limits)
 
 
 class Audience(enum.Enum):
@@ -220,6 +230,12 @@
         self._far_urgent_state: tuple[object, ...] = ()
         self._listed_at: dict[str, float] = {}
         self._unlogged: list[str] = []
+        self._hurry = asyncio.Event()
+        self._latest: PeerUpdate | None = None
+
+    def hurry(self) -> None:
+        """Send the next update soon."""
+        self._hurry.set()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Set the IP addresses of the seed gateways."""
@@ -246,7 +262,15 @@
                 len(self._peers) - len(far) + len(far) / _find_far_interval(len(far))
             )
             self._slowdown = max(1.0, datagrams / FULL_RATE_PEERS)
-            await asyncio.sleep(UPDATE_SECONDS * self._slowdown)
+            await self._pause(UPDATE_SECONDS * self._slowdown)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next update is due, or soon if it is urgent."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurry.wait()
+                await asyncio.sleep(HURRY_SECONDS)
+        self._hurry.clear()
 
     def send(self) -> None:
         """Send the current state to all peers whose update is due."""
@@ -272,6 +296,7 @@
             number=self._number,
             audience=audience,
         )
+        self._latest = update
         data = msgspec.msgpack.encode(update)
         for address in addresses:
             self._transport.sendto(data, address)
@@ -388,14 +413,21 @@
         now = asyncio.get_running_loop().time()
         self._add(update.name, (addr[0], update.port), now)
         previous = self._received.get(update.name)
-        if previous is not None and previous.update.lifetime == update.lifetime:
-            if previous.update.number >= update.number:
-                return
-        elif previous is None or not self._is_live(previous, now):
-            self._unlogged.append(update.name)
+        is_known = previous is not None and previous.update.lifetime == update.lifetime
+        if is_known and previous.update.number >= update.number:
+            return
+        if not is_known:
+            if previous is None or not self._is_live(previous, now):
+                self._unlogged.append(update.name)
+            self._greet(self._peers[update.name])
         self._received[update.name] = ReceivedUpdate(update, now)
         self._receive_update(update)
 
+    def _greet(self, address: tuple[str, int]) -> None:
+        """Tell a peer that has just started of queries of death at once."""
+        if self._latest is not None and self._latest.traits:
+            self._transport.sendto(msgspec.msgpack.encode(self._latest), address)
+
     def error_received(self, exc: Exception) -> None:
         """Log network errors, such as for a peer that is down."""
         log.debug("news: {}", exc)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -32,7 +32,7 @@
 from .endpoints import Endpoint
 from .endpointstate import EndpointState
 from .fleet import Fleet
-from .job import Placement
+from .job import NotRun, Placement
 from .messages import Refusal, ResponseHead
 from .passivehealth import PassiveHealthCheck
 from .peerupdates import Audience, EndpointReport, PeerUpdate
@@ -43,6 +43,7 @@
     find_cost,
     find_prompt_urgency,
 )
+from .queryguard import QueryGuard
 from .rollouts import Rollouts
 from .settings import GatewaySettings
 from .wishes import EndpointWishes
@@ -66,7 +67,6 @@
 COLD_SHARE_SECONDS = 0.25
 
 NO_ENDPOINT = Refusal(status=503, reason="no endpoint", retry_after=1.0)
-QUERY_OF_DEATH = Refusal(status=502, reason="crashes the endpoints that run it")
 
 
 class DomainSplit:
@@ -112,10 +112,11 @@
     """Choose endpoints and track the requests that run on them.
 
     `heavy` are the organisations whose prompts are deprioritised, `health` learns
-    from the outcomes of attempts which endpoints fail, `wishes` from their answers
-    which want no requests, and `limits` how many those in need take.  `list_sharers`
-    returns the other gateways that share the common limits, or None while they aren't
-    known, and `list_peer_updates` the latest update of each peer.
+    from the outcomes of attempts which endpoints fail, `guard` which requests crash
+    them, `wishes` from their answers which want no requests, and `limits` how many
+    those in need take.  `list_sharers` returns the other gateways that share the common
+    limits, or None while they aren't known, and `list_peer_updates` the latest update
+    of each peer.  `tell_peers` sends them this gateway's soon.
     """
 
     __slots__ = (
@@ -131,6 +132,7 @@
         "_settings",
         "_split",
         "_usage",
+        "guard",
         "health",
         "heavy",
         "limits",
@@ -145,7 +147,11 @@
         settings: GatewaySettings,
         list_sharers: Callable[[], tuple[Sharer, ...] | None],
         list_peer_updates: Callable[[], tuple[PeerUpdate, ...]],
+        tell_peers: Callable[[], None],
     ) -> None:
+        self.guard = QueryGuard(
+            name=settings.name, list_sharers=list_sharers, tell_peers=tell_peers
+        )
         self.health = PassiveHealthCheck(fleet=fleet, rollouts=rollouts)
         self._fleet = fleet
         self._rollouts = rollouts
@@ -180,15 +186,20 @@
     async def place(self, job: "Job") -> Endpoint | Refusal:
         """Return the endpoint for the next attempt, or a refusal.
 
-        This waits while all endpoints are cold and at their limit, and for a while if
-        they rest or have no room.
+        This waits while all endpoints are cold and at their limit, for a while if
+        they rest or have no room, and while the request is suspected and another such
+        request is under way.
         """
         with self.limits.wait(job) as waiting:
             while True:
                 now = self._loop.time()
                 self._merge_peer_updates()
-                if self.health.is_culprit(job):
-                    return QUERY_OF_DEATH
+                blocked = self.guard.find_refusal(job)
+                if blocked is not None:
+                    return blocked
+                if not self.guard.may_send(job):
+                    await asyncio.sleep(POLL_SECONDS)
+                    continue
                 states = self._select_trusted(job, now)
                 free = [
                     state
@@ -278,7 +289,7 @@
         """Return whether a request that leaves its endpoint has another to go to."""
         now = self._loop.time()
         waiting = self.limits.wait(job)
-        return not self.health.is_culprit(job) and any(
+        return not self.guard.is_held(job) and any(
             self._has_cold_capacity(state, job, now)
             and self.limits.has_room(state, waiting)
             for state in self._select_trusted(job, now)
@@ -300,6 +311,24 @@
             asked_at = job.sent_at if is_own else float("-inf")
             self.limits.note_head(state, head, asked_at=asked_at)
 
+    def note_down(self, endpoint: Endpoint, *, is_refused: bool) -> None:
+        """Note that an endpoint accepts no connections, other endpoints do.
+
+        One that refuses them has ended, one that doesn't answer may be out of reach.
+        """
+        if is_refused:
+            state = self._fleet.find_state(endpoint)
+            is_abrupt = state is not None and not state.endpoint.is_draining
+            self.guard.note_down(endpoint.lifetime, is_abrupt=is_abrupt)
+        self.health.note_down(endpoint)
+
+    def note_not_run(self, endpoint: Endpoint, outcome: NotRun) -> None:
+        """Learn from an attempt that certainly didn't run."""
+        if outcome.is_down:
+            self.note_down(endpoint, is_refused=True)
+        else:
+            self.health.note_not_run(endpoint, outcome)
+
     def may_send(self, job: "Job", endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to its chosen endpoint.
 
@@ -315,6 +344,7 @@
         Opening a connection takes less than the second over which sends are
         counted, so the request is never left out.
         """
+        self.guard.note_sent(job, endpoint)
         state = self._fleet.find_state(endpoint)
         if state is None:
             return
@@ -324,6 +354,7 @@
 
     def begin(self, job: "Job", endpoint: Endpoint) -> None:
         """Add a request to the load of its endpoint."""
+        self.guard.begin_trial(job)
         state = self._fleet.find_state(endpoint)
         if state is None:
             return
@@ -370,6 +401,7 @@
 
     def end(self, job: "Job", endpoint: Endpoint) -> None:
         """Remove a request from the load of its endpoint."""
+        self.guard.end_trial(job)
         state = self._fleet.find_state(endpoint)
         if state is not None:
             state.own_running -= 1
@@ -461,7 +493,6 @@
         self._merged_at = self._loop.time()
         updates = self._list_peer_updates()
         self._peer_reports.merge(self._fleet, updates)
-        self.health.merge_crashes(updates)
 
     def _select(
         self, job: "Job", model: str, excluded: Collection[str]
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -120,14 +120,12 @@
                 connection.probed_at = now
             self._start(self._probe(endpoint, note_unreachable))
 
-    def check(
-        self, *, endpoint: Endpoint, note_down: Callable[[Endpoint], None]
-    ) -> None:
+    def check(self, *, endpoint: Endpoint, note_down: Callable[..., None]) -> None:
         """Check whether an endpoint that broke a connection is down.
 
-        `note_down` is called if it is.  Without the check a crash would show only
-        when another request went there, and queries of death would mostly go
-        unnoticed.
+        `note_down` is called if it is, with the endpoint and `is_refused`.  Without
+        the check a crash would show only when another request went there, and queries
+        of death would mostly go unnoticed.
         """
         if endpoint not in self._being_checked:
             self._being_checked.add(endpoint)
@@ -138,9 +136,7 @@
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
-    async def _check(
-        self, endpoint: Endpoint, note_down: Callable[[Endpoint], None]
-    ) -> None:
+    async def _check(self, endpoint: Endpoint, note_down: Callable[..., None]) -> None:
         await asyncio.sleep(CHECK_DELAY_SECONDS)
         # Connections that break from now on cause another check.
         self._being_checked.discard(endpoint)
@@ -149,7 +145,7 @@
         except ConnectError as error:
             if await self._is_confirmed(endpoint, error):
                 log.info("pool: {} is down: {}", endpoint.name, error)
-                note_down(endpoint)
+                note_down(endpoint, is_refused=error.is_refused)
             return
         self._keep_probed(endpoint, connection)
 
--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requestlog.py
@@ -39,7 +39,7 @@
         running=placement.running,
         slowness=round(placement.slowness, 2),
         news_age=round(placement.update_age, 3),
-        fingerprint=job.fingerprint,
+        trait=f"{job.traits.request:x}",
         parts=",".join(part.name for part in job.arrival.parts[:MAX_LOGGED_PARTS]),
     )
 
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -334,10 +334,10 @@
                     job.unreachable.add(endpoint.name)
                 if outcome.wants_rest:
                     job.resting.add(endpoint.name)
-                self._placer.health.note_not_run(endpoint, outcome)
+                self._placer.note_not_run(endpoint, outcome)
             case Lost():
                 job.note_status(ExecutionStatus.UNKNOWN)
-                self._placer.health.note_lost_answer(job, endpoint)
+                self._placer.health.note_overdue_answer(endpoint)
             case Failed():
                 job.note_status(ExecutionStatus.RAN)
                 job.failure = outcome
