Let a gateway that starts hear a first peer before it sends prompts

What callers saw: gateways that were killed and started again sent requests with a blocked part in the first 0.3 s, before any peer's update.

A gateway that is alone doesn't wait.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -213,6 +213,7 @@
             metrics=self._metrics,
             settings=settings,
             is_loading=lambda: self.has_store and not self._store_sync.is_loaded,
+            awaits_peers=lambda: self._update_exchange.awaits_peers,
             get_readiness=lambda: self._update_exchange.readiness,
         )
         self.ingress = Ingress(
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -37,6 +37,9 @@
 # An urgent update waits this long for others that are urgent too.
 HURRY_SECONDS = 0.02
 
+# A gateway that starts waits this long for a first peer, which knows what is blocked.
+FIRST_CONTACT_SECONDS = 0.4
+
 # Up to this many peers of other failure domains get every update.  With more of them
 # they all get every second update, every third and so on, but at least every
 # fourth.  An urgent change goes to all of them immediately.
@@ -232,6 +235,7 @@
         self._unlogged: list[str] = []
         self._hurry = asyncio.Event()
         self._latest: PeerUpdate | None = None
+        self._opened_at = -math.inf
 
     def hurry(self) -> None:
         """Send the next update soon."""
@@ -245,6 +249,7 @@
     async def open(self) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
+        self._opened_at = loop.time()
         await loop.create_datagram_endpoint(lambda: self, local_addr=self._address)
 
     def close(self) -> None:
@@ -332,6 +337,8 @@
         for peer in peers.values():
             if peer.name != self._name:
                 self._add(peer.name, peer.address, now)
+        if self.awaits_peers:
+            self.hurry()
 
     @property
     def latest(self) -> tuple[PeerUpdate, ...]:
@@ -343,6 +350,17 @@
             if self._is_live(received, now)
         )
 
+    @property
+    def awaits_peers(self) -> bool:
+        """Return whether this gateway has just started and may soon hear a first peer.
+
+        Until then it doesn't know which prompts crash endpoints.
+        """
+        if self._received or (self.is_listed and not self._peers):
+            return False
+        now = asyncio.get_running_loop().time()
+        return now < self._opened_at + FIRST_CONTACT_SECONDS
+
     @property
     def knows_peers(self) -> bool:
         """Return whether enough is known of the other gateways to tell their roles.
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/serving.py
@@ -62,12 +62,13 @@
     """Handle callers' requests from arrival to response.
 
     `router` holds the configuration in force.  `is_loading` returns whether a gateway
-    that has just started is still reading from the store, `get_readiness` how many
-    gateways are ready.
+    that has just started is still reading from the store, `awaits_peers` whether it is
+    still to hear from others, and `get_readiness` how many gateways are ready.
     """
 
     __slots__ = (
         "_attempts",
+        "_awaits_peers",
         "_ends_at",
         "_refuses_unfinishable",
         "_is_loading",
@@ -90,10 +91,12 @@
         metrics: GatewayMetrics,
         settings: GatewaySettings,
         is_loading: Callable[[], bool],
+        awaits_peers: Callable[[], bool],
         get_readiness: Callable[[], Readiness],
     ) -> None:
         self.router = router
         self._is_loading = is_loading
+        self._awaits_peers = awaits_peers
         self._get_readiness = get_readiness
         self._placer = placer
         self._retry_budget = RetryBudget(
@@ -159,14 +162,17 @@
     async def _wait_loaded(self, arrival: Arrival) -> None:
         """Wait briefly until a starting gateway has loaded its data from the store.
 
-        A gateway that is stopping doesn't wait.
+        Prompts also wait for a first peer, which tells those that crash endpoints.  A
+        gateway that is stopping doesn't wait.
         """
         latest = arrival.arrived + LOADING_WAIT_SECONDS
-        while self._may_wait() and self._loop.time() < latest:
+        while self._may_wait(arrival) and self._loop.time() < latest:
             await asyncio.sleep(LOADING_POLL_SECONDS)
 
-    def _may_wait(self) -> bool:
-        return self._is_loading() and math.isinf(self._ends_at)
+    def _may_wait(self, arrival: Arrival) -> bool:
+        if math.isfinite(self._ends_at):
+            return False
+        return self._is_loading() or (bool(arrival.parts) and self._awaits_peers())
 
     def set_end(self, time: float) -> None:
         """Set when this process ends, in the event loop's time.
