Notice a crash right after an answer that came whole

What callers saw: an endpoint crashes some 0.1 s after it begins an answer, and a short answer is whole by then. If no other request ran there, nobody noticed: its connection was idle, the endpoint was looked at only by the next request, and the answer even cleared the guilty part a second later.

Change: a connection that its endpoint closes within 0.9 s of an answer makes the gateway check the endpoint, as a broken one does. The same request's hash now takes in the names of its parts.

--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -91,7 +91,7 @@
             job.attempts -= 1
             if error.is_refused:
                 return NotRun(reason=str(error), is_down=True)
-            self._check(endpoint)
+            self._pool.check(endpoint)
             return NotRun(reason=str(error), is_unreachable=True)
         except NoDescriptorError:
             # Nothing reached the endpoint here either.
@@ -99,7 +99,7 @@
             raise
         except BrokenError as error:
             self._placer.guard.note_broken(endpoint)
-            self._check(endpoint)
+            self._pool.check(endpoint)
             return Lost(reason=str(error))
         except asyncio.CancelledError:
             if connection is None:
@@ -130,10 +130,6 @@
             return True
         return connection.is_unused and not self._placer.may_send(job, endpoint)
 
-    def _check(self, endpoint: Endpoint) -> None:
-        """Check whether an endpoint is down that broke or opened no connection."""
-        self._pool.check(endpoint=endpoint, note_down=self._placer.note_down)
-
     def _count_bytes(self, endpoint: Endpoint, connection: Connection) -> None:
         if not self._placer.is_near(endpoint):
             self._metrics.count_crossed(connection.sent, "requests")
--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/connection.py
@@ -85,6 +85,7 @@
 
     def close(self) -> None:
         """Close gracefully; for connections without a request in flight."""
+        self._stream.set_close_callback(None)
         self._stream.close()
 
     def abort(self) -> None:
@@ -175,9 +176,16 @@
         self._machine.start_next_cycle()
         return True
 
-    def watch_idle(self) -> None:
-        """Make the event loop notice when the endpoint closes the idle connection."""
-        self._stream.set_close_callback(_ignore)
+    def watch_idle(self, note_closed: Callable[[], None]) -> None:
+        """Call `note_closed` when the endpoint closes the idle connection.
+
+        Without a callback tornado wouldn't notice that.
+        """
+        self._stream.set_close_callback(note_closed)
+
+    def end_idle(self) -> None:
+        """Prepare an idle connection for a request: readers notice that it closes."""
+        self._stream.set_close_callback(None)
 
     @property
     def has_stray_bytes(self) -> bool:
@@ -264,7 +272,3 @@
 def refuse_to_abandon() -> bool:
     """Return that a request may not be abandoned."""
     return False
-
-
-def _ignore() -> None:
-    """Do nothing; tornado reads from the socket only if a close callback is set."""
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -132,8 +132,12 @@
         self._contact = StoreContact()
         self._supervisor = Supervisor(name="gateway")
         self.router = Router()
-        self._pool = ConnectionPool(find_witnesses=self._find_witnesses)
         self._make_placer()
+        self._pool = ConnectionPool(
+            find_witnesses=self._find_witnesses,
+            note_broken=self._placer.guard.note_broken,
+            note_down=self._placer.note_down,
+        )
         self._make_store_sync()
         self._make_servers(translation)
 
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/pool.py
@@ -44,6 +44,10 @@
 # closes its connections and its listening socket one after the other.
 CHECK_DELAY_SECONDS = 0.05
 
+# An endpoint that closes a connection within this time of an answer may have crashed.
+# Idle times that endpoints state are longer.
+CRASHING_SECONDS = 0.9
+
 # A probe's connection is kept this long for the next request.
 PROBED_IDLE_SECONDS = 2.0
 
@@ -52,7 +56,8 @@
     """Connections to endpoints, kept separately for each lifetime of an endpoint.
 
     `find_witnesses` returns the endpoints that are asked for comparison if one seems
-    unreachable.
+    unreachable.  `note_broken` gets an endpoint that closes a connection right after an
+    answer, `note_down` one that accepts no connections, and `is_refused`.
     """
 
     __slots__ = (
@@ -62,13 +67,21 @@
         "_idle",
         "_idle_seconds",
         "_in_use",
+        "_note_broken",
+        "_note_down",
         "_probe_tasks",
     )
 
     def __init__(
-        self, *, find_witnesses: Callable[[Endpoint], Iterable[Endpoint]]
+        self,
+        *,
+        find_witnesses: Callable[[Endpoint], Iterable[Endpoint]],
+        note_broken: Callable[[Endpoint], None],
+        note_down: Callable[..., None],
     ) -> None:
         self._find_witnesses = find_witnesses
+        self._note_broken = note_broken
+        self._note_down = note_down
         self._heard_at: dict[tuple[str, int], float] = {}
         # For how many seconds each endpoint lets a connection be idle, as it stated.
         self._idle_seconds: dict[tuple[str, int], float] = {}
@@ -120,23 +133,22 @@
                 connection.probed_at = now
             self._start(self._probe(endpoint, note_unreachable))
 
-    def check(self, *, endpoint: Endpoint, note_down: Callable[..., None]) -> None:
+    def check(self, endpoint: Endpoint) -> None:
         """Check whether an endpoint that broke a connection is down.
 
-        `note_down` is called if it is, with the endpoint and `is_refused`.  Without
-        the check a crash would show only when another request went there, and queries
-        of death would mostly go unnoticed.
+        Without the check a crash would show only when another request went there, and
+        queries of death would mostly go unnoticed.
         """
         if endpoint not in self._being_checked:
             self._being_checked.add(endpoint)
-            self._start(self._check(endpoint, note_down))
+            self._start(self._check(endpoint))
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
 
-    async def _check(self, endpoint: Endpoint, note_down: Callable[..., None]) -> None:
+    async def _check(self, endpoint: Endpoint) -> None:
         await asyncio.sleep(CHECK_DELAY_SECONDS)
         # Connections that break from now on cause another check.
         self._being_checked.discard(endpoint)
@@ -145,7 +157,7 @@
         except ConnectError as error:
             if await self._is_confirmed(endpoint, error):
                 log.info("pool: {} is down: {}", endpoint.name, error)
-                note_down(endpoint, is_refused=error.is_refused)
+                self._note_down(endpoint, is_refused=error.is_refused)
             return
         self._keep_probed(endpoint, connection)
 
@@ -216,6 +228,7 @@
         while kept:
             connection = kept.pop()
             if _is_usable(connection, now):
+                connection.end_idle()
                 return connection
             connection.close()
         return None
@@ -246,9 +259,19 @@
         self, endpoint: Endpoint, connection: Connection, *, until: float
     ) -> None:
         connection.idle_until = until
-        connection.watch_idle()
+        connection.watch_idle(lambda: self._note_idle_closed(endpoint, connection))
         self._idle.setdefault(endpoint.lifetime, []).append(connection)
 
+    def _note_idle_closed(self, endpoint: Endpoint, connection: Connection) -> None:
+        """Check an endpoint that closed a connection right after an answer.
+
+        It may have crashed by the answer, with no other request to show it.
+        """
+        now = asyncio.get_running_loop().time()
+        if connection.received and now < connection.active_at + CRASHING_SECONDS:
+            self._note_broken(endpoint)
+            self.check(endpoint)
+
     def prune(self, *, now: float) -> None:
         """Close connections that were idle for too long or can't be used any more.
 
--- a/eelgrassrack/gateway/queryguard.py
+++ b/eelgrassrack/gateway/queryguard.py
@@ -277,6 +277,8 @@
     digest = xxhash.xxh3_64()
     for text in (arrival.method, arrival.target, permit.organisation_name):
         digest.update(text.encode() + b"\0")
+    for part in arrival.parts:
+        digest.update(part.name.encode() + b"\0")
     digest.update(arrival.body)
     shared = arrival.parts[:-1][:MAX_PARTS]
     return Traits(
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -197,7 +197,8 @@
         self._cut()
         await self._server.wait_closed()
 
-    def _crash(self) -> None:
+    def crash(self) -> None:
+        """Stop listening and reset all connections, as a process that crashes."""
         if self.crashed_at is None:
             self.crashed_at = time.monotonic()
             self._cut()
@@ -265,7 +266,7 @@
         if not isinstance(step, Refuse):
             self.runs.append(run)
             if self.crashing_parts & run.parts:
-                asyncio.get_running_loop().call_later(CRASH_DELAY_SECONDS, self._crash)
+                asyncio.get_running_loop().call_later(CRASH_DELAY_SECONDS, self.crash)
         match step:
             case Reply():
                 await asyncio.sleep(step.delay)
--- a/test/gateway/crashing.py
+++ b/test/gateway/crashing.py
@@ -30,6 +30,13 @@
 # Number of requests with the guilty part that may reach endpoints after that time.
 MOST_LATE = 3
 
+# Sound requests are served at least this often, compared to before the crashes.
+LEAST_SHARE = 0.5
+
+# Seconds without guilty requests, and with them from the first crash on.
+CALM_SECONDS = 1.5
+STORM_SECONDS = 9
+
 CALL_ERRORS = (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError)
 
 
@@ -41,10 +48,12 @@
 
 
 class CrashingFleet:
-    """Endpoints that crash on the guilty part and start again."""
+    """Endpoints that crash on the guilty parts and start again."""
 
     def __init__(self, *, world, count, step, guilty=frozenset({GUILTY})):
         self.engines = []
+        self.domains = {}
+        self.other_crashes = set()
         self.guilty = guilty
         self._world = world
         self._count = count
@@ -62,8 +71,9 @@
 
     async def _start_engine(self, place):
         name = f"e{next(self._numbers)}"
+        domain = self.domains[name] = f"z{place % 3}"
         engine = await self._world.add_engine(
-            name, self._step, service="models", zone=f"z{place % 3}", slots=100
+            name, self._step, service="models", zone=domain, slots=100
         )
         engine.crashing_parts = self.guilty
         self.engines.append(engine)
@@ -77,9 +87,22 @@
         await asyncio.sleep(RETURN_SECONDS - LISTED_SECONDS)
         await self._start_engine(place)
 
+    def crash(self, domain=None):
+        """Crash an endpoint, or all of a failure domain, without a cause."""
+        up = [one for one in self.engines if one.crashed_at is None]
+        chosen = [one for one in up if self.domains[one.name] == domain]
+        for engine in chosen or up[:1]:
+            engine.crash()
+            self.other_crashes.add(engine.name)
+
     @property
     def crashes(self):
-        return sorted(one.crashed_at for one in self.engines if one.crashed_at)
+        """Return the times of the crashes for the guilty parts."""
+        return sorted(
+            one.crashed_at
+            for one in self.engines
+            if one.crashed_at and one.name not in self.other_crashes
+        )
 
     def count_late(self):
         """Return how many guilty requests arrived after the bound."""
@@ -94,16 +117,16 @@
 
 
 class Callers:
-    """Callers of sound and of guilty requests, at gateways drawn anew each time."""
+    """Callers of sound and of guilty requests, at gateways drawn anew each time.
 
-    def __init__(self, *, world, seed, path="/chat/1", model="*"):
+    `list_addresses` returns those of the gateways that are up.
+    """
+
+    def __init__(self, *, list_addresses, seed):
         self.sound = []
         self.guilty_sent = 0
-        self.down = set()
-        self._world = world
+        self._list_addresses = list_addresses
         self._random = random.Random(seed)
-        self._path = path
-        self._model = model
         self._numbers = itertools.count(1)
         self._tasks = set()
 
@@ -138,11 +161,10 @@
 
     async def _send(self, parts):
         number = next(self._numbers)
-        numbers = set(range(len(self._world.settings))) - self.down
-        listen = self._world.settings[self._random.choice(sorted(numbers))].listen
+        listen = self._random.choice(self._list_addresses())
         prefix = ",".join((*parts, f"{number:x}:50"))
         headers = (
-            ("X-Model", self._model),
+            ("X-Model", "*"),
             ("X-Token-Usage", "1000,50"),
             ("X-Prompt-Prefix", prefix),
         )
@@ -150,7 +172,7 @@
             async with asyncio.timeout(5.0):
                 answer = await call(
                     listen,
-                    self._path,
+                    "/chat/1",
                     attempt=f"r{number}",
                     headers=headers,
                     body=b"%d" % number,
@@ -164,24 +186,45 @@
         return sum(one.is_served for one in calls) / len(calls)
 
 
-async def play(world, *, seed, gateways=8, engines=8, step=None, seconds=9.0, **rest):
-    """Play a day; return the fleet and the callers as they are after it."""
-    fleet = CrashingFleet(
-        world=world, count=engines, step=step or Events(count=4, gap=0.04)
-    )
+async def play(world, *, seed, gateways=8, step=None, disturb=None):
+    """Play a day; return the fleet and the callers as they are after it.
+
+    `disturb` is called each second from the first request with a guilty part on.
+    """
+    fleet = CrashingFleet(world=world, count=8, step=step or Events(count=4, gap=0.04))
     await fleet.start()
     for number in range(1, gateways + 1):
         await world.start_gateway(number=number)
     for number in range(gateways):
         await world.wait_ready(number)
-    callers = Callers(world=world, seed=seed, **rest)
+    callers = Callers(
+        list_addresses=lambda: [one.listen for one in world.settings], seed=seed
+    )
+    await play_calls(fleet, callers, disturb)
+    return fleet, callers
+
+
+async def play_calls(fleet, callers, disturb=None):
+    """Send sound requests, then guilty ones too, until the day is over."""
     try:
         callers.start(sound=12, guilty=0)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(CALM_SECONDS)
         callers.start(sound=0, guilty=8)
         await wait_for(lambda: len(fleet.crashes) >= 1)
-        await asyncio.sleep(seconds)
+        for _ in range(STORM_SECONDS):
+            await asyncio.sleep(1.0)
+            if disturb is not None:
+                await disturb(fleet)
     finally:
         await callers.close()
         fleet.close()
-    return fleet, callers
+
+
+def check(fleet, callers):
+    """Check that few guilty requests arrive late and that sound ones are served."""
+    first = fleet.crashes[0]
+    decisive = fleet.crashes[min(len(fleet.crashes), 5) - 1]
+    before = callers.find_share(0.0, first - 0.5)
+    after = callers.find_share(decisive + 2 * CONTACT_SECONDS, time.monotonic() - 1.0)
+    assert fleet.count_late() <= MOST_LATE, len(fleet.crashes)
+    assert after >= LEAST_SHARE * before, len(fleet.crashes)
