Suspect a part at many endpoints that crash in the same tenth of a second

What callers saw, in the tests only: eight endpoints crashed at once for one part, which counted as one event, and all eight again as they came back (16 in all).

Change: five crashes or more of one moment count as two events, which is enough to suspect what was there at all of them, not to block it. Records and reports get a module of their own.

--- a/eelgrassrack/decisions/queryofdeath.py
+++ b/eelgrassrack/decisions/queryofdeath.py
@@ -9,7 +9,7 @@
 
 - A trait of requests is harmless if an endpoint answered on it and stayed up.
 - Endpoints that end at the same moment, as with their power, are one event, unless the
-  requests of the later one were sent after the earlier crash.
+  requests of the later one were sent after the earlier crash.  Many count as two.
 - A trait that was there only together with a guilty one is explained by it.
 
 A trait is blocked after three events that nothing else explains.  If several parts
@@ -27,6 +27,16 @@
 
 import msgspec
 
+from .crashrecords import (
+    MILLISECONDS,
+    NEVER,
+    Record,
+    Sighting,
+    TraitReport,
+    count_events,
+    is_part,
+    make_report,
+)
 from .runs import Crash, Traits
 
 # Number of unexplained events after which a trait is suspected, and blocked.  One that
@@ -35,13 +45,6 @@
 GUILTY_EVENTS = 3
 GUILTY_EVENTS_ANSWERED = 6
 
-# Endpoints that crash within this time of each other may have a common cause.
-JOINT_SECONDS = 0.1
-
-# An answer also clears a trait of crashes that follow so soon: with many requests some
-# run beside each crash.
-ANSWER_VALID_SECONDS = 3.0
-
 # A crash that led to no block is forgotten after this time.
 MEMORY_SECONDS = 120.0
 
@@ -62,10 +65,8 @@
 # Bounds of what one update tells, so that a crash among hundreds of requests doesn't
 # fill the links, and of what is remembered.
 MAX_REPORTED = 60
-MAX_REPORTED_CRASHES = 8
 MAX_RECORDS = 5_000
 MAX_ANSWERED = 20_000
-MAX_CRASHES = 64
 
 # Suspicions and blocks are judged again after this time even if nothing was noted.
 JUDGE_SECONDS = 0.5
@@ -73,34 +74,6 @@
 # Interval between searches for crashes to forget.
 FORGET_SECONDS = 5.0
 
-MILLISECONDS = 1000.0
-
-_NEVER = float("-inf")
-
-
-class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a hashed lifetime, and for how long requests had been there.
-
-    `age` is the time since the crash, `lead` the time from when the first request with
-    the trait was sent until the crash, both in milliseconds.
-    """
-
-    lifetime: int
-    age: int
-    lead: int
-
-
-class TraitReport(msgspec.Struct, frozen=True, array_like=True):
-    """What a gateway knows of a trait.
-
-    `answered` is the time in milliseconds since an answer showed it to be harmless,
-    None if none did.
-    """
-
-    trait: int
-    crashes: tuple[CrashReport, ...] = ()
-    answered: int | None = None
-
 
 class Clear(msgspec.Struct, kw_only=True, frozen=True):
     """The request may be sent."""
@@ -124,46 +97,6 @@
     seconds: float
 
 
-class Sighting(msgspec.Struct, frozen=True):
-    """A crash at which a trait was there; `sent_at` is when its requests were sent."""
-
-    at: float
-    sent_at: float
-
-
-class Record:
-    """The crashes of a trait by lifetime.
-
-    `answered_at` is when an answer last showed it to be harmless, `crashed_at` the time
-    of the last crash.
-    """
-
-    __slots__ = ("answered_at", "crashed_at", "crashes")
-
-    def __init__(self, *, answered_at: float) -> None:
-        self.crashes: dict[int, Sighting] = {}
-        self.answered_at = answered_at
-        self.crashed_at = _NEVER
-
-    def add(self, lifetime: int, sighting: Sighting) -> bool:
-        """Add a crash; return whether it is new."""
-        known = self.crashes.get(lifetime)
-        if known is not None:
-            # The estimates of peers are late by the time that an update took.
-            at = min(known.at, sighting.at)
-            sighting = Sighting(at, min(known.sent_at, sighting.sent_at))
-        elif len(self.crashes) >= MAX_CRASHES:
-            del self.crashes[min(self.crashes, key=lambda key: self.crashes[key].at)]
-        self.crashes[lifetime] = sighting
-        self.crashed_at = max(one.at for one in self.crashes.values())
-        return known is None
-
-    def find_open(self) -> dict[int, Sighting]:
-        """Return the crashes of which no answer clears the trait."""
-        since = self.answered_at + ANSWER_VALID_SECONDS
-        return {key: one for key, one in self.crashes.items() if one.at > since}
-
-
 class Guilt(msgspec.Struct, kw_only=True, frozen=True):
     """Traits that were always there together when endpoints crashed.
 
@@ -207,8 +140,8 @@
         self._guilty: tuple[Guilt, ...] = ()
         self._suspected: frozenset[int] = frozenset()
         self._is_changed = False
-        self._judged_at = _NEVER
-        self._forgot_at = _NEVER
+        self._judged_at = NEVER
+        self._forgot_at = NEVER
 
     @property
     def suspected(self) -> frozenset[int]:
@@ -233,7 +166,7 @@
     def note_answer(self, traits: Traits, *, at: float) -> None:
         """Note that an endpoint answered a request and stayed up."""
         for part in traits.parts:
-            self._answered[part] = max(at, self._answered.pop(part, _NEVER))
+            self._answered[part] = max(at, self._answered.pop(part, NEVER))
         while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
         for trait in traits.all:
@@ -262,7 +195,7 @@
             if trait in held or now < record.crashed_at + REPORT_SECONDS
         ]
         return tuple(
-            _make_report(trait, self._records[trait], now)
+            make_report(trait, self._records[trait], now)
             for *_, trait in heapq.nlargest(MAX_REPORTED, told)
         )
 
@@ -288,7 +221,7 @@
     def _add(self, trait: int, lifetime: int, sighting: Sighting) -> None:
         record = self._records.get(trait)
         if record is None:
-            answered_at = self._answered.get(trait, _NEVER)
+            answered_at = self._answered.get(trait, NEVER)
             record = self._records[trait] = Record(answered_at=answered_at)
             if len(self._records) > MAX_RECORDS:
                 self._drop_oldest()
@@ -379,7 +312,7 @@
 
     def _is_doubtful(self, trait: int) -> bool:
         """Return whether a trait is a part on which endpoints have answered before."""
-        return is_part(trait) and self._records[trait].answered_at > _NEVER
+        return is_part(trait) and self._records[trait].answered_at > NEVER
 
     def _forget(self, now: float, guilty: frozenset[int]) -> None:
         """Forget old crashes, those of guilty traits later."""
@@ -399,50 +332,3 @@
 
         trait, _ = min(self._records.items(), key=find_weight)
         del self._records[trait]
-
-
-def is_part(trait: int) -> bool:
-    """Return whether a trait is a part of a prompt, not a request."""
-    return bool(trait & 1)
-
-
-def make_part_trait(digest: int) -> int:
-    """Return the trait of a part of a prompt from its hash."""
-    return digest | 1
-
-
-def make_request_trait(digest: int) -> int:
-    """Return the trait of a request from its hash."""
-    return digest & ~1
-
-
-def count_events(sightings: Iterable[Sighting]) -> int:
-    """Return the number of crashes, with those of the same moment counted once."""
-    count = 0
-    last = _NEVER
-    for one in sorted(sightings, key=lambda one: one.at):
-        if one.at > last + JOINT_SECONDS or one.sent_at > last:
-            count += 1
-            last = one.at
-    return count
-
-
-def _make_report(trait: int, record: Record, now: float) -> TraitReport:
-    newest = sorted(record.find_open().items(), key=lambda item: -item[1].at)
-    answered = record.answered_at
-    return TraitReport(
-        trait=trait,
-        crashes=tuple(
-            CrashReport(
-                lifetime=lifetime,
-                age=_to_milliseconds(now - one.at),
-                lead=_to_milliseconds(one.at - one.sent_at),
-            )
-            for lifetime, one in newest[:MAX_REPORTED_CRASHES]
-        ),
-        answered=None if answered == _NEVER else _to_milliseconds(now - answered),
-    )
-
-
-def _to_milliseconds(seconds: float) -> int:
-    return max(int(seconds * MILLISECONDS), 0)
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peerupdates.py
@@ -19,10 +19,10 @@
 import logbook
 import msgspec
 
+from ..decisions.crashrecords import TraitReport
 from ..decisions.fairshare import UsageReport
 from ..decisions.pace import PaceReport
 from ..decisions.precedence import Sharer
-from ..decisions.queryofdeath import TraitReport
 from ..decisions.stopping import Readiness
 from ..decisions.urgency import LEAST_URGENT
 from ..decisions.versiontrial import Tally
--- a/eelgrassrack/gateway/queryguard.py
+++ b/eelgrassrack/gateway/queryguard.py
@@ -13,15 +13,17 @@
 import logbook
 import xxhash
 
+from ..decisions.crashrecords import (
+    TraitReport,
+    make_part_trait,
+    make_request_trait,
+)
 from ..decisions.precedence import Sharer, count_before
 from ..decisions.queryofdeath import (
     Blocked,
     Clear,
     QueryOfDeathDetector,
     Suspected,
-    TraitReport,
-    make_part_trait,
-    make_request_trait,
 )
 from ..decisions.runs import Crash, RunHistory, Traits
 from .configuration import Permit
