--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -12,7 +12,6 @@
 
 from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
-from ..listening import stop_listening
 from ..stoptime import StopTime
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
@@ -21,6 +20,7 @@
 from .errors import StartError
 from .fleet import Fleet
 from .follower import Store, StoreContact
+from .gracefulstop import stop_gracefully
 from .ingress import Ingress
 from .listener import open_listener
 from .metrics import GatewayMetrics
@@ -45,20 +45,6 @@
 # processor was busy.
 STALL_SECONDS = 0.25
 
-# How long new connections may arrive after the readiness check begins to fail.  The
-# balancer removes an instance after two failed checks one second apart, and
-# connections take a little longer over its own links.
-ROTATION_SECONDS = 2.6
-
-# The steps of a graceful stop, as seconds before the grace period ends: every
-# request is answered, the listening socket is closed, open requests are no longer
-# waited for, and connections are closed.  A slow instance needs time between the
-# steps to send the last bytes, and some more to exit.
-ANSWER_MARGIN_SECONDS = 0.7
-LISTEN_MARGIN_SECONDS = 0.5
-REQUEST_MARGIN_SECONDS = 0.3
-CLOSE_MARGIN_SECONDS = 0.1
-
 # Time limit for reading a request body.  It is far above every route's time limit,
 # so the caller of a slower body has already given up.
 BODY_TIMEOUT_SECONDS = 60.0
@@ -319,33 +305,15 @@
         `signalled_at` is the loop time of the stop signal, from which the grace
         period counts; None means now.
         """
-        log.notice("gateway: stopping, {} open", self.ingress.open_requests)
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        signalled_at = began if signalled_at is None else signalled_at
-        log.notice(
-            "gateway: stop signal came {seconds} s ago",
-            seconds=round(began - signalled_at, 3),
-        )
         self._is_closing = True
-        ends_at = signalled_at + self._settings.grace_seconds
-        self._handler.set_end(ends_at - ANSWER_MARGIN_SECONDS)
-        leaves_at = min(began + ROTATION_SECONDS, ends_at - ANSWER_MARGIN_SECONDS)
-        await asyncio.sleep(leaves_at - began)
-        # The balancer keeps sending callers here if too few other gateways are
-        # ready.  Serve those requests that certainly finish in time: a closed port
-        # would cost each caller one attempt.
-        self._handler.refuse_unfinishable()
-        await self.ingress.wait_answered(ends_at - LISTEN_MARGIN_SECONDS)
-        await stop_listening(
-            self._server,
-            [self._listener],
-            make_room=self.ingress.make_room,
-            until=ends_at - REQUEST_MARGIN_SECONDS,
+        await stop_gracefully(
+            handler=self._handler,
+            ingress=self.ingress,
+            server=self._server,
+            listener=self._listener,
+            grace_seconds=self._settings.grace_seconds,
+            signalled_at=signalled_at,
         )
-        await self.ingress.wait_answered(ends_at - REQUEST_MARGIN_SECONDS)
-        await self.ingress.end(ends_at - CLOSE_MARGIN_SECONDS)
-        log.notice("gateway: stopped, {} cut", self.ingress.open_requests)
         await self.close()
 
     async def close(self) -> None:
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -8,12 +8,11 @@
 import contextlib
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import logbook
 
-from ..decisions.candidates import draw_candidates, find_home
 from ..decisions.engines import (
     EngineCandidate,
     EngineChoice,
@@ -22,11 +21,9 @@
 from ..decisions.fairshare import Usage, UsageReport
 from ..decisions.modelchoice import Estimate
 from ..decisions.pace import BASE_SECONDS, Pace, PaceReport
-from ..decisions.precedence import Sharer, count_before
+from ..decisions.precedence import Sharer
 from ..decisions.rest import may_wait
-from ..decisions.sharedbudget import share_cold_rate
-from ..decisions.suspects import avoid_suspected
-from .configuration import Service
+from .coldlimits import ColdLimits
 from .endpointlimits import EndpointLimits, LimitWait
 from .endpointreports import PeerReports, detect_slow, report_endpoints
 from .endpoints import Endpoint
@@ -45,6 +42,7 @@
 )
 from .queryguard import QueryGuard
 from .rollouts import Rollouts
+from .selection import EndpointSelector
 from .settings import GatewaySettings
 from .wishes import EndpointWishes
 
@@ -62,52 +60,10 @@
 # at their limit.
 POLL_SECONDS = 0.05
 
-# How long this gateway's share of a cold endpoint's rate is cached: computing it takes
-# a third of a millisecond with hundreds of gateways.
-COLD_SHARE_SECONDS = 0.25
 
 NO_ENDPOINT = Refusal(status=503, reason="no endpoint", retry_after=1.0)
 
 
-class DomainSplit:
-    """Endpoints of this gateway's failure domain and of others.
-
-    `states` is the list that was split.
-    """
-
-    __slots__ = ("_homes", "far", "near", "states")
-
-    def __init__(
-        self,
-        *,
-        states: list[EndpointState],
-        near: list[EndpointState],
-        far: list[EndpointState],
-    ) -> None:
-        self.states = states
-        self.near = near
-        self.far = far
-        self._homes: dict[str, EndpointState] = {}
-
-    @classmethod
-    def make(
-        cls, states: list[EndpointState], *, is_near: Callable[[Endpoint], bool]
-    ) -> "DomainSplit":
-        """Split a list of endpoints."""
-        near = [state for state in states if is_near(state.endpoint)]
-        far = [state for state in states if not is_near(state.endpoint)]
-        return cls(states=states, near=near, far=far)
-
-    def find_home(self, affinity: str) -> EndpointState:
-        """Return the endpoint that is to cache a prefix, preferably a near one."""
-        home = self._homes.get(affinity)
-        if home is None:
-            by_name = {one.endpoint.name: one for one in self.near or self.far}
-            home = by_name[find_home(tuple(by_name), affinity)]
-            self._homes[affinity] = home
-        return home
-
-
 class Placer:
     """Choose endpoints and track the requests that run on them.
 
@@ -120,6 +76,7 @@
     """
 
     __slots__ = (
+        "_cold",
         "_merged_at",
         "_fleet",
         "_has_peer_updates",
@@ -128,9 +85,8 @@
         "_loop",
         "_pace",
         "_peer_reports",
-        "_rollouts",
+        "_selector",
         "_settings",
-        "_split",
         "_usage",
         "guard",
         "health",
@@ -154,16 +110,18 @@
         )
         self.health = PassiveHealthCheck(fleet=fleet, rollouts=rollouts)
         self._fleet = fleet
-        self._rollouts = rollouts
         self._settings = settings
         self._list_sharers = list_sharers
         self._list_peer_updates = list_peer_updates
         self._has_peer_updates = False
-        self._split: DomainSplit | None = None
         self._merged_at = 0.0
         self._pace = Pace()
         self._peer_reports = PeerReports()
         self.wishes = EndpointWishes(fleet=fleet)
+        self._selector = EndpointSelector(
+            fleet=fleet, rollouts=rollouts, wishes=self.wishes, settings=settings
+        )
+        self._cold = ColdLimits(settings=settings, list_sharers=list_sharers)
         self.limits = EndpointLimits(settings=settings, list_sharers=list_sharers)
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
@@ -172,6 +130,8 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         self._settings = settings
+        self._selector.apply_settings(settings)
+        self._cold.apply_settings(settings)
 
     @property
     def gateway_count(self) -> int | None:
@@ -181,7 +141,7 @@
 
     def is_near(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is in this gateway's failure domain."""
-        return endpoint.domain == self._settings.domain
+        return self._selector.is_near(endpoint)
 
     async def place(self, job: "Job") -> Endpoint | Refusal:
         """Return the endpoint for the next attempt, or a refusal.
@@ -200,11 +160,11 @@
                 if not self.guard.may_send(job):
                     await asyncio.sleep(POLL_SECONDS)
                     continue
-                states = self._select_trusted(job, now)
+                states = self._selector.select_trusted(job, now)
                 free = [
                     state
                     for state in states
-                    if self._has_cold_capacity(state, job, now)
+                    if self._cold.has_capacity(state, job.permit.service, now)
                     and self.limits.has_room(state, waiting)
                 ]
                 if free:
@@ -232,7 +192,9 @@
         Those that are cold may have room at any moment.
         """
         now = self._loop.time()
-        if not all(self._has_cold_capacity(state, job, now) for state in states):
+        if not all(
+            self._cold.has_capacity(state, job.permit.service, now) for state in states
+        ):
             return None
         wait = self.limits.find_wait(states, waiting)
         if self._may_wait(job, wait):
@@ -281,7 +243,7 @@
         now = self._loop.time()
         rests = (
             max(self.wishes.find_rest_end(state.endpoint) - now, 0.0)
-            for state in self._list_permitted(job, excluded)
+            for state in self._selector.list_permitted(job, excluded)
         )
         return min(rests, default=None)
 
@@ -290,9 +252,9 @@
         now = self._loop.time()
         waiting = self.limits.wait(job)
         return not self.guard.is_held(job) and any(
-            self._has_cold_capacity(state, job, now)
+            self._cold.has_capacity(state, job.permit.service, now)
             and self.limits.has_room(state, waiting)
-            for state in self._select_trusted(job, now)
+            for state in self._selector.select_trusted(job, now)
         )
 
     def note_head(self, job: "Job", endpoint: Endpoint, head: ResponseHead) -> None:
@@ -335,7 +297,9 @@
         The endpoint may have been taken out while a connection to it was opened.
         """
         state = self._fleet.find_state(endpoint)
-        return state in self._list_all(job) and not self.wishes.is_resting(endpoint)
+        return state in self._selector.list_all(job) and not self.wishes.is_resting(
+            endpoint
+        )
 
     def note_sent(self, job: "Job", endpoint: Endpoint) -> None:
         """Count a request against a cold endpoint's rate from now on.
@@ -411,7 +375,7 @@
     def estimate(self, job: "Job", model: str) -> Estimate:
         """Return the time until a model's first token; infinite without endpoints."""
         self._merge_peer_updates()
-        states = self._select(
+        states = self._selector.select(
             job, model, excluded=job.excluded.difference(job.tried[-1:])
         )
         if not states:
@@ -494,67 +458,6 @@
         updates = self._list_peer_updates()
         self._peer_reports.merge(self._fleet, updates)
 
-    def _select(
-        self, job: "Job", model: str, excluded: Collection[str]
-    ) -> list[EndpointState]:
-        """Return the endpoints to weigh, of those that may get a request now."""
-        states = self._list_all(job)
-        drawn = self._draw(job, model, states)
-        found = self._list_ready(drawn, excluded)
-        if found or len(drawn) == len(states):
-            return found
-        return self._list_ready(states, excluded)
-
-    def _list_ready(
-        self, states: Iterable[EndpointState], excluded: Collection[str]
-    ) -> list[EndpointState]:
-        return [
-            state
-            for state in states
-            if state.endpoint.name not in excluded
-            and not self.wishes.is_resting(state.endpoint)
-        ]
-
-    def _draw(
-        self, job: "Job", model: str, states: list[EndpointState]
-    ) -> list[EndpointState]:
-        """Return the endpoints to weigh, with the home of the prompt's prefix."""
-        if self._split is None or self._split.states is not states:
-            self._split = DomainSplit.make(states, is_near=self.is_near)
-        split = self._split
-        drawn = draw_candidates(near=split.near, far=split.far, request=job.arrival.id)
-        affinity = find_affinity(job, model)
-        if not affinity or len(drawn) == len(states):
-            return drawn
-        home = split.find_home(affinity)
-        return drawn if home in drawn else [*drawn, home]
-
-    def _list_permitted(
-        self, job: "Job", excluded: Collection[str]
-    ) -> list[EndpointState]:
-        """Return the endpoints that may get a request, also those that rest."""
-        return [
-            state
-            for state in self._list_all(job)
-            if state.endpoint.name not in excluded
-        ]
-
-    def _list_all(self, job: "Job") -> list[EndpointState]:
-        """Return the endpoints of a request's service and versions."""
-        versions = self._rollouts.choose_version(
-            service=job.permit.service.name,
-            session=job.arrival.session,
-            request=job.arrival.id,
-        )
-        return self._fleet.select(service=job.permit.service.name, versions=versions)
-
-    def _select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
-        return avoid_suspected(
-            self._select(job, job.model, excluded=job.excluded),
-            is_suspected=lambda state: state.is_suspected(now),
-            is_repeatable=job.is_repeatable,
-        )
-
     def _choose(self, job: "Job", states: list[EndpointState]) -> Endpoint:
         choice = self._choose_engine(job, job.model, states)
         chosen = next(state for state in states if state.endpoint.name == choice.name)
@@ -601,36 +504,6 @@
         used_at = state.cached_prefixes.get(affinity)
         return used_at is not None and now < used_at + self._settings.reuse_seconds
 
-    def _has_cold_capacity(self, state: EndpointState, job: "Job", now: float) -> bool:
-        sends = state.cold_sends
-        while sends and sends[0] < now - 1.0:
-            sends.popleft()
-        service = job.permit.service
-        if not service.cold_rate or not state.is_cold(now):
-            return True
-        if now >= state.cold_share_until:
-            state.cold_share = self._share_cold_rate(state, service)
-            state.cold_share_until = now + COLD_SHARE_SECONDS
-        return len(sends) < state.cold_share
-
-    def _share_cold_rate(self, state: EndpointState, service: Service) -> int:
-        settings = self._settings
-        sharers = self._list_sharers()
-        if sharers is None:
-            return 0
-        return share_cold_rate(
-            rate=service.cold_rate,
-            overage=settings.cold_overage,
-            slack=settings.cold_slack,
-            entries=1 + len(sharers),
-            before=count_before(
-                own=Sharer(settings.name, settings.domain),
-                others=sharers,
-                key=str(state.key),
-                domain=state.endpoint.domain,
-            ),
-        )
-
     def _make_candidate(
         self, state: EndpointState, urgency: int, affinity: str, now: float
     ) -> EngineCandidate:
@@ -642,7 +515,7 @@
             slowness=state.slowness,
             running=state.running,
             slots=state.endpoint.slots,
-            is_near=self.is_near(state.endpoint),
+            is_near=self._selector.is_near(state.endpoint),
             holds_parts=bool(affinity) and self._has_cached(state, affinity, now),
             is_avoided=now < state.avoided_until or state.missing_since is not None,
         )
--- /dev/null
+++ b/eelgrassrack/gateway/selection.py
@@ -0,0 +1,147 @@
+"""Select the endpoints that a request may be sent to, before one is chosen."""
+
+from collections.abc import Callable, Collection, Iterable
+from typing import TYPE_CHECKING
+
+from ..decisions.candidates import draw_candidates, find_home
+from ..decisions.suspects import avoid_suspected
+from .endpoints import Endpoint
+from .endpointstate import EndpointState
+from .fleet import Fleet
+from .prompts import find_affinity
+from .rollouts import Rollouts
+from .settings import GatewaySettings
+from .wishes import EndpointWishes
+
+if TYPE_CHECKING:
+    from .job import Job
+
+
+class DomainSplit:
+    """Endpoints of this gateway's failure domain and of others.
+
+    `states` is the list that was split.
+    """
+
+    __slots__ = ("_homes", "far", "near", "states")
+
+    def __init__(
+        self,
+        *,
+        states: list[EndpointState],
+        near: list[EndpointState],
+        far: list[EndpointState],
+    ) -> None:
+        self.states = states
+        self.near = near
+        self.far = far
+        self._homes: dict[str, EndpointState] = {}
+
+    @classmethod
+    def make(
+        cls, states: list[EndpointState], *, is_near: Callable[[Endpoint], bool]
+    ) -> "DomainSplit":
+        """Split a list of endpoints."""
+        near = [state for state in states if is_near(state.endpoint)]
+        far = [state for state in states if not is_near(state.endpoint)]
+        return cls(states=states, near=near, far=far)
+
+    def find_home(self, affinity: str) -> EndpointState:
+        """Return the endpoint that is to cache a prefix, preferably a near one."""
+        home = self._homes.get(affinity)
+        if home is None:
+            by_name = {one.endpoint.name: one for one in self.near or self.far}
+            home = by_name[find_home(tuple(by_name), affinity)]
+            self._homes[affinity] = home
+        return home
+
+
+class EndpointSelector:
+    """Select endpoints of a request's service and versions that want requests."""
+
+    __slots__ = ("_fleet", "_rollouts", "_settings", "_split", "_wishes")
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        rollouts: Rollouts,
+        wishes: EndpointWishes,
+        settings: GatewaySettings,
+    ) -> None:
+        self._fleet = fleet
+        self._rollouts = rollouts
+        self._wishes = wishes
+        self._settings = settings
+        self._split: DomainSplit | None = None
+
+    def apply_settings(self, settings: GatewaySettings) -> None:
+        """Apply changed settings."""
+        self._settings = settings
+
+    def is_near(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is in this gateway's failure domain."""
+        return endpoint.domain == self._settings.domain
+
+    def select(
+        self, job: "Job", model: str, excluded: Collection[str]
+    ) -> list[EndpointState]:
+        """Return the endpoints to weigh, of those that may get a request now."""
+        states = self.list_all(job)
+        drawn = self._draw(job, model, states)
+        found = self._list_ready(drawn, excluded)
+        if found or len(drawn) == len(states):
+            return found
+        return self._list_ready(states, excluded)
+
+    def select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
+        """Return the endpoints to weigh for a request's next attempt.
+
+        One that may not be repeated avoids endpoints that lost an answer lately.
+        """
+        return avoid_suspected(
+            self.select(job, job.model, excluded=job.excluded),
+            is_suspected=lambda state: state.is_suspected(now),
+            is_repeatable=job.is_repeatable,
+        )
+
+    def list_permitted(
+        self, job: "Job", excluded: Collection[str]
+    ) -> list[EndpointState]:
+        """Return the endpoints that may get a request, also those that rest."""
+        return [
+            state for state in self.list_all(job) if state.endpoint.name not in excluded
+        ]
+
+    def list_all(self, job: "Job") -> list[EndpointState]:
+        """Return the endpoints of a request's service and versions."""
+        versions = self._rollouts.choose_version(
+            service=job.permit.service.name,
+            session=job.arrival.session,
+            request=job.arrival.id,
+        )
+        return self._fleet.select(service=job.permit.service.name, versions=versions)
+
+    def _list_ready(
+        self, states: Iterable[EndpointState], excluded: Collection[str]
+    ) -> list[EndpointState]:
+        return [
+            state
+            for state in states
+            if state.endpoint.name not in excluded
+            and not self._wishes.is_resting(state.endpoint)
+        ]
+
+    def _draw(
+        self, job: "Job", model: str, states: list[EndpointState]
+    ) -> list[EndpointState]:
+        """Return the endpoints to weigh, with the home of the prompt's prefix."""
+        if self._split is None or self._split.states is not states:
+            self._split = DomainSplit.make(states, is_near=self.is_near)
+        split = self._split
+        drawn = draw_candidates(near=split.near, far=split.far, request=job.arrival.id)
+        affinity = find_affinity(job, model)
+        if not affinity or len(drawn) == len(states):
+            return drawn
+        home = split.find_home(affinity)
+        return drawn if home in drawn else [*drawn, home]
--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -13,7 +13,7 @@
     ProcessLifetime,
 )
 from bench.gatewaysoak.play import play
-from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+from eelgrassrack.gateway.gracefulstop import ROTATION_SECONDS
 
 BOUND = DRAIN_SECONDS + SLACK_SECONDS
 
--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.coldlimits import ColdLimits
 from eelgrassrack.gateway.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
-from eelgrassrack.gateway.placing import Placer
 from eelgrassrack.standins.directengine import Break, Events, Reply
 
 from .world import connect, make_world, run, wait_for
@@ -263,7 +263,7 @@
             await world.wait_ready()
             calling = asyncio.ensure_future(world.call("/chat/1"))
             await wait_for(lambda: pausing.runs)
-            monkeypatch.setattr(Placer, "_share_cold_rate", lambda *_: 0)
+            monkeypatch.setattr(ColdLimits, "_share", lambda *_: 0)
             await world.add_engine("e2", coldRemainingMs=20_000, **rest)
             await wait_for(lambda: gateway.fleet.find("e2"))
             got = await calling
--- a/test/gateway/test_last_words.py
+++ b/test/gateway/test_last_words.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from eelgrassrack.gateway.daemon import (
+from eelgrassrack.gateway.gracefulstop import (
     ANSWER_MARGIN_SECONDS,
     LISTEN_MARGIN_SECONDS,
     REQUEST_MARGIN_SECONDS,
--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -10,7 +10,7 @@
 import pytest
 
 from eelgrassrack.gateway import pool
-from eelgrassrack.gateway.daemon import LISTEN_MARGIN_SECONDS, ROTATION_SECONDS
+from eelgrassrack.gateway.gracefulstop import LISTEN_MARGIN_SECONDS, ROTATION_SECONDS
 from eelgrassrack.gateway.serving import LOADING_WAIT_SECONDS
 from eelgrassrack.standins.directengine import (
     Break,
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -7,7 +7,7 @@
 import pytest
 
 from eelgrassrack.dismissal import REQUEST_TIMEOUT_ANSWER
-from eelgrassrack.gateway.daemon import ROTATION_SECONDS
+from eelgrassrack.gateway.gracefulstop import ROTATION_SECONDS
 from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.standins.directengine import Events, Reply
 
--- a/test/gateway/test_stop_orders.py
+++ b/test/gateway/test_stop_orders.py
@@ -15,11 +15,11 @@
 import pytest
 from tornado.httpserver import HTTPServer
 
-from eelgrassrack.gateway.daemon import (
+from eelgrassrack.gateway.daemon import Gateway
+from eelgrassrack.gateway.gracefulstop import (
     LISTEN_MARGIN_SECONDS,
     REQUEST_MARGIN_SECONDS,
     ROTATION_SECONDS,
-    Gateway,
 )
 from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.gateway.listener import open_listener
