Blame messages that prompts share for crashes, on the product's own face too

Change: starts carry a hash of each message but the last, agents name them in the report of a crash and when a request that ran alone completes. Entries ask the same decision (decisions/queryofdeath.py): a suspected message's requests run alone, one that alone explains three crashes joins the quarantine of fingerprints, which entries and agents share. Messages that were always together are only suspected. Not covered: entries tell each other no crashes; each hears them from the agents.

--- a/eelgrassrack/agent/admission.py
+++ b/eelgrassrack/agent/admission.py
@@ -89,7 +89,7 @@
         return Refused(refusal=Refusal.WITHDRAWN)
     if not state.is_served(start):
         return Refused(refusal=Refusal.NOT_SERVED)
-    if start.fingerprint and start.fingerprint in state.quarantined:
+    if not state.quarantined.isdisjoint((start.fingerprint, *start.parts)):
         return Refused(refusal=Refusal.QUARANTINED)
     if not state.engine_up:
         return Refused(refusal=Refusal.ENGINE_DOWN)
--- a/eelgrassrack/agent/crashes.py
+++ b/eelgrassrack/agent/crashes.py
@@ -92,5 +92,6 @@
                 endpoint=self._endpoint,
                 fingerprints=tuple(sorted(fingerprints)),
                 alone=alone,
+                parts=tuple(sorted({part for start in starts for part in start.parts})),
             )
         )
--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -274,7 +274,8 @@
             bill=bill_completed(attempt, outcome.usage),
         )
         if start.alone and start.fingerprint:
-            self._announce(Cleared(fingerprints=(start.fingerprint,)))
+            cleared = Cleared(fingerprints=(start.fingerprint,), parts=start.parts)
+            self._announce(cleared)
 
     def _end(
         self,
--- a/eelgrassrack/decisions/queryofdeath.py
+++ b/eelgrassrack/decisions/queryofdeath.py
@@ -153,6 +153,11 @@
         """Return what was blocked when last judged."""
         return self._guilty
 
+    def find_guilty(self, *, now: float) -> tuple[Guilt, ...]:
+        """Return what is blocked."""
+        self._judge(now)
+        return self._guilty
+
     def find_crashes(self, trait: int) -> tuple[int, ...]:
         """Return the hashed lifetimes whose crashes a trait is blamed for."""
         record = self._records.get(trait)
--- a/eelgrassrack/entry/arrivals.py
+++ b/eelgrassrack/entry/arrivals.py
@@ -10,10 +10,12 @@
 import msgspec
 import xxhash
 
+from ..decisions.crashrecords import make_part_trait
 from ..document.sections import Limits, Organisation, Service
 from ..document.snapshot import Snapshot
 from . import headers
 from .refusals import CallerError
+from .suspects import format_part
 
 # Assumed length of an answer if the caller sets no max_tokens.
 DEFAULT_ANSWER_TOKENS = 256
@@ -22,6 +24,9 @@
 BEARER = "Bearer "
 MAX_HEADER_CHARACTERS = 512
 
+# Messages of a prompt that crashes may be blamed on; further ones aren't considered.
+MAX_PARTS = 256
+
 
 class ChatMessage(msgspec.Struct, frozen=True):
     """One message of a conversation; `content` is text or a list of parts."""
@@ -59,7 +64,8 @@
 class ChatArrival(msgspec.Struct, kw_only=True, frozen=True):
     """A valid chat request.
 
-    `tokens` estimates prompt and answer together, `fields` holds the whole body.
+    `tokens` estimates prompt and answer together, `parts` are the fingerprints of the
+    messages that other requests may share, `fields` holds the whole body.
     """
 
     options: RequestOptions
@@ -68,6 +74,7 @@
     tokens: int
     prompt: str
     fingerprint: str
+    parts: tuple[str, ...]
     wants_usage: bool
     fields: dict[str, msgspec.Raw]
 
@@ -169,6 +176,7 @@
         tokens=answer_tokens + len(body) // BYTES_PER_TOKEN,
         prompt=_join_prompt(chat.messages),
         fingerprint=_compute_fingerprint(organisation.name, bytes(fields["messages"])),
+        parts=_compute_parts(fields["messages"]),
         wants_usage=wants_usage,
         fields=fields,
     )
@@ -221,5 +229,14 @@
     return xxhash.xxh3_128_hexdigest(organisation.encode() + b"\0" + content)
 
 
+def _compute_parts(messages: msgspec.Raw) -> tuple[str, ...]:
+    """Return a fingerprint of each message but the last, which is the request's own."""
+    shared = msgspec.json.decode(messages, type=list[msgspec.Raw])[:-1]
+    return tuple(
+        format_part(make_part_trait(xxhash.xxh3_64_intdigest(bytes(message))))
+        for message in shared[:MAX_PARTS]
+    )
+
+
 def _refuse_body(text: str) -> CallerError:
     return CallerError(status=400, code="bad_request", text=text)
--- a/eelgrassrack/entry/dispatcher.py
+++ b/eelgrassrack/entry/dispatcher.py
@@ -107,7 +107,7 @@
         last: DispatchResult | None = None
         while True:
             endpoint = self._picker.choose(job=job, tried=tried)
-            verdict = self._suspects.judge(fingerprint=job.fingerprint)
+            verdict = self._suspects.judge(fingerprint=job.fingerprint, parts=job.parts)
             refusal = self._find_refusal(job, endpoint, verdict)
             if refusal is None:
                 target = self._make_target(endpoint)
@@ -119,7 +119,7 @@
             alone = isinstance(verdict, RunAlone)
             channel = self._start(job, target, sink, keeps_pieces, alone)
             outcome = await self._follow(channel, endpoint)
-            self._report_crash(job, outcome, target, alone)
+            self._report_outcome(job, outcome, target, alone)
             tried.append(endpoint.name)
             last = _select_result(last, DispatchResult(outcome=outcome, target=target))
             if not self._may_retry(job, outcome, channel, len(tried)):
@@ -174,24 +174,30 @@
         start = build_start(job=job, target=target, now=now, alone=alone)
         self._post(target.address, start)
         if alone:
-            self._suspects.begin_trial(fingerprint=job.fingerprint)
+            self._suspects.begin_trial(fingerprint=job.fingerprint, parts=job.parts)
         return channel
 
-    def _report_crash(
+    def _report_outcome(
         self, job: Job, outcome: Outcome, target: AttemptTarget, alone: bool
     ) -> None:
-        """Report a crash now, because the agent's own report may arrive later."""
+        """Report a crash now, because the agent's own report may arrive later.
+
+        An answer shows that the request is harmless.
+        """
         match outcome:
+            case Completed():
+                self._suspects.note_answer(parts=job.parts)
             case AttemptFailed(finish=Finish.ENGINE_CRASHED):
                 self._suspects.take_crash(
                     Crash(
                         endpoint=target.endpoint,
                         fingerprints=(job.fingerprint,),
                         alone=alone,
+                        parts=job.parts,
                     )
                 )
         if alone:
-            self._suspects.end_trial(fingerprint=job.fingerprint)
+            self._suspects.end_trial(fingerprint=job.fingerprint, parts=job.parts)
 
     def _assert_permitted(self, job: Job) -> None:
         if not job.version:
--- a/eelgrassrack/entry/jobs.py
+++ b/eelgrassrack/entry/jobs.py
@@ -32,6 +32,7 @@
     repeatable: bool = True
     affinity: str = ""
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
     method: str = "POST"
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
@@ -81,6 +82,7 @@
         alone=alone,
         repeatable=job.repeatable,
         fingerprint=job.fingerprint,
+        parts=job.parts,
         method=job.method,
         path=job.path,
         headers=job.headers,
--- a/eelgrassrack/entry/steps.py
+++ b/eelgrassrack/entry/steps.py
@@ -184,5 +184,6 @@
         stream=arrival.stream,
         affinity=request.affinity,
         fingerprint=arrival.fingerprint,
+        parts=arrival.parts,
         body=arrival.build_body(version=picked.version),
     )
--- a/eelgrassrack/mailbox/messages.py
+++ b/eelgrassrack/mailbox/messages.py
@@ -60,7 +60,8 @@
     one step of a request only one is billed.  `within` is the number of seconds
     until the caller's deadline.  With `alone` no other attempt runs at the same
     time.  An attempt that isn't `repeatable` and has started isn't cut off at the
-    caller's deadline.
+    caller's deadline.  `parts` are hashes of the parts of its prompt that other
+    requests may share.
     """
 
     attempt: str
@@ -79,6 +80,7 @@
     alone: bool = False
     repeatable: bool = True
     fingerprint: str = ""
+    parts: tuple[str, ...] = ()
     method: str = "POST"
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
@@ -259,21 +261,32 @@
 
 
 class Crash(Message, kw_only=True):
-    """An engine crashed while requests with these fingerprints ran on it."""
+    """An engine crashed while requests with these fingerprints ran on it.
+
+    `parts` are those of their prompts.
+    """
 
     endpoint: str
     fingerprints: tuple[str, ...]
     alone: bool = False
+    parts: tuple[str, ...] = ()
 
 
 class Cleared(Message, kw_only=True):
-    """Suspected requests with these fingerprints completed without a crash."""
+    """Suspected requests with these fingerprints completed without a crash.
+
+    `parts` are those of their prompts.
+    """
 
     fingerprints: tuple[str, ...]
+    parts: tuple[str, ...] = ()
 
 
 class Quarantined(Message, kw_only=True):
-    """The fingerprints of queries of death, sent to entries and agents."""
+    """The fingerprints of queries of death, sent to entries and agents.
+
+    They are those of requests and of parts of prompts.
+    """
 
     fingerprints: tuple[str, ...]
 
