Patch two safeguards where they live now, and test two new ones

The split of placing.py left two guards patching names that had moved, so that their tests failed. New: the check after an answer, and the blame of parts.

--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -5,13 +5,16 @@
 import pytest
 
 from eelgrassrack.decisions.fairshare import Usage
+from eelgrassrack.decisions.runs import Traits
 from eelgrassrack.gateway import (
     attempts,
+    coldlimits,
     endpointreports,
     fleet,
     follower,
     ingress,
-    placing,
+    job,
+    selection,
 )
 from eelgrassrack.gateway.configuration import Router
 from eelgrassrack.gateway.connection import Connection
@@ -24,6 +27,7 @@
 from . import (
     test_cold_starts,
     test_crashes,
+    test_crashing_parts,
     test_endpoints,
     test_follower,
     test_limits,
@@ -68,7 +72,7 @@
         test_streams.test_a_stream_resumes_on_another_endpoint,
     ),
     "a lost answer is reported to all gateways": (
-        [(placing, "avoid_suspected", lambda found, **_: list(found))],
+        [(selection, "avoid_suspected", lambda found, **_: list(found))],
         test_endpoints.test_all_gateways_avoid_an_endpoint_after_one_lost_answer,
     ),
     "peers' reports make an endpoint slow": (
@@ -100,13 +104,21 @@
         test_follower.test_a_watch_that_is_never_answered_is_detected_within_its_bound,
     ),
     "only the first gateways send to a cold endpoint": (
-        [(placing, "count_before", lambda **_: 0)],
+        [(coldlimits, "count_before", lambda **_: 0)],
         test_cold_starts.test_more_gateways_than_requests_a_second_at_a_cold_endpoint,
     ),
     "an endpoint that broke a connection is checked": (
-        [(ConnectionPool, "check", lambda pool, **_: None)],
+        [(ConnectionPool, "check", lambda pool, endpoint: None)],
         test_crashes.test_a_query_of_death_is_detected_without_other_requests,
     ),
+    "an endpoint that closes right after an answer is checked": (
+        [(ConnectionPool, "_note_idle_closed", lambda pool, *_: None)],
+        test_crashing_parts.test_a_gateway_that_starts_does_not_send_what_is_blocked,
+    ),
+    "parts of prompts are blamed for crashes": (
+        [(job, "find_traits", lambda arrival, permit: Traits(id(arrival) & ~1))],
+        test_crashing_parts.test_a_gateway_that_starts_does_not_send_what_is_blocked,
+    ),
     "entries that lapsed are kept for a while": (
         [(fleet, "LAPSE_SECONDS", 0.0)],
         test_follower.test_an_entry_that_lapsed_in_an_outage_is_kept_until_it_is_back,
