--- a/test/gateway/test_streams.py
+++ b/test/gateway/test_streams.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from eelgrassrack.platform.headers import STAMP
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import (
+    STAMP_VALUE,
     Events,
+    Raw,
 )
 
 from .world import (
@@ -45,6 +48,47 @@
     run(main())
 
 
+UNFRAMED_HEAD = (
+    f"HTTP/1.1 200 OK\r\n{STAMP}: {STAMP_VALUE}\r\n"
+    "Content-Type: text/event-stream\r\n\r\n"
+).encode()
+EVENT = b"id: 1\ndata: 1\n\n"
+
+
+def test_a_stream_without_length_or_chunks_ends_with_its_connection():
+    async def main():
+        async with make_world() as world:
+            answer = Raw(pieces=(UNFRAMED_HEAD, EVENT))
+            await world.add_engine("e1", answer, service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/once/1")
+            assert (got.status, got.body, got.is_whole) == (200, EVENT, True)
+
+    run(main())
+
+
+def test_a_stream_without_length_that_ends_within_an_event_is_broken_off():
+    """The next endpoint sends the rest, and a stream that can't resume isn't whole."""
+
+    async def main():
+        async with make_world() as world:
+            broken = Raw(pieces=(UNFRAMED_HEAD, EVENT + b"id: 2\nda"))
+            rest = {"service": "models", "slots": 100}
+            first = await world.add_engine("e1", broken, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            assert not (await world.call("/once/1")).is_whole
+            await world.add_engine("e2", Events(count=3), service="models")
+            await wait_for(lambda: world.gateways[0].fleet.find("e2"))
+            got = await world.call("/chat/1", attempt="a2")
+            assert got.is_whole
+            assert got.body.count(b"id: ") == 3
+            assert first.runs
+
+    run(main())
+
+
 def test_a_caller_that_has_all_events_gets_the_end():
     """A caller's connection broke after the last event and before the end.
 
