--- a/bench/gatewaysoak/links.py
+++ b/bench/gatewaysoak/links.py
@@ -32,6 +32,7 @@
         self.address = ""
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._severed: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -51,6 +52,10 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def sever(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        self._severed |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -74,6 +79,7 @@
                 ),
             )
         self._writers -= {writer, target_writer}
+        self._severed -= {writer, target_writer}
 
     async def _forward(
         self,
@@ -83,7 +89,7 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(READ_BYTES):
-                while self.fault in blocking_faults:
+                while self.fault in blocking_faults or writer in self._severed:
                     await asyncio.sleep(POLL_SECONDS)
                 if self.fault is LinkFault.SLOW:
                     await asyncio.sleep(DELAY_SECONDS)
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bench.gatewaysoak.links import Link
 from eelgrassrack.gateway.follower import Follower, StoreContact
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import Fault
@@ -12,6 +13,10 @@
 from .world import KEY, make_world, run, wait_for
 
 
+# After a disturbance of its connections a gateway is in touch again.
+CONTACT_SECONDS = 3.0
+
+
 def find_version(gateway):
     return gateway.router.version
 
@@ -85,6 +90,26 @@
     run(main())
 
 
+def test_a_configuration_arrives_though_open_connections_are_silent_for_good():
+    """Guards against watches that wait where no answer comes, as new calls work."""
+
+    async def main():
+        async with make_world() as world:
+            link = Link(target=world.store.url.removeprefix("http://"))
+            await link.start()
+            gateway = await world.start_gateway(objects_url=f"http://{link.address}")
+            await world.wait_ready()
+            await asyncio.sleep(0.3)
+            link.sever()
+            await asyncio.sleep(CONTACT_SECONDS)
+            world.configure(version=2)
+            await wait_for(lambda: find_version(gateway) == 2, seconds=2.0)
+            await gateway.close()
+            await link.stop()
+
+    run(main())
+
+
 @pytest.mark.parametrize("fault", [Fault.BUSY, Fault.RESET, Fault.SILENT])
 def test_an_outage_of_the_store_stops_no_requests(fault):
     """The store fails for a while; callers are served as before."""
