--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -12,7 +12,6 @@
 
 from .world import KEY, make_world, run, wait_for
 
-
 # After a disturbance of its connections a gateway is in touch again.
 CONTACT_SECONDS = 3.0
 
