Refuse chats with all messages that were always there together when endpoints crashed

An entry's decision blocks them, and they ran as any other; found in the read-through. Also: the last part of a prompt, each request's own, isn't kept among the names for the log, and one method of attempts has a name of its own.

--- a/eelgrassrack/entry/suspects.py
+++ b/eelgrassrack/entry/suspects.py
@@ -21,7 +21,7 @@
     Quarantined,
     RunAlone,
 )
-from ..decisions.queryofdeath import QueryOfDeathDetector, Suspected
+from ..decisions.queryofdeath import Blocked, QueryOfDeathDetector, Suspected
 from ..decisions.runs import Crash as EndpointCrash
 from ..decisions.runs import Traits
 from ..mailbox.messages import Cleared, Crash
@@ -81,6 +81,8 @@
             return refuse_quarantined()
         now = self._clock()
         match self._detector.judge(make_traits(parts), now=now):
+            case Blocked():
+                return refuse_quarantined()
             case Suspected(traits=traits):
                 until = max(self._part_trials.get(trait, now) for trait in traits)
                 if until > now:
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/attempts.py
@@ -75,7 +75,7 @@
             connection = await self._pool.acquire(
                 endpoint=endpoint, now=self._loop.time()
             )
-            if self._is_withdrawn(job, endpoint, connection):
+            if self._is_taken_out(job, endpoint, connection):
                 # Nothing was sent, so this does not count as an attempt.
                 job.attempts -= 1
                 return NotRun(
@@ -119,7 +119,7 @@
                 self._pool.release(endpoint=endpoint, connection=connection)
         return outcome
 
-    def _is_withdrawn(
+    def _is_taken_out(
         self, job: Job, endpoint: Endpoint, connection: Connection
     ) -> bool:
         """Return whether a request may not be sent any more, once it could be.
--- a/eelgrassrack/gateway/queryguard.py
+++ b/eelgrassrack/gateway/queryguard.py
@@ -29,7 +29,7 @@
 from .configuration import Permit
 from .endpoints import Endpoint
 from .endpointstate import hash_lifetime
-from .messages import Arrival, Refusal
+from .messages import Arrival, PromptPart, Refusal
 
 if TYPE_CHECKING:
     from .job import Job
@@ -128,7 +128,7 @@
         """Note that a request is sent to an endpoint."""
         lifetime = hash_lifetime(endpoint.lifetime)
         self._remember(lifetime, endpoint.name)
-        for part in job.arrival.parts[:MAX_PARTS]:
+        for part in list_shared_parts(job.arrival):
             self._remember(hash_part(part.name), part.name)
         job.run = self._history.begin(
             lifetime=lifetime, traits=job.traits, now=self._loop.time()
@@ -282,13 +282,17 @@
     for part in arrival.parts:
         digest.update(part.name.encode() + b"\0")
     digest.update(arrival.body)
-    shared = arrival.parts[:-1][:MAX_PARTS]
     return Traits(
         request=make_request_trait(digest.intdigest()),
-        parts=frozenset(hash_part(part.name) for part in shared),
+        parts=frozenset(hash_part(part.name) for part in list_shared_parts(arrival)),
     )
 
 
+def list_shared_parts(arrival: Arrival) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt that other requests may share, the first of many."""
+    return arrival.parts[:-1][:MAX_PARTS]
+
+
 @functools.lru_cache(maxsize=MAX_NAMES)
 def hash_part(name: str) -> int:
     """Return the trait of a part of a prompt."""
--- a/test/entry/test_suspects.py
+++ b/test/entry/test_suspects.py
@@ -73,10 +73,11 @@
 
 
 def test_messages_that_were_always_together_are_not_quarantined_yet(entry):
-    """A harmless one would be refused for an hour."""
+    """A harmless one would be refused for an hour, those with both crash endpoints."""
     for number in range(4):
         entry.crash(f"e{number}", GUILTY, RARE)
     assert entry.judge(RARE) == RunAlone()
+    assert entry.judge(GUILTY, RARE).status == 422
     entry.crash("e5", GUILTY, alone=True)
     assert entry.judge(GUILTY).status == 422
     assert entry.judge(RARE) == Clear()
