Keep a part suspected though another one explains its crashes

What callers saw, in the test of real processes only: with all parts unanswered since the start, a sound part was at every crash of the guilty one and at one of another cause.

Cause: what is explained was cleared at once, though the explanation may be wrong.

Change: a part with two open events stays suspected until it is answered; being explained only keeps it from being blocked. Its requests go one at a time, the sound ones are answered and clear it, the guilty ones crash and show it.

--- a/eelgrassrack/decisions/queryofdeath.py
+++ b/eelgrassrack/decisions/queryofdeath.py
@@ -13,8 +13,8 @@
 - A trait that was there only together with a guilty one is explained by it.
 
 A trait is blocked after three events that nothing else explains.  If several parts
-were always there together, requests with all of them are blocked, and those with some
-of them are suspected, as are requests with a part that two events don't explain.
+were always there together, requests with all of them are blocked.  Requests with a part
+of two events or more that wasn't answered since are suspected, also if it is explained.
 Suspected requests go one at a time until one is answered or crashes its endpoint.
 
 Gateways tell each other the crashes of each suspected trait, so the count doesn't
@@ -251,20 +251,19 @@
             if len(record.crashes) >= SUSPECT_EVENTS
             and len(crashes := record.find_open()) >= SUSPECT_EVENTS
         }
+        suspected = frozenset(
+            trait
+            for trait, crashes in blamed.items()
+            if is_part(trait) and count_events(crashes.values()) >= SUSPECT_EVENTS
+        )
         guilty = tuple(self._find_guilty(blamed))
         self._guilty = tuple(
             guilt for guilt in guilty if now < guilt.crashed_at + BLOCK_SECONDS
         )
-        self._suspected = frozenset(
-            trait
-            for trait, crashes in blamed.items()
-            if is_part(trait) and count_events(crashes.values()) >= SUSPECT_EVENTS
-        ).union(
-            *(
-                guilt.parts
-                for guilt in guilty
-                if len(guilt.traits) > 1 or guilt not in self._guilty
-            )
+        # A part that another one explains stays suspected until it is answered: more
+        # crashes of other causes may make a sound part seem to explain the guilty one.
+        self._suspected = suspected.difference(
+            *(guilt.traits for guilt in self._guilty if len(guilt.traits) == 1)
         )
         if now >= self._forgot_at + FORGET_SECONDS:
             self._forgot_at = now
--- a/test/decisions/test_queryofdeath.py
+++ b/test/decisions/test_queryofdeath.py
@@ -100,7 +100,21 @@
     crash(detector, 1, 0.0, request(GUILTY))
     crash_often(detector, 3, GUILTY, since=1.0, beside=[RARE])
     assert is_blocked(detector, 5.0, GUILTY)
-    assert isinstance(judge(detector, 5.0, RARE), Clear)
+    assert isinstance(judge(detector, 5.0, RARE), Suspected)
+    detector.note_answer(request(RARE), at=6.0)
+    assert isinstance(judge(detector, 6.5, RARE), Clear)
+
+
+def test_a_guilty_part_is_not_released_for_a_sound_one_with_more_crashes():
+    """Nothing was answered yet, and an endpoint also crashed for another cause."""
+    detector = QueryOfDeathDetector()
+    crash_often(detector, 3, GUILTY, beside=[RARE])
+    crash(detector, 50, 4.0, request(RARE))
+    assert isinstance(judge(detector, 5.0, GUILTY), Suspected)
+    crash(detector, 51, 6.0, request(GUILTY))
+    crash(detector, 52, 7.0, request(GUILTY))
+    assert is_blocked(detector, 8.0, GUILTY)
+    assert isinstance(judge(detector, 8.0, RARE), Suspected)
 
 
 def test_parts_that_were_always_together_are_told_apart_by_one_request():
@@ -111,7 +125,9 @@
     assert isinstance(judge(detector, 3.0, RARE), Suspected)
     crash(detector, 50, 4.0, request(GUILTY))
     assert is_blocked(detector, 4.5, GUILTY)
-    assert isinstance(judge(detector, 4.5, RARE), Clear)
+    assert isinstance(judge(detector, 4.5, RARE), Suspected)
+    detector.note_answer(request(RARE), at=5.0)
+    assert isinstance(judge(detector, 5.5, RARE), Clear)
 
 
 def test_a_request_that_was_lost_three_times_beside_a_part_is_told_apart():
@@ -123,7 +139,9 @@
     assert isinstance(judge(detector, 3.0, GUILTY), Suspected)
     crash(detector, 50, 4.0, request(GUILTY))
     assert is_blocked(detector, 4.5, GUILTY)
-    assert isinstance(detector.judge(beside, now=4.5), Clear)
+    assert isinstance(detector.judge(beside, now=4.5), Suspected)
+    detector.note_answer(beside, at=5.0)
+    assert isinstance(detector.judge(beside, now=5.5), Clear)
 
 
 def test_a_part_that_was_answered_is_cleared():
--- a/test/entry/test_suspects.py
+++ b/test/entry/test_suspects.py
@@ -80,6 +80,8 @@
     assert entry.judge(GUILTY, RARE).status == 422
     entry.crash("e5", GUILTY, alone=True)
     assert entry.judge(GUILTY).status == 422
+    assert entry.judge(RARE) == RunAlone()
+    entry.suspects.note_answer(parts=(RARE,))
     assert entry.judge(RARE) == Clear()
 
 
