Say once how an entry notes a crash of parts, and sort two names

Tidying from the last read; behaviour stays: a crash's lifetime is hashed from its endpoint and the time of its first report, as before, and one record is made of it instead of two.

--- a/eelgrassrack/entry/suspects.py
+++ b/eelgrassrack/entry/suspects.py
@@ -13,6 +13,7 @@
 import logbook
 import xxhash
 
+from ..decisions.crashrecords import NEVER
 from ..decisions.quarantine import (
     TRIAL_SECONDS,
     Clear,
@@ -139,26 +140,24 @@
         if not crash.parts:
             return
         now = self._clock()
-        same = self._crashes.get(crash.endpoint)
-        if same is None or now > same.at + SAME_CRASH_SECONDS:
-            lifetime = xxhash.xxh3_64_intdigest(f"{crash.endpoint}.{now}".encode())
-            same = EndpointCrash(lifetime=lifetime, at=now, sent_at={})
-        # When the requests were sent isn't told: crashes of one moment count once.
-        sent_at = dict.fromkeys(make_traits(crash.parts).parts, float("-inf"))
-        same = EndpointCrash(lifetime=same.lifetime, at=same.at, sent_at=sent_at)
-        self._crashes[crash.endpoint] = same
-        self._detector.note_crash(same)
+        known = self._crashes.get(crash.endpoint)
+        is_same = known is not None and now <= known.at + SAME_CRASH_SECONDS
+        at = known.at if is_same else now
+        noted = EndpointCrash(
+            lifetime=xxhash.xxh3_64_intdigest(f"{crash.endpoint}.{at}".encode()),
+            at=at,
+            # When the requests were sent isn't told: crashes of one moment count once.
+            sent_at=dict.fromkeys(make_traits(crash.parts).parts, NEVER),
+        )
+        self._crashes[crash.endpoint] = noted
+        self._detector.note_crash(noted)
         self._quarantine_parts(now)
 
     def _quarantine_parts(self, now: float) -> None:
         """Quarantine the parts that alone explain crashes, and tell others."""
-        guilty = (guilt.parts for guilt in self._detector.find_guilty(now=now))
-        found = tuple(
-            name
-            for parts in guilty
-            for name in map(format_part, parts)
-            if len(parts) == 1 and name not in self.quarantined
-        )
+        guilty = self._detector.find_guilty(now=now)
+        names = (format_part(*guilt.parts) for guilt in guilty if len(guilt.parts) == 1)
+        found = tuple(name for name in names if name not in self.quarantined)
         if found:
             log.warning("suspects: quarantined parts: {}", ", ".join(found))
             self._quarantine.merge(fingerprints=found, now=now)
