Learn a model's pace from long prompts and the time before it from short ones

Cause: a model's pace was learned alike from every answer of an idle endpoint, less a fixed 0.031 s. Prompts of 24,000 to 35,000 tokens therefore began with the best model, which costs most, though there was time for both, and those of 42,000 to 48,000 with the cheapest and came late with the best one, which alone answers them in time.

Ruled out: the square of the length (a fifth of the time at 57,000 tokens) and queues (only attempts with no wait were counted).

Change: an answer counts in proportion to its prompt's length, up to twice the usual weight; prompts of fewer than 500 tokens teach the base instead, which estimates now include.

Tests: the four new cases fail before, two with a pace (0.93 s for a true 0.26, 1.84 for 1.12), two since no base was learned.

--- a/eelgrassrack/decisions/pace.py
+++ b/eelgrassrack/decisions/pace.py
@@ -8,6 +8,11 @@
 The estimates are learned only from endpoints that had nothing else to read; otherwise
 the measured time would tell more about the queue than about the model.
 
+The time until the first token is a base, the same for all prompts, and the reading.  Of
+a short prompt's time most is the base, so that short prompts teach the base, and long
+ones the pace.  If each answer taught the pace alike, a base that is a few hundredths of
+a second longer than assumed would make the longest prompts seem twice as long.
+
 A new entry begins with a guess that may be several times too slow.  Until it has
 learned better, it would consider half of the long prompts too long for asking a cheap
 model first.  The first answers that come sooner than estimated therefore have more
@@ -31,20 +36,24 @@
 # The initial guess for a model of n times the cost is n times this factor as slow.
 COST_FACTOR = 0.7
 
-# Time until the first token on an idle engine, apart from reading the prompt.
-BASE_SECONDS = 0.031
+# Initial guess of the time until the first token, apart from reading the prompt.
+INITIAL_BASE_SECONDS = 0.031
 
-# Shorter prompts tell too little about the pace.
+# Shorter prompts teach the base, longer ones the pace.
 MIN_TOKENS = 500
 
+# An answer to a prompt of this length has the usual weight, a shorter or longer one in
+# proportion, up to a bound.
+USUAL_TOKENS = 4_000
+MAX_LENGTH_WEIGHT = 2.0
+
 # Weight of an answer once the pace is learned.  The pace changes within seconds, with
 # the other requests in the engine's batch.
 ANSWER_WEIGHT = 1 / 12
 
 # Answers count as at most this many times slower than the estimate: beyond that,
 # something else delayed them, such as another entry's request not known here yet.
-MAX_SLOWER_FACTOR = 3.0
-
+MAX_SLOWER_FACTOR = 1.5
 
 # Initial guess of the seconds to generate a token, on an engine that runs a dozen other
 # requests.
@@ -74,22 +83,28 @@
     seconds: float
     answers: int = 0
 
-    def note(self, seconds: float) -> "Learned":
+    def note(self, seconds: float, *, weight: float) -> "Learned":
         """Return the estimate after one more answer; the guess counts as one answer."""
-        is_sooner = seconds < self.seconds
-        weight = (
-            max(ANSWER_WEIGHT, 1 / (self.answers + 2)) if is_sooner else ANSWER_WEIGHT
-        )
+        if seconds < self.seconds:
+            weight = max(weight, 1 / (self.answers + 2))
+        return self.move(seconds, weight=weight)
+
+    def move(self, seconds: float, *, weight: float) -> "Learned":
+        """Return the estimate after an answer that has a share `weight` of it."""
         estimate = self.seconds + (seconds - self.seconds) * weight
         return Learned(estimate, self.answers + 1)
 
 
 class Pace:
-    """The models' estimated seconds to read a prompt and to generate an answer."""
+    """The models' estimated seconds to read a prompt and to generate an answer.
 
-    __slots__ = ("_paces", "_peers", "_seen", "_streams")
+    `base_seconds` is the time until the first token apart from reading the prompt.
+    """
+
+    __slots__ = ("_paces", "_peers", "_seen", "_streams", "base_seconds")
 
     def __init__(self) -> None:
+        self.base_seconds = INITIAL_BASE_SECONDS
         self._paces: dict[str, Learned] = {}
         self._seen: dict[str, Learned] = {}
         self._peers: dict[int, list[PaceReport]] = {}
@@ -101,18 +116,23 @@
         `cost` is that of the model relative to the cheapest, `tokens` the length of the
         prompt without the part that was probably cached.
         """
+        estimate = self._find(model, cost)
         if tokens < MIN_TOKENS:
+            self._note_base(seconds - estimate.seconds * tokens)
             return
-        estimate = self._find(model, cost)
-        seen = max(seconds - BASE_SECONDS, 0.0) / tokens
+        seen = max(seconds - self.base_seconds, 0.0) / tokens
         seen = min(seen, estimate.seconds * MAX_SLOWER_FACTOR)
-        self._paces[model] = estimate.note(seen)
+        weight = ANSWER_WEIGHT * min(tokens / USUAL_TOKENS, MAX_LENGTH_WEIGHT)
+        self._paces[model] = estimate.note(seen, weight=weight)
         before = self._seen.get(model, Learned(seen))
-        weight = max(ANSWER_WEIGHT, 1 / (before.answers + 1))
-        self._seen[model] = Learned(
-            before.seconds + (seen - before.seconds) * weight, before.answers + 1
+        self._seen[model] = before.move(
+            seen, weight=max(weight, 1 / (before.answers + 1))
         )
 
+    def _note_base(self, seconds: float) -> None:
+        seen = min(max(seconds, 0.0), self.base_seconds * MAX_SLOWER_FACTOR)
+        self.base_seconds += (seen - self.base_seconds) * ANSWER_WEIGHT
+
     def estimate(self, *, model: str, cost: float, tokens: int) -> float:
         """Return the seconds that an engine takes to read a prompt of `tokens`."""
         own = self._find(model, cost)
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/placing.py
@@ -20,7 +20,7 @@
 )
 from ..decisions.fairshare import Usage, UsageReport
 from ..decisions.modelchoice import Estimate
-from ..decisions.pace import BASE_SECONDS, Pace, PaceReport
+from ..decisions.pace import Pace, PaceReport
 from ..decisions.precedence import Sharer
 from ..decisions.rest import may_wait
 from .coldlimits import ColdLimits
@@ -349,10 +349,10 @@
             state.own_backlog.add(job.urgency, -job.reading_seconds)
             state.note_first_byte(
                 seen=now - job.sent_at,
-                expected=job.typical_seconds + BASE_SECONDS,
+                expected=job.typical_seconds + self._pace.base_seconds,
                 now=now,
             )
-        if job.endpoint_was_idle and job.reading_seconds:
+        if job.endpoint_was_idle and job.reading_seconds and job.arrival.tokens_in:
             estimated = estimate_reading(job, job.model, self._pace).whole
             share = job.reading_seconds / estimated if estimated else 0.0
             self._pace.note(
@@ -384,7 +384,8 @@
         stream = self._pace.estimate_stream(
             model=model, tokens=estimate_answer_tokens(job)
         )
-        return Estimate(choice.seconds, choice.wait, choice.seconds + stream)
+        seconds = choice.seconds + self._pace.base_seconds
+        return Estimate(seconds, choice.wait, seconds + stream)
 
     def note_completed(self, job: "Job") -> None:
         """Learn a model's generation speed from a complete response."""
--- a/test/decisions/test_pace.py
+++ b/test/decisions/test_pace.py
@@ -45,6 +45,35 @@
     assert estimate(pace, "small", 30_000) > 0
 
 
+@pytest.mark.parametrize("model", COSTS)
+def test_short_prompts_don_t_make_long_ones_seem_longer(model):
+    """Guards against long prompts that begin with a model that can't answer in time.
+
+    Nine prompts of ten are short, and most of their time isn't spent on reading.
+    """
+    pace = Pace()
+    short = (300, 450, 600, 800, 1_100, 1_500, 2_000)
+    teach(pace, model, count=300, prompts=(*short, *short, 9_000), queue=0.03)
+    truth = TRUE_PACES[model] * 40_000
+    assert estimate(pace, model, 40_000) == pytest.approx(truth, rel=0.25)
+
+
+def test_the_base_is_learned_from_short_prompts():
+    """The first token takes half as long again as assumed, whatever is read."""
+    pace = Pace()
+    teach(pace, "small", count=60, prompts=(200, 300))
+    assert pace.base_seconds == pytest.approx(BASE, rel=0.15)
+
+
+def test_a_silent_engine_doesn_t_spoil_the_base():
+    """One answer in twenty comes after a minute, since its engine was cut off."""
+    pace = Pace()
+    for number in range(200):
+        seconds = 60.0 if number % 20 == 0 else BASE
+        pace.note(model="small", cost=1.0, tokens=200, seconds=seconds)
+    assert pace.base_seconds == pytest.approx(BASE, rel=0.25)
+
+
 def test_streams_are_learned_by_model():
     pace = Pace()
     for _ in range(50):
--- a/test/decisions/test_watches.py
+++ b/test/decisions/test_watches.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from eelgrassrack.decisions.idle import choose_idle_seconds
-from eelgrassrack.decisions.pace import BASE_SECONDS, Pace
+from eelgrassrack.decisions.pace import INITIAL_BASE_SECONDS, Pace
 from eelgrassrack.decisions.watchers import (
     MAX_ALL_WATCH,
     MAX_EXTRA,
@@ -143,8 +143,12 @@
 def test_paces_are_learned_by_model():
     pace = Pace()
     for _ in range(100):
-        pace.note(model="large", cost=14.0, tokens=10_000, seconds=BASE_SECONDS + 0.64)
-        pace.note(model="small", cost=1.0, tokens=10_000, seconds=BASE_SECONDS + 0.06)
+        pace.note(
+            model="large", cost=14.0, tokens=10_000, seconds=INITIAL_BASE_SECONDS + 0.64
+        )
+        pace.note(
+            model="small", cost=1.0, tokens=10_000, seconds=INITIAL_BASE_SECONDS + 0.06
+        )
     large = pace.estimate(model="large", cost=14.0, tokens=1_000)
     small = pace.estimate(model="small", cost=1.0, tokens=1_000)
     assert 0.055 < large < 0.07
