Group the gateway's modules by job, without a change of behaviour

gateway/ was one flat folder of 48 modules. What a request goes through lies in requests/, the state and choice of endpoints and the connections to them in endpoints/, the other gateways in peers/, what is known from the store in store/, roll-outs in versions/; the process itself (settings, signals, servers, metrics, the daemon) stays at the top. endpoints.py is endpoints/endpoint.py.

--- a/bench/gatewayslopes.py
+++ b/bench/gatewayslopes.py
@@ -14,9 +14,9 @@
 
 from eelgrassrack.decisions.engines import EngineCandidate, ReadingTime, choose_engine
 from eelgrassrack.decisions.fairshare import OrganisationUsage, UsageReport
-from eelgrassrack.gateway.endpoints import Endpoint
-from eelgrassrack.gateway.endpointstate import EndpointState
-from eelgrassrack.gateway.peerupdates import (
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
+from eelgrassrack.gateway.endpoints.endpointstate import EndpointState
+from eelgrassrack.gateway.peers.peerupdates import (
     FULL_RATE_PEERS,
     UPDATE_SECONDS,
     BacklogReport,
--- a/bench/plays/mechanisms.py
+++ b/bench/plays/mechanisms.py
@@ -65,12 +65,12 @@
     ),
     _make(
         "affinity",
-        "gateway/prompts",
+        "gateway/requests/prompts",
         'def find_affinity(job, model):\n    return ""\n',
     ),
     _make(
         "backlog",
-        "gateway/endpointstate",
+        "gateway/endpoints/endpointstate",
         "EndpointState.split_backlog = lambda self, urgency: Split(0.0, 0.0)\n",
     ),
     _make(
@@ -91,22 +91,22 @@
     ),
     _make(
         "news of load",
-        "gateway/endpointreports",
+        "gateway/endpoints/endpointreports",
         "def report_endpoints(fleet, now):\n    return ()\n",
     ),
     _make(
         "probes of silent endpoints",
-        "gateway/pool",
+        "gateway/endpoints/pool",
         "ConnectionPool.probe_silent = lambda self, **rest: None\n",
     ),
     _make(
         "kept connections",
-        "gateway/pool",
+        "gateway/endpoints/pool",
         "ConnectionPool._take_kept = lambda self, endpoint, now: None\n",
     ),
     _make(
         "passing over what failed",
-        "gateway/passivehealth",
+        "gateway/endpoints/passivehealth",
         "PassiveHealthCheck._avoid = lambda self, state: None\n",
     ),
 )
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -15,26 +15,26 @@
 from ..stoptime import StopTime
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
-from .configuration import Router
-from .endpoints import Endpoint
+from .endpoints.endpoint import Endpoint
+from .endpoints.fleet import Fleet
+from .endpoints.placing import Placer
+from .endpoints.pool import ConnectionPool
 from .errors import StartError
-from .fleet import Fleet
-from .follower import Store, StoreContact
 from .gracefulstop import stop_gracefully
-from .ingress import Ingress
 from .listener import open_listener
 from .metrics import GatewayMetrics
-from .peerlist import PeerList
-from .peerupdates import Audience, PeerUpdate, UpdateExchange
-from .placing import Placer
-from .pool import ConnectionPool
-from .rollouts import Rollouts
-from .serving import RequestHandler
+from .peers.peerlist import PeerList
+from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
+from .requests.ingress import Ingress
+from .requests.serving import RequestHandler
+from .requests.translation import Translation
 from .settings import GatewaySettings
 from .stopsignals import StopSignals
-from .storesync import Kinds, StoreSync
-from .storeviews import StoreViewFetcher, encode_view, parse_path
-from .translation import Translation
+from .store.configuration import Router
+from .store.follower import Store, StoreContact
+from .store.storesync import Kinds, StoreSync
+from .store.storeviews import StoreViewFetcher, encode_view, parse_path
+from .versions.rollouts import Rollouts
 
 log = logbook.Logger("gateway")
 
--- /dev/null
+++ b/eelgrassrack/gateway/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints: their state, the choice of one, and connections to them."""
--- a/eelgrassrack/gateway/coldlimits.py
+++ b/eelgrassrack/gateway/endpoints/coldlimits.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 
-from ..decisions.precedence import Sharer, count_before
-from ..decisions.sharedbudget import share_cold_rate
-from .configuration import Service
+from ...decisions.precedence import Sharer, count_before
+from ...decisions.sharedbudget import share_cold_rate
+from ..settings import GatewaySettings
+from ..store.configuration import Service
 from .endpointstate import EndpointState
-from .settings import GatewaySettings
 
 # How long the share is cached: computing it takes a third of a millisecond with
 # hundreds of gateways.
--- a/eelgrassrack/gateway/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -14,8 +14,8 @@
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
-from .errors import BrokenError, ConnectError, NoDescriptorError
-from .messages import Data, End
+from ..errors import BrokenError, ConnectError, NoDescriptorError
+from ..requests.messages import Data, End
 
 READ_BYTES = 65_536
 
--- a/eelgrassrack/gateway/endpointlimits.py
+++ b/eelgrassrack/gateway/endpoints/endpointlimits.py
@@ -12,16 +12,16 @@
 import logbook
 import msgspec
 
-from ..decisions.limitshares import find_send_time, share_limit
-from ..decisions.precedence import Sharer
-from ..decisions.statedlimits import NO_LIMIT, StatedLimits
+from ...decisions.limitshares import find_send_time, share_limit
+from ...decisions.precedence import Sharer
+from ...decisions.statedlimits import NO_LIMIT, StatedLimits
+from ..peers.peerupdates import LimitReport
+from ..requests.messages import ResponseHead
+from ..settings import GatewaySettings
 from .endpointstate import EndpointState
-from .messages import ResponseHead
-from .peerupdates import LimitReport
-from .settings import GatewaySettings
 
 if TYPE_CHECKING:
-    from .job import Job
+    from ..requests.job import Job
 
 log = logbook.Logger("placing")
 
--- a/eelgrassrack/gateway/endpointreports.py
+++ b/eelgrassrack/gateway/endpoints/endpointreports.py
@@ -6,12 +6,12 @@
 
 import logbook
 
-from ..decisions.backlog import ReadingBacklog
-from ..decisions.slowness import Timing, find_slow
-from ..decisions.urgency import RANKS
+from ...decisions.backlog import ReadingBacklog
+from ...decisions.slowness import Timing, find_slow
+from ...decisions.urgency import RANKS
+from ..peers.peerupdates import BacklogReport, EndpointReport, PeerUpdate
 from .endpointstate import EndpointState
 from .fleet import Fleet
-from .peerupdates import BacklogReport, EndpointReport, PeerUpdate
 
 log = logbook.Logger("placing")
 
--- a/eelgrassrack/gateway/endpointstate.py
+++ b/eelgrassrack/gateway/endpoints/endpointstate.py
@@ -4,9 +4,9 @@
 
 import xxhash
 
-from ..decisions.backlog import ReadingBacklog, Split
-from ..decisions.slowness import Timing
-from .endpoints import Endpoint
+from ...decisions.backlog import ReadingBacklog, Split
+from ...decisions.slowness import Timing
+from .endpoint import Endpoint
 
 # Weight of one response in the moving average of failures.
 FAILURE_WEIGHT = 0.2
--- a/eelgrassrack/gateway/fleet.py
+++ b/eelgrassrack/gateway/endpoints/fleet.py
@@ -6,10 +6,10 @@
 import logbook
 import msgspec
 
-from ..decisions.leaving import LeavingEndpoints
-from .endpoints import Endpoint
+from ...decisions.leaving import LeavingEndpoints
+from ..store.follower import StoreContact
+from .endpoint import Endpoint
 from .endpointstate import EndpointState
-from .follower import StoreContact
 
 log = logbook.Logger("fleet")
 
--- a/eelgrassrack/gateway/passivehealth.py
+++ b/eelgrassrack/gateway/endpoints/passivehealth.py
@@ -6,14 +6,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from ..decisions.suspects import SUSPICION_SECONDS
-from .endpoints import Endpoint
+from ...decisions.suspects import SUSPICION_SECONDS
+from ..versions.rollouts import Rollouts
+from .endpoint import Endpoint
 from .endpointstate import EndpointState
 from .fleet import Fleet
-from .rollouts import Rollouts
 
 if TYPE_CHECKING:
-    from .job import Job, NotRun
+    from ..requests.job import Job, NotRun
 
 # How long an endpoint is avoided after a single failure, and if it fails often.  The
 # latter is about as long as it takes to find out whether it has recovered.
--- a/eelgrassrack/gateway/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -13,41 +13,41 @@
 
 import logbook
 
-from ..decisions.engines import (
+from ...decisions.engines import (
     EngineCandidate,
     EngineChoice,
     choose_engine,
 )
-from ..decisions.fairshare import Usage, UsageReport
-from ..decisions.modelchoice import Estimate
-from ..decisions.pace import Pace, PaceReport
-from ..decisions.precedence import Sharer
-from ..decisions.rest import may_wait
-from .coldlimits import ColdLimits
-from .endpointlimits import EndpointLimits, LimitWait
-from .endpointreports import PeerReports, detect_slow, report_endpoints
-from .endpoints import Endpoint
-from .endpointstate import EndpointState
-from .fleet import Fleet
-from .job import NotRun, Placement
-from .messages import Refusal, ResponseHead
-from .passivehealth import PassiveHealthCheck
-from .peerupdates import Audience, EndpointReport, PeerUpdate
-from .prompts import (
+from ...decisions.fairshare import Usage, UsageReport
+from ...decisions.modelchoice import Estimate
+from ...decisions.pace import Pace, PaceReport
+from ...decisions.precedence import Sharer
+from ...decisions.rest import may_wait
+from ..peers.peerupdates import Audience, EndpointReport, PeerUpdate
+from ..requests.job import NotRun, Placement
+from ..requests.messages import Refusal, ResponseHead
+from ..requests.prompts import (
     estimate_answer_tokens,
     estimate_reading,
     find_affinity,
     find_cost,
     find_prompt_urgency,
 )
-from .queryguard import QueryGuard
-from .rollouts import Rollouts
+from ..requests.queryguard import QueryGuard
+from ..settings import GatewaySettings
+from ..versions.rollouts import Rollouts
+from .coldlimits import ColdLimits
+from .endpoint import Endpoint
+from .endpointlimits import EndpointLimits, LimitWait
+from .endpointreports import PeerReports, detect_slow, report_endpoints
+from .endpointstate import EndpointState
+from .fleet import Fleet
+from .passivehealth import PassiveHealthCheck
 from .selection import EndpointSelector
-from .settings import GatewaySettings
 from .wishes import EndpointWishes
 
 if TYPE_CHECKING:
-    from .job import Job
+    from ..requests.job import Job
 
 log = logbook.Logger("placing")
 
--- a/eelgrassrack/gateway/pool.py
+++ b/eelgrassrack/gateway/endpoints/pool.py
@@ -11,11 +11,11 @@
 
 import logbook
 
-from ..decisions.idle import choose_idle_seconds
+from ...decisions.idle import choose_idle_seconds
+from ..errors import BrokenError, ConnectError
+from ..requests.messages import ResponseHead
 from .connection import Connection, open_connection, refuse_to_abandon
-from .endpoints import Endpoint
-from .errors import BrokenError, ConnectError
-from .messages import ResponseHead
+from .endpoint import Endpoint
 
 log = logbook.Logger("pool")
 
--- a/eelgrassrack/gateway/selection.py
+++ b/eelgrassrack/gateway/endpoints/selection.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import TYPE_CHECKING
 
-from ..decisions.candidates import draw_candidates, find_home
-from ..decisions.suspects import avoid_suspected
-from .endpoints import Endpoint
+from ...decisions.candidates import draw_candidates, find_home
+from ...decisions.suspects import avoid_suspected
+from ..requests.prompts import find_affinity
+from ..settings import GatewaySettings
+from ..versions.rollouts import Rollouts
+from .endpoint import Endpoint
 from .endpointstate import EndpointState
 from .fleet import Fleet
-from .prompts import find_affinity
-from .rollouts import Rollouts
-from .settings import GatewaySettings
 from .wishes import EndpointWishes
 
 if TYPE_CHECKING:
-    from .job import Job
+    from ..requests.job import Job
 
 
 class DomainSplit:
--- a/eelgrassrack/gateway/wishes.py
+++ b/eelgrassrack/gateway/endpoints/wishes.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from ..decisions.rest import RestPeriods
-from .endpoints import Endpoint
+from ...decisions.rest import RestPeriods
+from ..requests.messages import ResponseHead
+from .endpoint import Endpoint
 from .fleet import Fleet
-from .messages import ResponseHead
 
 
 class EndpointWishes:
--- a/eelgrassrack/gateway/gracefulstop.py
+++ b/eelgrassrack/gateway/gracefulstop.py
@@ -7,8 +7,8 @@
 from tornado.httpserver import HTTPServer
 
 from ..listening import stop_listening
-from .ingress import Ingress
-from .serving import RequestHandler
+from .requests.ingress import Ingress
+from .requests.serving import RequestHandler
 
 log = logbook.Logger("gateway")
 
--- /dev/null
+++ b/eelgrassrack/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other gateways: their list and what they tell each other."""
--- a/eelgrassrack/gateway/peerlist.py
+++ b/eelgrassrack/gateway/peers/peerlist.py
@@ -6,8 +6,8 @@
 
 import logbook
 
-from .settings import GatewaySettings
-from .storeobjects import ListResult, Peer, StoreUnavailable
+from ..settings import GatewaySettings
+from ..store.storeobjects import ListResult, Peer, StoreUnavailable
 
 log = logbook.Logger("gateway")
 
--- a/eelgrassrack/gateway/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -19,14 +19,14 @@
 import logbook
 import msgspec
 
-from ..decisions.crashrecords import TraitReport
-from ..decisions.fairshare import UsageReport
-from ..decisions.pace import PaceReport
-from ..decisions.precedence import Sharer
-from ..decisions.stopping import Readiness
-from ..decisions.urgency import LEAST_URGENT
-from ..decisions.versiontrial import Tally
-from .storeobjects import Peer
+from ...decisions.crashrecords import TraitReport
+from ...decisions.fairshare import UsageReport
+from ...decisions.pace import PaceReport
+from ...decisions.precedence import Sharer
+from ...decisions.stopping import Readiness
+from ...decisions.urgency import LEAST_URGENT
+from ...decisions.versiontrial import Tally
+from ..store.storeobjects import Peer
 
 log = logbook.Logger("news")
 
--- a/eelgrassrack/gateway/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -3,17 +3,17 @@
 import asyncio
 from collections.abc import Callable
 
-from ..decisions.modelchoice import choose_next
-from ..decisions.timeouts import find_first_timeout, find_gap_timeout
-from .connection import Connection
-from .endpoints import Endpoint
-from .errors import BrokenError, ConnectError, NoDescriptorError, SilentError
+from ...decisions.modelchoice import choose_next
+from ...decisions.timeouts import find_first_timeout, find_gap_timeout
+from ..endpoints.connection import Connection
+from ..endpoints.endpoint import Endpoint
+from ..endpoints.placing import Placer
+from ..endpoints.pool import ConnectionPool
+from ..errors import BrokenError, ConnectError, NoDescriptorError, SilentError
+from ..metrics import GatewayMetrics
 from .events import EventSplitter, skip_delivered
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Data, End, ResponseHead
-from .metrics import GatewayMetrics
-from .placing import Placer
-from .pool import ConnectionPool
 from .reply import Reply
 from .retries import RetryBudget
 from .silence import SilenceTimer
--- a/eelgrassrack/gateway/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -17,11 +17,11 @@
 )
 from tornado.iostream import IOStream
 
-from ..dismissal import REQUEST_TIMEOUT_ANSWER
-from ..lingering import LingeringConnections
-from .configuration import Limits
-from .connection import enable_keepalive
-from .errors import CallerGoneError
+from ...dismissal import REQUEST_TIMEOUT_ANSWER
+from ...lingering import LingeringConnections
+from ..endpoints.connection import enable_keepalive
+from ..errors import CallerGoneError
+from ..store.configuration import Limits
 from .messages import Arrival, Refusal
 from .reply import Reply
 
--- a/eelgrassrack/gateway/job.py
+++ b/eelgrassrack/gateway/requests/job.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-from ..decisions.runs import Run
-from ..decisions.urgency import LEAST_URGENT
-from .configuration import Permit
+from ...decisions.runs import Run
+from ...decisions.urgency import LEAST_URGENT
+from ..store.configuration import Permit
 from .messages import Arrival, ResponseHead
 from .queryguard import find_traits
 
--- a/eelgrassrack/gateway/prompts.py
+++ b/eelgrassrack/gateway/requests/prompts.py
@@ -3,9 +3,9 @@
 from collections.abc import Collection
 from typing import TYPE_CHECKING
 
-from ..decisions.engines import PLAIN_REQUEST_SECONDS, ReadingTime
-from ..decisions.pace import Pace
-from ..decisions.urgency import LEAST_URGENT, find_urgency
+from ...decisions.engines import PLAIN_REQUEST_SECONDS, ReadingTime
+from ...decisions.pace import Pace
+from ...decisions.urgency import LEAST_URGENT, find_urgency
 
 if TYPE_CHECKING:
     from .job import Job
--- a/eelgrassrack/gateway/queryguard.py
+++ b/eelgrassrack/gateway/requests/queryguard.py
@@ -13,22 +13,22 @@
 import logbook
 import xxhash
 
-from ..decisions.crashrecords import (
+from ...decisions.crashrecords import (
     TraitReport,
     make_part_trait,
     make_request_trait,
 )
-from ..decisions.precedence import Sharer, count_before
-from ..decisions.queryofdeath import (
+from ...decisions.precedence import Sharer, count_before
+from ...decisions.queryofdeath import (
     Blocked,
     Clear,
     QueryOfDeathDetector,
     Suspected,
 )
-from ..decisions.runs import Crash, RunHistory, Traits
-from .configuration import Permit
-from .endpoints import Endpoint
-from .endpointstate import hash_lifetime
+from ...decisions.runs import Crash, RunHistory, Traits
+from ..endpoints.endpoint import Endpoint
+from ..endpoints.endpointstate import hash_lifetime
+from ..store.configuration import Permit
 from .messages import Arrival, PromptPart, Refusal
 
 if TYPE_CHECKING:
--- a/eelgrassrack/gateway/reply.py
+++ b/eelgrassrack/gateway/requests/reply.py
@@ -5,7 +5,7 @@
 from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from .errors import CallerGoneError
+from ..errors import CallerGoneError
 from .messages import Refusal
 
 REASONS = {
--- a/eelgrassrack/gateway/requestlog.py
+++ b/eelgrassrack/gateway/requests/requestlog.py
@@ -7,7 +7,7 @@
 
 import logbook
 
-from .endpoints import Endpoint
+from ..endpoints.endpoint import Endpoint
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Arrival, Refusal
 
--- a/eelgrassrack/gateway/retries.py
+++ b/eelgrassrack/gateway/requests/retries.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from ..decisions.sharedbudget import allow_retry
+from ...decisions.sharedbudget import allow_retry
+from ..settings import GatewaySettings
 from .job import Job
 from .requestlog import log_spent_budget
-from .settings import GatewaySettings
 
 
 class RetryCounts(msgspec.Struct, frozen=True):
--- a/eelgrassrack/gateway/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -10,17 +10,18 @@
 import math
 from collections.abc import Callable
 
-from ..decisions.modelchoice import choose_first
-from ..decisions.stopping import Readiness, find_retry_after, may_take
+from ...decisions.modelchoice import choose_first
+from ...decisions.stopping import Readiness, find_retry_after, may_take
+from ..endpoints.endpoint import Endpoint
+from ..endpoints.placing import Placer
+from ..endpoints.pool import ConnectionPool
+from ..errors import NoDescriptorError
+from ..metrics import GatewayMetrics
+from ..settings import GatewaySettings
+from ..store.configuration import Permit, Router
 from .attempts import AttemptRunner
-from .configuration import Permit, Router
-from .endpoints import Endpoint
-from .errors import NoDescriptorError
 from .job import Delivered, ExecutionStatus, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Arrival, Refusal
-from .metrics import GatewayMetrics
-from .placing import Placer
-from .pool import ConnectionPool
 from .reply import Reply
 from .requestlog import (
     log_attempt,
@@ -30,7 +31,6 @@
     log_refusal,
 )
 from .retries import RetryBudget
-from .settings import GatewaySettings
 from .translation import Translation
 
 # `Retry-After` for requests that no endpoint answered in time: about the time that
--- a/eelgrassrack/gateway/silence.py
+++ b/eelgrassrack/gateway/requests/silence.py
@@ -7,8 +7,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from .connection import Connection
-from .errors import SilentError
+from ..endpoints.connection import Connection
+from ..errors import SilentError
 
 
 class SilenceTimer:
--- a/eelgrassrack/gateway/configuration.py
+++ b/eelgrassrack/gateway/store/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from .messages import Arrival, Refusal, RouteKind
+from ..requests.messages import Arrival, Refusal, RouteKind
 
 
 class Target(msgspec.Struct, kw_only=True, frozen=True):
--- a/eelgrassrack/gateway/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -12,17 +12,17 @@
 import logbook
 import msgspec
 
-from ..decisions.sources import Source, rank_sources
-from ..decisions.watchers import WatchRole, find_watch_role
-from ..decisions.watchschedule import find_wait
+from ...decisions.sources import Source, rank_sources
+from ...decisions.watchers import WatchRole, find_watch_role
+from ...decisions.watchschedule import find_wait
+from ..endpoints.endpoint import Endpoint
+from ..endpoints.fleet import Fleet
+from ..peers.peerupdates import PeerUpdate
+from ..settings import GatewaySettings
+from ..versions.rollouts import Rollouts
 from .changelog import ChangeLog
 from .configuration import Configuration, Router
-from .endpoints import Endpoint
-from .fleet import Fleet
 from .follower import ApplyChanges, Follower, ReplaceAll, Store, StoreContact
-from .peerupdates import PeerUpdate
-from .rollouts import Rollouts
-from .settings import GatewaySettings
 from .storeviews import KnownRevisions, PullNeed, StoreView
 
 log = logbook.Logger("gateway")
--- a/eelgrassrack/gateway/storeviews.py
+++ b/eelgrassrack/gateway/store/storeviews.py
@@ -12,9 +12,9 @@
 import logbook
 import msgspec
 
-from ..store.http import Answer, HttpCaller
+from ...store.http import Answer, HttpCaller
+from ..endpoints.endpoint import Endpoint
 from .configuration import Configuration
-from .endpoints import Endpoint
 from .storeobjects import RolloutOrder
 
 log = logbook.Logger("sharing")
--- /dev/null
+++ b/eelgrassrack/gateway/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of new versions, and the trial of each."""
--- a/eelgrassrack/gateway/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -14,18 +14,18 @@
 import msgspec
 import xxhash
 
-from ..decisions.versiontrial import (
+from ...decisions.versiontrial import (
     find_share,
     find_trial_share,
     is_bad,
     is_slow,
     may_end,
 )
-from .fleet import ANY_VERSION, Fleet, VersionChoice
-from .follower import StoreContact
-from .peerupdates import Audience, PeerUpdate, SessionPin, TrialReport
-from .settings import GatewaySettings
-from .storeobjects import RolloutOrder, RolloutState, RolloutStatus
+from ..endpoints.fleet import ANY_VERSION, Fleet, VersionChoice
+from ..peers.peerupdates import Audience, PeerUpdate, SessionPin, TrialReport
+from ..settings import GatewaySettings
+from ..store.follower import StoreContact
+from ..store.storeobjects import RolloutOrder, RolloutState, RolloutStatus
 from .trial import PinnedSession, Trial
 
 log = logbook.Logger("rollout")
--- a/eelgrassrack/gateway/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from ..decisions.versiontrial import Tally
-from .storeobjects import RolloutOrder, RolloutState
+from ...decisions.versiontrial import Tally
+from ..store.storeobjects import RolloutOrder, RolloutState
 
 # A gateway that joins a running roll-out waits this long for a peer that saw it begin;
 # peers of other failure domains report once a second.  Only then it relies on the
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Iterable
 
-from ..gateway.messages import Arrival, EndpointLoad, PromptPart, ResponseHead
+from ..gateway.requests.messages import Arrival, EndpointLoad, PromptPart, ResponseHead
 from ..hopbyhop import HOP_BY_HOP
 
 ATTEMPT = "X-Attempt-Id"
--- a/eelgrassrack/platform/manifest.py
+++ b/eelgrassrack/platform/manifest.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from ..gateway.configuration import (
+from ..gateway.requests.messages import RouteKind
+from ..gateway.store.configuration import (
     Configuration,
     Limits,
     Organisation,
@@ -10,7 +11,6 @@
     Service,
     Target,
 )
-from ..gateway.messages import RouteKind
 from .errors import FormatError
 
 KINDS = {
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -3,8 +3,8 @@
 import logbook
 import msgspec
 
-from ..gateway.endpoints import Endpoint
-from ..gateway.storeobjects import Peer, RolloutOrder, RolloutState, RolloutStatus
+from ..gateway.endpoints.endpoint import Endpoint
+from ..gateway.store.storeobjects import Peer, RolloutOrder, RolloutState, RolloutStatus
 from .errors import FormatError
 
 log = logbook.Logger("store")
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -7,7 +7,7 @@
 import logbook
 import msgspec
 
-from ..gateway.storeobjects import (
+from ..gateway.store.storeobjects import (
     HistoryGone,
     ListResult,
     RolloutStatus,
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -12,7 +12,7 @@
 import h11
 import msgspec
 
-from ..gateway.connection import discard_unsent
+from ..gateway.endpoints.connection import discard_unsent
 from ..platform.headers import (
     ATTEMPT,
     CONFIDENCE,
--- a/test/decisions/test_sharedbudget.py
+++ b/test/decisions/test_sharedbudget.py
@@ -10,7 +10,7 @@
     allow_retry,
     share_cold_rate,
 )
-from eelgrassrack.gateway.retries import RetryWindow
+from eelgrassrack.gateway.requests.retries import RetryWindow
 
 WINDOW = 10.0
 
--- a/test/gateway/spread.py
+++ b/test/gateway/spread.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
-from eelgrassrack.gateway import storesync, storeviews
 from eelgrassrack.gateway.daemon import Gateway
-from eelgrassrack.gateway.endpoints import Endpoint
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
 from eelgrassrack.gateway.settings import GatewaySettings
-from eelgrassrack.gateway.storeobjects import (
+from eelgrassrack.gateway.store import storesync, storeviews
+from eelgrassrack.gateway.store.storeobjects import (
     ListResult,
     Peer,
     StoreUnavailable,
--- a/test/gateway/test_abandoning.py
+++ b/test/gateway/test_abandoning.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from eelgrassrack.gateway import pool
-from eelgrassrack.gateway.coldlimits import ColdLimits
-from eelgrassrack.gateway.connection import open_connection
+from eelgrassrack.gateway.endpoints import pool
+from eelgrassrack.gateway.endpoints.coldlimits import ColdLimits
+from eelgrassrack.gateway.endpoints.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
 from eelgrassrack.standins.directengine import Break, Events, Reply
 
--- a/test/gateway/test_adminserver.py
+++ b/test/gateway/test_adminserver.py
@@ -5,7 +5,7 @@
 import msgspec
 from tornado.httpclient import AsyncHTTPClient
 
-from eelgrassrack.gateway.storeviews import KnownRevisions, StoreView, make_path
+from eelgrassrack.gateway.store.storeviews import KnownRevisions, StoreView, make_path
 
 from .world import ROUTES, make_route, make_world, run
 
--- a/test/gateway/test_changelog.py
+++ b/test/gateway/test_changelog.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from eelgrassrack.gateway.changelog import MAX_CHANGES, ChangeLog
-from eelgrassrack.gateway.storeviews import KnownRevisions, StoreView, make_path
+from eelgrassrack.gateway.store.changelog import MAX_CHANGES, ChangeLog
+from eelgrassrack.gateway.store.storeviews import KnownRevisions, StoreView, make_path
 from eelgrassrack.platform.store import Kinds
 
 from .spread import World, make_rng, play
--- a/test/gateway/test_cold_starts.py
+++ b/test/gateway/test_cold_starts.py
@@ -3,9 +3,10 @@
 import asyncio
 import time
 
-from eelgrassrack.gateway import daemon, pool
-from eelgrassrack.gateway.connection import open_connection
-from eelgrassrack.gateway.placing import Placer
+from eelgrassrack.gateway import daemon
+from eelgrassrack.gateway.endpoints import pool
+from eelgrassrack.gateway.endpoints.connection import open_connection
+from eelgrassrack.gateway.endpoints.placing import Placer
 from eelgrassrack.platform.store import PlatformStore
 
 from .world import make_world, run, wait_for
--- a/test/gateway/test_crashing_parts.py
+++ b/test/gateway/test_crashing_parts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrassrack.gateway.queryguard import QueryGuard
+from eelgrassrack.gateway.requests.queryguard import QueryGuard
 from eelgrassrack.standins.directengine import Events
 
 from .crashing import GUILTY, SHARED, CrashingFleet, check, play
--- a/test/gateway/test_endpointreports.py
+++ b/test/gateway/test_endpointreports.py
@@ -7,10 +7,14 @@
 
 from eelgrassrack.decisions.slowness import Timing
 from eelgrassrack.decisions.urgency import RANKS
-from eelgrassrack.gateway.endpointreports import PeerReports
-from eelgrassrack.gateway.endpoints import Endpoint
-from eelgrassrack.gateway.endpointstate import EndpointState
-from eelgrassrack.gateway.peerupdates import BacklogReport, EndpointReport, PeerUpdate
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
+from eelgrassrack.gateway.endpoints.endpointreports import PeerReports
+from eelgrassrack.gateway.endpoints.endpointstate import EndpointState
+from eelgrassrack.gateway.peers.peerupdates import (
+    BacklogReport,
+    EndpointReport,
+    PeerUpdate,
+)
 
 PEERS = 30
 ENDPOINTS = 12
--- a/test/gateway/test_endpoints.py
+++ b/test/gateway/test_endpoints.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from eelgrassrack.gateway import pool
-from eelgrassrack.gateway.connection import open_connection
+from eelgrassrack.gateway.endpoints import pool
+from eelgrassrack.gateway.endpoints.connection import open_connection
 from eelgrassrack.gateway.errors import ConnectError
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import (
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -6,22 +6,15 @@
 
 from eelgrassrack.decisions.fairshare import Usage
 from eelgrassrack.decisions.runs import Traits
-from eelgrassrack.gateway import (
-    attempts,
-    coldlimits,
-    endpointreports,
-    fleet,
-    follower,
-    ingress,
-    job,
-    selection,
-)
-from eelgrassrack.gateway.configuration import Router
-from eelgrassrack.gateway.connection import Connection
-from eelgrassrack.gateway.events import Events, EventSplitter
-from eelgrassrack.gateway.ingress import Ingress
-from eelgrassrack.gateway.job import Job
-from eelgrassrack.gateway.pool import ConnectionPool
+from eelgrassrack.gateway.endpoints import coldlimits, endpointreports, fleet, selection
+from eelgrassrack.gateway.endpoints.connection import Connection
+from eelgrassrack.gateway.endpoints.pool import ConnectionPool
+from eelgrassrack.gateway.requests import attempts, ingress, job
+from eelgrassrack.gateway.requests.events import Events, EventSplitter
+from eelgrassrack.gateway.requests.ingress import Ingress
+from eelgrassrack.gateway.requests.job import Job
+from eelgrassrack.gateway.store import follower
+from eelgrassrack.gateway.store.configuration import Router
 from eelgrassrack.platform import headers
 
 from . import (
--- a/test/gateway/test_last_words.py
+++ b/test/gateway/test_last_words.py
@@ -17,7 +17,7 @@
     REQUEST_MARGIN_SECONDS,
     ROTATION_SECONDS,
 )
-from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS
+from eelgrassrack.gateway.requests.ingress import FIRST_REQUEST_SECONDS
 from eelgrassrack.standins.directengine import Hang, Reply
 
 from .world import KEY, call, connect, make_world, run, wait_for
--- a/test/gateway/test_late_arrivals.py
+++ b/test/gateway/test_late_arrivals.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
-from eelgrassrack.gateway import pool
+from eelgrassrack.gateway.endpoints import pool
 from eelgrassrack.gateway.gracefulstop import LISTEN_MARGIN_SECONDS, ROTATION_SECONDS
-from eelgrassrack.gateway.serving import LOADING_WAIT_SECONDS
+from eelgrassrack.gateway.requests.serving import LOADING_WAIT_SECONDS
 from eelgrassrack.standins.directengine import (
     Break,
     Echo,
--- a/test/gateway/test_many_gateways.py
+++ b/test/gateway/test_many_gateways.py
@@ -6,14 +6,14 @@
 import msgspec
 import pytest
 
-from eelgrassrack.gateway import peerlist
-from eelgrassrack.gateway.endpoints import Endpoint
-from eelgrassrack.gateway.fleet import MAX_LOGGED_TOGETHER, Fleet
-from eelgrassrack.gateway.follower import StoreContact
-from eelgrassrack.gateway.peerlist import POLL_SECONDS, PeerList, find_interval
-from eelgrassrack.gateway.peerupdates import PeerUpdate, UpdateExchange
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
+from eelgrassrack.gateway.endpoints.fleet import MAX_LOGGED_TOGETHER, Fleet
+from eelgrassrack.gateway.peers import peerlist
+from eelgrassrack.gateway.peers.peerlist import POLL_SECONDS, PeerList, find_interval
+from eelgrassrack.gateway.peers.peerupdates import PeerUpdate, UpdateExchange
 from eelgrassrack.gateway.settings import GatewaySettings
-from eelgrassrack.gateway.storeobjects import ListResult, Peer
+from eelgrassrack.gateway.store.follower import StoreContact
+from eelgrassrack.gateway.store.storeobjects import ListResult, Peer
 from eelgrassrack.platform.store import Kinds
 
 from .spread import StorePath, World, make_rng, play
--- a/test/gateway/test_news.py
+++ b/test/gateway/test_news.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from eelgrassrack.decisions.stopping import Readiness
-from eelgrassrack.gateway.peerupdates import Audience, PeerUpdate, UpdateExchange
-from eelgrassrack.gateway.storeobjects import Peer
-from eelgrassrack.gateway.storeviews import KnownRevisions, make_path, parse_path
+from eelgrassrack.gateway.peers.peerupdates import Audience, PeerUpdate, UpdateExchange
+from eelgrassrack.gateway.store.storeobjects import Peer
+from eelgrassrack.gateway.store.storeviews import KnownRevisions, make_path, parse_path
 from eelgrassrack.platform.store import Kinds
 
 from .world import make_world, run, wait_for
--- a/test/gateway/test_rest.py
+++ b/test/gateway/test_rest.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from eelgrassrack.gateway import pool
-from eelgrassrack.gateway.connection import open_connection
+from eelgrassrack.gateway.endpoints import pool
+from eelgrassrack.gateway.endpoints.connection import open_connection
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import Events, Refuse, Reply
 
--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -4,7 +4,7 @@
 import time
 import types
 
-from eelgrassrack.gateway import rollouts
+from eelgrassrack.gateway.versions import rollouts
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import Reply
 from eelgrassrack.standins.metadatastore import Fault
--- a/test/gateway/test_stated_limits.py
+++ b/test/gateway/test_stated_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from eelgrassrack.gateway.placing import Placer
+from eelgrassrack.gateway.endpoints.placing import Placer
 from eelgrassrack.standins.directengine import Reply
 
 from .virtualtime import run_in_virtual_time
--- a/test/gateway/test_stop.py
+++ b/test/gateway/test_stop.py
@@ -8,7 +8,7 @@
 
 from eelgrassrack.dismissal import REQUEST_TIMEOUT_ANSWER
 from eelgrassrack.gateway.gracefulstop import ROTATION_SECONDS
-from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
+from eelgrassrack.gateway.requests.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.standins.directengine import Events, Reply
 
 from .virtualtime import run_in_virtual_time
--- a/test/gateway/test_stop_orders.py
+++ b/test/gateway/test_stop_orders.py
@@ -21,9 +21,9 @@
     REQUEST_MARGIN_SECONDS,
     ROTATION_SECONDS,
 )
-from eelgrassrack.gateway.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.gateway.listener import open_listener
-from eelgrassrack.gateway.peerupdates import UpdateExchange
+from eelgrassrack.gateway.peers.peerupdates import UpdateExchange
+from eelgrassrack.gateway.requests.ingress import FIRST_REQUEST_SECONDS, Ingress
 from eelgrassrack.gateway.settings import GatewaySettings
 from eelgrassrack.gateway.stopsignals import STOP_SIGNALS, StopSignals
 from eelgrassrack.platform import headers
--- a/test/gateway/test_watch_role.py
+++ b/test/gateway/test_watch_role.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from eelgrassrack.gateway import storesync
-from eelgrassrack.gateway.peerupdates import Audience
+from eelgrassrack.gateway.peers.peerupdates import Audience
+from eelgrassrack.gateway.store import storesync
 
 from .spread import World, make_rng, play
 
