Break the circle of job and queryguard: traits in a module of their own

job imported the traits from queryguard, which names Job; five modules imported Job only for the type checker because of that. requests/traits.py holds what both use, and they import Job like anything else. No behaviour changes.

--- a/eelgrassrack/gateway/endpoints/endpointlimits.py
+++ b/eelgrassrack/gateway/endpoints/endpointlimits.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
 
 import logbook
 import msgspec
@@ -16,13 +15,11 @@
 from ...decisions.precedence import Sharer
 from ...decisions.statedlimits import NO_LIMIT, StatedLimits
 from ..peers.peerupdates import LimitReport
+from ..requests.job import Job
 from ..requests.messages import ResponseHead
 from ..settings import GatewaySettings
 from .endpointstate import EndpointState
 
-if TYPE_CHECKING:
-    from ..requests.job import Job
-
 log = logbook.Logger("placing")
 
 # How long a share is cached: computing it takes a third of a millisecond with hundreds
@@ -174,7 +171,7 @@
         """Return how many endpoints have limits of which this gateway has a share."""
         return sum(share.share > 0.0 for share in self._shares.values())
 
-    def wait(self, job: "Job") -> "LimitWait":
+    def wait(self, job: Job) -> "LimitWait":
         """Return a request's place among those that wait for room."""
         return LimitWait(
             waiting=self._waiting,
--- a/eelgrassrack/gateway/endpoints/passivehealth.py
+++ b/eelgrassrack/gateway/endpoints/passivehealth.py
@@ -4,17 +4,14 @@
 """
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from ...decisions.suspects import SUSPICION_SECONDS
+from ..requests.job import Job, NotRun
 from ..versions.rollouts import Rollouts
 from .endpoint import Endpoint
 from .endpointstate import EndpointState
 from .fleet import Fleet
 
-if TYPE_CHECKING:
-    from ..requests.job import Job, NotRun
-
 # How long an endpoint is avoided after a single failure, and if it fails often.  The
 # latter is about as long as it takes to find out whether it has recovered.
 SHORT_AVOIDANCE_SECONDS = 0.3
@@ -35,7 +32,7 @@
         self._loop = asyncio.get_running_loop()
 
     def note_answer(
-        self, job: "Job", endpoint: Endpoint, *, failed: bool, seconds: float
+        self, job: Job, endpoint: Endpoint, *, failed: bool, seconds: float
     ) -> None:
         """Learn from an answer; `seconds` is the time until its first piece."""
         self._rollouts.note_answer(
--- a/eelgrassrack/gateway/endpoints/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -9,7 +9,6 @@
 import itertools
 import math
 from collections.abc import Callable, Collection
-from typing import TYPE_CHECKING
 
 import logbook
 
@@ -24,7 +23,7 @@
 from ...decisions.precedence import Sharer
 from ...decisions.rest import may_wait
 from ..peers.peerupdates import Audience, EndpointReport, PeerUpdate
-from ..requests.job import NotRun, Placement
+from ..requests.job import Job, NotRun, Placement
 from ..requests.messages import Refusal, ResponseHead
 from ..requests.prompts import (
     estimate_answer_tokens,
@@ -46,9 +45,6 @@
 from .selection import EndpointSelector
 from .wishes import EndpointWishes
 
-if TYPE_CHECKING:
-    from ..requests.job import Job
-
 log = logbook.Logger("placing")
 
 # An endpoint with less than this to read counts as idle: the time to its first token
@@ -143,7 +139,7 @@
         """Return whether an endpoint is in this gateway's failure domain."""
         return self._selector.is_near(endpoint)
 
-    async def place(self, job: "Job") -> Endpoint | Refusal:
+    async def place(self, job: Job) -> Endpoint | Refusal:
         """Return the endpoint for the next attempt, or a refusal.
 
         This waits while all endpoints are cold and at their limit, for a while if
@@ -185,7 +181,7 @@
                 await asyncio.sleep(POLL_SECONDS)
 
     def _refuse_unless_room(
-        self, job: "Job", states: list[EndpointState], waiting: LimitWait
+        self, job: Job, states: list[EndpointState], waiting: LimitWait
     ) -> Refusal | None:
         """Return the refusal of a request whose endpoints have no room in time.
 
@@ -207,7 +203,7 @@
             retry_after=pause if math.isinf(wait) else wait,
         )
 
-    def _may_wait(self, job: "Job", seconds: float) -> bool:
+    def _may_wait(self, job: Job, seconds: float) -> bool:
         """Return whether a request may wait for so long before it is sent."""
         return may_wait(
             ends_at=self._loop.time() + seconds,
@@ -216,7 +212,7 @@
             has_run=job.has_run,
         )
 
-    def _refuse_unless_resting(self, job: "Job") -> Refusal | None:
+    def _refuse_unless_resting(self, job: Job) -> Refusal | None:
         """Return the refusal of a request without endpoints, None if it may wait.
 
         It may wait for endpoints that only rest.
@@ -228,7 +224,7 @@
             return None
         return Refusal(status=503, reason="resting", retry_after=rest)
 
-    def find_rest(self, job: "Job") -> float | None:
+    def find_rest(self, job: Job) -> float | None:
         """Return in how many seconds the first of a request's endpoints has rested.
 
         Return None if one of them doesn't rest, or if there is none.
@@ -236,9 +232,7 @@
         rest = self._find_shortest_rest(job, excluded=frozenset())
         return rest if rest else None
 
-    def _find_shortest_rest(
-        self, job: "Job", excluded: Collection[str]
-    ) -> float | None:
+    def _find_shortest_rest(self, job: Job, excluded: Collection[str]) -> float | None:
         """Return how many seconds the first endpoint still rests, None without any."""
         now = self._loop.time()
         rests = (
@@ -247,7 +241,7 @@
         )
         return min(rests, default=None)
 
-    def has_alternative(self, job: "Job") -> bool:
+    def has_alternative(self, job: Job) -> bool:
         """Return whether a request that leaves its endpoint has another to go to."""
         now = self._loop.time()
         waiting = self.limits.wait(job)
@@ -257,7 +251,7 @@
             for state in self._selector.select_trusted(job, now)
         )
 
-    def note_head(self, job: "Job", endpoint: Endpoint, head: ResponseHead) -> None:
+    def note_head(self, job: Job, endpoint: Endpoint, head: ResponseHead) -> None:
         """Note what an answer says of its endpoint.
 
         At a reused address it is of another endpoint than the one that was meant.
@@ -291,7 +285,7 @@
         else:
             self.health.note_not_run(endpoint, outcome)
 
-    def may_send(self, job: "Job", endpoint: Endpoint) -> bool:
+    def may_send(self, job: Job, endpoint: Endpoint) -> bool:
         """Return whether a request may still be sent to its chosen endpoint.
 
         The endpoint may have been taken out while a connection to it was opened.
@@ -301,7 +295,7 @@
             endpoint
         )
 
-    def note_sent(self, job: "Job", endpoint: Endpoint) -> None:
+    def note_sent(self, job: Job, endpoint: Endpoint) -> None:
         """Count a request against a cold endpoint's rate from now on.
 
         From its placement until now it was counted at the time of placement.
@@ -316,7 +310,7 @@
             state.cold_sends.remove(job.sent_at)
         state.cold_sends.append(self._loop.time())
 
-    def begin(self, job: "Job", endpoint: Endpoint) -> None:
+    def begin(self, job: Job, endpoint: Endpoint) -> None:
         """Add a request to the load of its endpoint."""
         self.guard.begin_trial(job)
         state = self._fleet.find_state(endpoint)
@@ -341,7 +335,7 @@
         state.own_backlog.add(job.urgency, job.reading_seconds)
         state.cold_sends.append(job.sent_at)
 
-    def note_first_byte(self, job: "Job", endpoint: Endpoint) -> None:
+    def note_first_byte(self, job: Job, endpoint: Endpoint) -> None:
         """Record that the response has started, so the prompt has been read."""
         state = self._fleet.find_state(endpoint)
         now = self._loop.time()
@@ -363,7 +357,7 @@
             )
         job.reading_seconds = 0.0
 
-    def end(self, job: "Job", endpoint: Endpoint) -> None:
+    def end(self, job: Job, endpoint: Endpoint) -> None:
         """Remove a request from the load of its endpoint."""
         self.guard.end_trial(job)
         state = self._fleet.find_state(endpoint)
@@ -372,7 +366,7 @@
             state.own_backlog.add(job.urgency, -job.reading_seconds)
         job.reading_seconds = 0.0
 
-    def estimate(self, job: "Job", model: str) -> Estimate:
+    def estimate(self, job: Job, model: str) -> Estimate:
         """Return the time until a model's first token; infinite without endpoints."""
         self._merge_peer_updates()
         states = self._selector.select(
@@ -387,7 +381,7 @@
         seconds = choice.seconds + self._pace.base_seconds
         return Estimate(seconds, choice.wait, seconds + stream)
 
-    def note_completed(self, job: "Job") -> None:
+    def note_completed(self, job: Job) -> None:
         """Learn a model's generation speed from a complete response."""
         if job.first_at is not None and job.arrival.tokens_out:
             self._pace.note_stream(
@@ -459,7 +453,7 @@
         updates = self._list_peer_updates()
         self._peer_reports.merge(self._fleet, updates)
 
-    def _choose(self, job: "Job", states: list[EndpointState]) -> Endpoint:
+    def _choose(self, job: Job, states: list[EndpointState]) -> Endpoint:
         choice = self._choose_engine(job, job.model, states)
         chosen = next(state for state in states if state.endpoint.name == choice.name)
         job.expected_seconds = choice.seconds
@@ -473,7 +467,7 @@
         return chosen.endpoint
 
     def _choose_engine(
-        self, job: "Job", model: str, states: list[EndpointState]
+        self, job: Job, model: str, states: list[EndpointState]
     ) -> EngineChoice:
         now = self._loop.time()
         affinity = find_affinity(job, model)
@@ -489,7 +483,7 @@
             remaining=self._find_remaining(job, model, now),
         )
 
-    def _find_remaining(self, job: "Job", model: str, now: float) -> float:
+    def _find_remaining(self, job: Job, model: str, now: float) -> float:
         """Return the seconds that a model's first token may take.
 
         If the request may escalate to the best model, the time that the best model
--- a/eelgrassrack/gateway/endpoints/selection.py
+++ b/eelgrassrack/gateway/endpoints/selection.py
@@ -1,10 +1,10 @@
 """Select the endpoints that a request may be sent to, before one is chosen."""
 
 from collections.abc import Callable, Collection, Iterable
-from typing import TYPE_CHECKING
 
 from ...decisions.candidates import draw_candidates, find_home
 from ...decisions.suspects import avoid_suspected
+from ..requests.job import Job
 from ..requests.prompts import find_affinity
 from ..settings import GatewaySettings
 from ..versions.rollouts import Rollouts
@@ -13,9 +13,6 @@
 from .fleet import Fleet
 from .wishes import EndpointWishes
 
-if TYPE_CHECKING:
-    from ..requests.job import Job
-
 
 class DomainSplit:
     """Endpoints of this gateway's failure domain and of others.
@@ -84,7 +81,7 @@
         return endpoint.domain == self._settings.domain
 
     def select(
-        self, job: "Job", model: str, excluded: Collection[str]
+        self, job: Job, model: str, excluded: Collection[str]
     ) -> list[EndpointState]:
         """Return the endpoints to weigh, of those that may get a request now."""
         states = self.list_all(job)
@@ -94,7 +91,7 @@
             return found
         return self._list_ready(states, excluded)
 
-    def select_trusted(self, job: "Job", now: float) -> list[EndpointState]:
+    def select_trusted(self, job: Job, now: float) -> list[EndpointState]:
         """Return the endpoints to weigh for a request's next attempt.
 
         One that may not be repeated avoids endpoints that lost an answer lately.
@@ -106,14 +103,14 @@
         )
 
     def list_permitted(
-        self, job: "Job", excluded: Collection[str]
+        self, job: Job, excluded: Collection[str]
     ) -> list[EndpointState]:
         """Return the endpoints that may get a request, also those that rest."""
         return [
             state for state in self.list_all(job) if state.endpoint.name not in excluded
         ]
 
-    def list_all(self, job: "Job") -> list[EndpointState]:
+    def list_all(self, job: Job) -> list[EndpointState]:
         """Return the endpoints of a request's service and versions."""
         versions = self._rollouts.choose_version(
             service=job.permit.service.name,
@@ -133,7 +130,7 @@
         ]
 
     def _draw(
-        self, job: "Job", model: str, states: list[EndpointState]
+        self, job: Job, model: str, states: list[EndpointState]
     ) -> list[EndpointState]:
         """Return the endpoints to weigh, with the home of the prompt's prefix."""
         if self._split is None or self._split.states is not states:
--- a/eelgrassrack/gateway/requests/job.py
+++ b/eelgrassrack/gateway/requests/job.py
@@ -8,7 +8,7 @@
 from ...decisions.urgency import LEAST_URGENT
 from ..store.configuration import Permit
 from .messages import Arrival, ResponseHead
-from .queryguard import find_traits
+from .traits import find_traits
 
 # Callers send this model name to let the router choose the model.
 ANY_MODEL = "*"
--- a/eelgrassrack/gateway/requests/prompts.py
+++ b/eelgrassrack/gateway/requests/prompts.py
@@ -1,17 +1,14 @@
 """Estimates of a prompt's reading time, urgency, cost and cache affinity."""
 
 from collections.abc import Collection
-from typing import TYPE_CHECKING
 
 from ...decisions.engines import PLAIN_REQUEST_SECONDS, ReadingTime
 from ...decisions.pace import Pace
 from ...decisions.urgency import LEAST_URGENT, find_urgency
+from .job import Job
 
-if TYPE_CHECKING:
-    from .job import Job
 
-
-def estimate_reading(job: "Job", model: str, pace: Pace) -> ReadingTime:
+def estimate_reading(job: Job, model: str, pace: Pace) -> ReadingTime:
     """Return how many seconds a model needs to read the prompt."""
     arrival = job.arrival
     if not arrival.tokens_in:
@@ -24,7 +21,7 @@
     )
 
 
-def find_prompt_urgency(job: "Job", reading: float, heavy: Collection[str]) -> int:
+def find_prompt_urgency(job: Job, reading: float, heavy: Collection[str]) -> int:
     """Return the urgency of a prompt that takes `reading` seconds to read.
 
     Requests without a prompt are the least urgent.  `heavy` are the organisations
@@ -39,20 +36,20 @@
     )
 
 
-def find_cost(job: "Job", model: str) -> float:
+def find_cost(job: Job, model: str) -> float:
     """Return the ratio of a model's cost to that of the cheapest model."""
     costs = dict(job.permit.service.costs)
     least = min(costs.values(), default=0.0)
     return costs.get(model, least) / least if least else 1.0
 
 
-def estimate_answer_tokens(job: "Job") -> int:
+def estimate_answer_tokens(job: Job) -> int:
     """Return how many tokens the answer probably has."""
     arrival = job.arrival
     return min(arrival.length_hint or arrival.tokens_out, arrival.tokens_out)
 
 
-def find_affinity(job: "Job", model: str) -> str:
+def find_affinity(job: Job, model: str) -> str:
     """Return a key that is the same for requests with the same prompt prefix."""
     shared = job.arrival.parts[:-1]
     if not shared:
--- a/eelgrassrack/gateway/requests/queryguard.py
+++ b/eelgrassrack/gateway/requests/queryguard.py
@@ -6,18 +6,11 @@
 
 import asyncio
 import collections
-import functools
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING
 
 import logbook
-import xxhash
 
-from ...decisions.crashrecords import (
-    TraitReport,
-    make_part_trait,
-    make_request_trait,
-)
+from ...decisions.crashrecords import TraitReport
 from ...decisions.precedence import Sharer, count_before
 from ...decisions.queryofdeath import (
     Blocked,
@@ -25,22 +18,17 @@
     QueryOfDeathDetector,
     Suspected,
 )
-from ...decisions.runs import Crash, RunHistory, Traits
+from ...decisions.runs import Crash, RunHistory
 from ..endpoints.endpoint import Endpoint
 from ..endpoints.endpointstate import hash_lifetime
-from ..store.configuration import Permit
-from .messages import Arrival, PromptPart, Refusal
-
-if TYPE_CHECKING:
-    from .job import Job
+from .job import Job
+from .messages import Refusal
+from .traits import MAX_NAMES, hash_part, list_shared_parts
 
 log = logbook.Logger("queryguard")
 
 REASON = "crashes the endpoints that run it"
 
-# Parts of a prompt that are considered; a longer prompt's other parts aren't blamed.
-MAX_PARTS = 256
-
 # The last gateways send suspected requests after so many turns, however many there are.
 MAX_TURNS = 6
 
@@ -48,9 +36,6 @@
 # endpoint may still crash.
 TRIAL_PAUSE_SECONDS = 0.5
 
-# Number of parts and lifetimes whose names are remembered for the log.
-MAX_NAMES = 5_000
-
 # Number of crashes that a log line names.
 MAX_LOGGED_CRASHES = 10
 
@@ -92,39 +77,39 @@
         self._names: collections.OrderedDict[int, str] = collections.OrderedDict()
         self._logged: dict[frozenset[int], str] = {}
 
-    def judge(self, job: "Job") -> Clear | Suspected | Blocked:
+    def judge(self, job: Job) -> Clear | Suspected | Blocked:
         """Return whether and how a request may be sent."""
         return self._detector.judge(job.traits, now=self._loop.time())
 
-    def may_send(self, job: "Job") -> bool:
+    def may_send(self, job: Job) -> bool:
         """Return whether a request may be sent now: it isn't blocked nor to wait."""
         return self._may_proceed(self.judge(job))
 
-    def find_refusal(self, job: "Job") -> Refusal | None:
+    def find_refusal(self, job: Job) -> Refusal | None:
         """Return the refusal of a blocked request, None for all others."""
         match self.judge(job):
             case Blocked(seconds=seconds):
                 return Refusal(status=503, reason=REASON, retry_after=seconds)
         return None
 
-    def is_held(self, job: "Job") -> bool:
+    def is_held(self, job: Job) -> bool:
         """Return whether a request is suspected or blocked."""
         return not isinstance(self.judge(job), Clear)
 
-    def begin_trial(self, job: "Job") -> None:
+    def begin_trial(self, job: Job) -> None:
         """Note that a request is placed: if it is suspected, others wait for it."""
         match self.judge(job):
             case Suspected(traits=traits):
                 job.trial = traits
                 self._trials.update(dict.fromkeys(traits, float("inf")))
 
-    def end_trial(self, job: "Job") -> None:
+    def end_trial(self, job: Job) -> None:
         """Note that an attempt has ended; the next suspected request waits a little."""
         until = self._loop.time() + TRIAL_PAUSE_SECONDS
         self._trials.update(dict.fromkeys(job.trial, until))
         job.trial = frozenset()
 
-    def note_sent(self, job: "Job", endpoint: Endpoint) -> None:
+    def note_sent(self, job: Job, endpoint: Endpoint) -> None:
         """Note that a request is sent to an endpoint."""
         lifetime = hash_lifetime(endpoint.lifetime)
         self._remember(lifetime, endpoint.name)
@@ -134,13 +119,13 @@
             lifetime=lifetime, traits=job.traits, now=self._loop.time()
         )
 
-    def note_event(self, job: "Job") -> None:
+    def note_event(self, job: Job) -> None:
         """Note that a piece of a stream arrived."""
         now = self._loop.time()
         if job.run is not None and self._history.note_event(job.run, now=now):
             self._detector.note_answer(job.traits, at=now)
 
-    def note_end(self, job: "Job", *, has_run: bool, is_whole: bool) -> None:
+    def note_end(self, job: Job, *, has_run: bool, is_whole: bool) -> None:
         """Note that an attempt has ended, if it was sent."""
         if job.run is None:
             return
@@ -269,31 +254,3 @@
         self._names.move_to_end(key)
         while len(self._names) > MAX_NAMES:
             self._names.popitem(last=False)
-
-
-def find_traits(arrival: Arrival, permit: Permit) -> Traits:
-    """Return what crashes may be blamed on: the request and its prompt's parts.
-
-    The request's hash is the same each time its caller repeats it.
-    """
-    digest = xxhash.xxh3_64()
-    for text in (arrival.method, arrival.target, permit.organisation_name):
-        digest.update(text.encode() + b"\0")
-    for part in arrival.parts:
-        digest.update(part.name.encode() + b"\0")
-    digest.update(arrival.body)
-    return Traits(
-        request=make_request_trait(digest.intdigest()),
-        parts=frozenset(hash_part(part.name) for part in list_shared_parts(arrival)),
-    )
-
-
-def list_shared_parts(arrival: Arrival) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt that other requests may share, the first of many."""
-    return arrival.parts[:-1][:MAX_PARTS]
-
-
-@functools.lru_cache(maxsize=MAX_NAMES)
-def hash_part(name: str) -> int:
-    """Return the trait of a part of a prompt."""
-    return make_part_trait(xxhash.xxh3_64_intdigest(name.encode()))
