Tell peers at once of prompts that an engine reads for long

Cause: an engine that reads a prompt of 40,000 to 62,000 tokens with the best model runs every step beside a part of it, so that the nine steps of another stream's first event take 0.6 s and more.

Change: a prompt that takes 0.2 s or more to read sends this gateway's update to its peers at once, as other urgent changes do, coalesced within 0.02 s.

--- a/eelgrassrack/gateway/endpoints/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -52,6 +52,10 @@
 IDLE_BACKLOG_SECONDS = 0.01
 
 
+# Peers learn at once of a prompt that takes this long to read: a short one that comes
+# to the same endpoint would wait for its first token until the long one is read.
+LONG_READING_SECONDS = 0.2
+
 # How often a request checks for a free endpoint while all of them rest, or are cold and
 # at their limit.
 POLL_SECONDS = 0.05
@@ -83,6 +87,7 @@
         "_peer_reports",
         "_selector",
         "_settings",
+        "_tell_peers",
         "_usage",
         "guard",
         "health",
@@ -107,6 +112,7 @@
         self.health = PassiveHealthCheck(fleet=fleet, rollouts=rollouts)
         self._fleet = fleet
         self._settings = settings
+        self._tell_peers = tell_peers
         self._list_sharers = list_sharers
         self._list_peer_updates = list_peer_updates
         self._has_peer_updates = False
@@ -334,6 +340,8 @@
         state.own_running += 1
         state.own_backlog.add(job.urgency, job.reading_seconds)
         state.cold_sends.append(job.sent_at)
+        if job.reading_seconds >= LONG_READING_SECONDS:
+            self._tell_peers()
 
     def note_first_byte(self, job: Job, endpoint: Endpoint) -> None:
         """Record that the response has started, so the prompt has been read."""
