Let a short prompt leave a silent endpoint while another one is still in time

Cause: a request with a prompt waited four times the estimate and one second more before it was tried elsewhere, whatever its prompt and its route's objective.

Change: for a prompt that takes at most a tenth of the objective to read, the constant is at most 0.4 of the objective. Long prompts keep the second: their reading would be wasted when capacity is scarce. What bounds it stays: the route's attempts, the retry budget, a witness that answers, and four times the estimate, which grows with the endpoint's queue.

--- a/eelgrassrack/decisions/timeouts.py
+++ b/eelgrassrack/decisions/timeouts.py
@@ -8,26 +8,47 @@
 endpoint that is merely busy must not be abandoned too soon, since its work would be
 wasted just when capacity is scarce.  The timeout therefore follows the estimate, which
 grows with the endpoint's queue.
+
+A short prompt wastes little.  An endpoint that reads a very long one makes it wait for
+about a second, which is the whole objective of most requests; if it leaves in time,
+another endpoint still answers it within the objective.
 """
 
+import math
+
 # The timeout for the first piece is this multiple of the estimate, plus a constant that
 # is larger if the endpoint has a prompt to read.
 FIRST_FACTOR = 4.0
 EXTRA_FIRST_SECONDS = 0.4
 EXTRA_READING_SECONDS = 1.0
 
+# A prompt is short if it takes at most this share of the objective to read.  The
+# timeout's constant is at most the other share of the objective for it.
+SHORT_SHARE = 0.1
+EXTRA_SHORT_SHARE = 0.4
+
 # A stream may pause for this multiple of the route's target.  An engine that runs out
 # of memory preempts a stream for about a second, hence the minimum.
 GAP_FACTOR = 2.0
 MIN_GAP_SECONDS = 1.5
 
 
-def find_first_timeout(*, expected: float, has_prompt: bool) -> float:
+def find_first_timeout(
+    *,
+    expected: float,
+    has_prompt: bool,
+    reading: float = math.inf,
+    objective: float = math.inf,
+) -> float:
     """Return the timeout for the first piece of an answer, in seconds.
 
-    `expected` is its estimated time in seconds.
+    `expected` is its estimated time, `reading` the part of it in which the endpoint
+    reads the prompt, and `objective` the time within which the piece is due, all in
+    seconds.
     """
     extra = EXTRA_READING_SECONDS if has_prompt else EXTRA_FIRST_SECONDS
+    if has_prompt and reading <= objective * SHORT_SHARE:
+        extra = min(extra, objective * EXTRA_SHORT_SHARE)
     return expected * FIRST_FACTOR + extra
 
 
--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -184,7 +184,10 @@
         )
         silence.start(
             find_first_timeout(
-                expected=job.expected_seconds, has_prompt=bool(job.arrival.tokens_in)
+                expected=job.expected_seconds,
+                has_prompt=bool(job.arrival.tokens_in),
+                reading=job.reading_seconds,
+                objective=job.permit.route.objective,
             )
         )
         try:
