List each metric of a gateway once, and say by its kind how it is rendered

GatewayMetrics named each metric three times: as a slot, when it was made, and in a list of counters or gauges for rendering. Whoever added one could forget the last, and it would never be shown. Each is now noted as it is made, counters and gauges are classes of their own, and the page matches on them; an empty label no longer stands for a gauge.

The rendered lines are the same as before (compared with counts, labels and observations of each kind); their order follows that in which the metrics are made.

--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -8,14 +8,15 @@
 import bisect
 import itertools
 from collections.abc import Iterator
+from typing import TypeVar
 
 # Histogram buckets in seconds, from the answer of an idle endpoint to the longest time
 # limit of a route.
 BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12, 25)
 
 
-class Metric:
-    """A counter or gauge: a number for each value of its label, or one without."""
+class Counter:
+    """A number that only grows, for each value of its label, or one without."""
 
     __slots__ = ("label", "meaning", "name", "values")
 
@@ -29,9 +30,20 @@
         """Add `amount` to the number of a label."""
         self.values[label] = self.values.get(label, 0.0) + amount
 
+
+class Gauge:
+    """A number that rises and falls."""
+
+    __slots__ = ("meaning", "name", "value")
+
+    def __init__(self, *, name: str, meaning: str) -> None:
+        self.name = name
+        self.meaning = meaning
+        self.value = 0.0
+
     def set(self, value: float) -> None:
-        """Set the number of a metric without a label."""
-        self.values[""] = float(value)
+        """Set the number."""
+        self.value = float(value)
 
 
 class Observations:
@@ -71,10 +83,15 @@
         self.values.setdefault(label, Observations()).add(value)
 
 
+Metric = Counter | Gauge | Histogram
+M = TypeVar("M", Counter, Gauge, Histogram)
+
+
 class GatewayMetrics:
     """All metrics of one gateway.  Their names and help texts are public."""
 
     __slots__ = (
+        "_all",
         "_arrivals",
         "_crossed_bytes",
         "_ends",
@@ -92,67 +109,87 @@
     )
 
     def __init__(self) -> None:
-        self._arrivals = Metric(
-            name="gateway_requests", meaning="Requests that arrived."
+        self._all: list[Metric] = []
+        self._arrivals = self._make(
+            Counter, name="gateway_requests", meaning="Requests that arrived."
         )
-        self._ends = Metric(
-            name="gateway_ends", meaning="Requests by their end.", label="end"
+        self._ends = self._make(
+            Counter, name="gateway_ends", meaning="Requests by their end.", label="end"
         )
-        self._crossed_bytes = Metric(
+        self._crossed_bytes = self._make(
+            Counter,
             name="gateway_crossed_bytes",
             meaning="Bytes to and from other failure domains, by what they were for.",
             label="kind",
         )
-        self._seconds = Histogram(
+        self._seconds = self._make(
+            Histogram,
             name="gateway_seconds",
             meaning="Seconds from arrival to the first piece, and to the end.",
             label="until",
         )
-        self.stalled_seconds = Metric(
+        self.stalled_seconds = self._make(
+            Counter,
             name="gateway_held_up_seconds",
             meaning="Seconds in which the process couldn't go on with what was due.",
         )
-        self.version = Metric(
-            name="gateway_configuration_version", meaning="Configuration in force."
+        self.version = self._make(
+            Gauge,
+            name="gateway_configuration_version",
+            meaning="Configuration in force.",
         )
-        self.gateways = Metric(
+        self.gateways = self._make(
+            Gauge,
             name="gateway_entries",
             meaning="Gateways that share the common limits, this one among them.",
         )
-        self.store_answers = Metric(
+        self.store_answers = self._make(
+            Gauge,
             name="gateway_store_answers",
             meaning="1 while the platform's store answers, 0 while it doesn't.",
         )
-        self.slow = Metric(
+        self.slow = self._make(
+            Gauge,
             name="gateway_slow_endpoints",
             meaning="Endpoints that take far longer than others of their service.",
         )
-        self.limited = Metric(
+        self.limited = self._make(
+            Gauge,
             name="gateway_limited_endpoints",
             meaning="Endpoints that named a limit of which this gateway has a share.",
         )
-        self.suspected = Metric(
+        self.suspected = self._make(
+            Gauge,
             name="gateway_suspected_parts",
             meaning=(
                 "Prompt parts that may crash endpoints; "
                 "their requests go one at a time."
             ),
         )
-        self.blocked = Metric(
+        self.blocked = self._make(
+            Gauge,
             name="gateway_blocked_queries",
             meaning=(
                 "Prompt parts and requests that are refused, as they crash endpoints."
             ),
         )
-        self.heavy = Metric(
+        self.heavy = self._make(
+            Gauge,
             name="gateway_heavy_organisations",
             meaning="Organisations that give way, taking several times the mean.",
         )
-        self.dropped_lines = Metric(
+        self.dropped_lines = self._make(
+            Gauge,
             name="gateway_log_lines_dropped",
             meaning="Log lines dropped to keep the volume bounded.",
         )
 
+    def _make(self, kind: type[M], **texts: str) -> M:
+        """Create a metric, which is rendered with all others."""
+        metric = kind(**texts)
+        self._all.append(metric)
+        return metric
+
     def count_arrival(self) -> None:
         """Count an arriving request."""
         self._arrivals.inc()
@@ -176,23 +213,4 @@
         """Return all metrics in the Prometheus text format."""
         from .metricspage import render_page
 
-        counters = (
-            self._arrivals,
-            self._ends,
-            self._crossed_bytes,
-            self.stalled_seconds,
-        )
-        gauges = (
-            self.version,
-            self.gateways,
-            self.store_answers,
-            self.slow,
-            self.limited,
-            self.suspected,
-            self.blocked,
-            self.heavy,
-            self.dropped_lines,
-        )
-        return render_page(
-            counters=counters, gauges=gauges, histograms=(self._seconds,)
-        )
+        return render_page(self._all)
--- a/eelgrassrack/gateway/metricspage.py
+++ b/eelgrassrack/gateway/metricspage.py
@@ -11,60 +11,46 @@
 from prometheus_client.metrics_core import Metric as Family
 from prometheus_client.registry import Collector
 
-from .metrics import Histogram, Metric
+from .metrics import Counter, Gauge, Histogram, Metric
 
 
 class _Page(Collector):
     """The metrics of a process, as the library asks for them."""
 
-    def __init__(
-        self,
-        *,
-        counters: Iterable[Metric],
-        gauges: Iterable[Metric],
-        histograms: Iterable[Histogram],
-    ) -> None:
-        self._counters = counters
-        self._gauges = gauges
-        self._histograms = histograms
+    def __init__(self, metrics: Iterable[Metric]) -> None:
+        self._metrics = metrics
 
     def collect(self) -> Iterator[Family]:
         """Yield each metric with all its labels."""
-        for counter in self._counters:
-            yield _fill(CounterMetricFamily, counter)
-        for histogram in self._histograms:
-            yield _fill_buckets(histogram)
-        for gauge in self._gauges:
-            yield _fill(GaugeMetricFamily, gauge)
+        return map(_convert, self._metrics)
 
 
-def render_page(
-    *,
-    counters: Iterable[Metric],
-    gauges: Iterable[Metric],
-    histograms: Iterable[Histogram],
-) -> bytes:
+def render_page(metrics: Iterable[Metric]) -> bytes:
     """Return the metrics in the Prometheus text format."""
     registry = CollectorRegistry()
-    registry.register(_Page(counters=counters, gauges=gauges, histograms=histograms))
+    registry.register(_Page(metrics))
     return generate_latest(registry)
 
 
-def _fill(
-    kind: type[CounterMetricFamily | GaugeMetricFamily], metric: Metric
-) -> Family:
-    family = kind(
-        metric.name, metric.meaning, labels=[metric.label] if metric.label else []
-    )
-    for label, value in metric.values.items():
-        family.add_metric([label] if metric.label else [], value)
-    return family
-
-
-def _fill_buckets(histogram: Histogram) -> Family:
-    family = HistogramMetricFamily(
-        histogram.name, histogram.meaning, labels=[histogram.label]
-    )
-    for label, observations in histogram.values.items():
-        family.add_metric([label], list(observations.cumulative), observations.total)
+def _convert(metric: Metric) -> Family:
+    match metric:
+        case Gauge():
+            return GaugeMetricFamily(metric.name, metric.meaning, value=metric.value)
+        case Counter(label=""):
+            (value,) = metric.values.values()
+            return CounterMetricFamily(metric.name, metric.meaning, value=value)
+        case Counter():
+            family = CounterMetricFamily(
+                metric.name, metric.meaning, labels=[metric.label]
+            )
+            for label, value in metric.values.items():
+                family.add_metric([label], value)
+        case Histogram():
+            family = HistogramMetricFamily(
+                metric.name, metric.meaning, labels=[metric.label]
+            )
+            for label, observations in metric.values.items():
+                family.add_metric(
+                    [label], list(observations.cumulative), observations.total
+                )
     return family
