Say once which prompts are short

The choice of a model and the timeouts each had the constant and the comparison. Both ask decisions/shortprompts.py; nothing changes in what they decide.

--- a/eelgrassrack/decisions/modelchoice.py
+++ b/eelgrassrack/decisions/modelchoice.py
@@ -28,6 +28,8 @@
 
 import msgspec
 
+from .shortprompts import is_short
+
 # Minimum confidence of an accepted answer.  Confidence is around 50 if a request is
 # just as hard as the model can handle, with a spread of about 10.
 ACCEPTED_CONFIDENCE = 60
@@ -48,10 +50,6 @@
 IDLE_SHARE = 0.2
 
 
-# A prompt that takes at most this share of the objective to read doesn't fill an
-# engine, so a better model reads it whenever the answer is in time.
-SHORT_SHARE = 0.1
-
 # A caller that gives up before the end has no use for a partial answer, so the caller's
 # remaining time must be at least this multiple of the expected one.
 SPARE_FACTOR = 1.3
@@ -132,4 +130,4 @@
         return True
     reading = expected.seconds - expected.wait
     is_in_time = expected.seconds <= objective * IN_TIME_SHARE
-    return reading <= objective * SHORT_SHARE and is_in_time
+    return is_short(reading=reading, objective=objective) and is_in_time
--- a/eelgrassrack/decisions/timeouts.py
+++ b/eelgrassrack/decisions/timeouts.py
@@ -16,15 +16,15 @@
 
 import math
 
+from .shortprompts import is_short
+
 # The timeout for the first piece is this multiple of the estimate, plus a constant that
 # is larger if the endpoint has a prompt to read.
 FIRST_FACTOR = 4.0
 EXTRA_FIRST_SECONDS = 0.4
 EXTRA_READING_SECONDS = 1.0
 
-# A prompt is short if it takes at most this share of the objective to read.  The
-# timeout's constant is at most the other share of the objective for it.
-SHORT_SHARE = 0.1
+# For a short prompt the constant is at most this share of the objective.
 EXTRA_SHORT_SHARE = 0.4
 
 # A stream may pause for this multiple of the route's target.  An engine that runs out
@@ -47,7 +47,7 @@
     seconds.
     """
     extra = EXTRA_READING_SECONDS if has_prompt else EXTRA_FIRST_SECONDS
-    if has_prompt and reading <= objective * SHORT_SHARE:
+    if has_prompt and is_short(reading=reading, objective=objective):
         extra = min(extra, objective * EXTRA_SHORT_SHARE)
     return expected * FIRST_FACTOR + extra
 
