--- /dev/null
+++ b/bench/hotgateway/__init__.py
@@ -0,0 +1,1 @@
+"""Plays in which most new connections go to one gateway."""
