Tell how long the event loop's turns take, and how uneven the load is

The latest turn of the loop is a gauge and stands in the lines of attempts and refusals; each update names the requests a second, from which a gauge and a line say how many times the peers' mean a gateway gets.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -10,6 +10,7 @@
 import logbook
 from tornado.httpserver import HTTPServer
 
+from ..decisions.load import compare_load, is_uneven
 from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
 from ..stoptime import StopTime
@@ -26,6 +27,7 @@
 from .peers.peerlist import PeerList
 from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
 from .requests.ingress import Ingress
+from .requests.loopdelay import LoopDelay
 from .requests.serving import RequestHandler
 from .requests.translation import Translation
 from .settings import GatewaySettings
@@ -79,7 +81,9 @@
         "ingress",
         "_is_closing",
         "_kinds",
+        "_is_uneven",
         "_listener",
+        "_loop_delay",
         "_metrics",
         "_update_exchange",
         "_peers",
@@ -114,7 +118,9 @@
         self._store = store
         self._kinds = kinds
         self._is_closing = False
+        self._is_uneven = False
         self._metrics = GatewayMetrics()
+        self._loop_delay = LoopDelay(note=self._note_turn)
         self._contact = StoreContact()
         self._supervisor = Supervisor(name="gateway")
         self.router = Router()
@@ -205,6 +211,7 @@
             is_loading=lambda: self.has_store and not self._store_sync.is_loaded,
             awaits_peers=lambda: self._update_exchange.awaits_peers,
             get_readiness=lambda: self._update_exchange.readiness,
+            loop_delay=self._loop_delay,
         )
         self.ingress = Ingress(
             handler=self._handler,
@@ -358,6 +365,8 @@
             await asyncio.sleep(CHORE_SECONDS)
             now = asyncio.get_running_loop().time()
             self._note_stall(now - due)
+            self._loop_delay.measure()
+            self._compare_load(now)
             self._pool.prune(now=now)
             self._pool.probe_silent(
                 now=now, note_unreachable=self._placer.health.note_unreachable
@@ -379,6 +388,29 @@
         self._metrics.stalled_seconds.inc(seconds)
         log.warning("gateway: held up for {seconds} s", seconds=round(seconds, 2))
 
+    def _note_turn(self, seconds: float, _: float) -> None:
+        self._metrics.loop_delay.set(seconds)
+
+    def _compare_load(self, now: float) -> None:
+        """Log when this gateway begins or ceases to get far more than its part."""
+        own = self._handler.rate.find(now)
+        others = self._list_peer_rates()
+        uneven = is_uneven(own, others)
+        self._metrics.load_ratio.set(compare_load(own, others))
+        if uneven != self._is_uneven:
+            log.info(
+                "gateway: {state} far more requests than others: {own} a second",
+                state="gets" if uneven else "no longer gets",
+                own=round(own, 1),
+                ratio=round(compare_load(own, others), 2),
+            )
+        self._is_uneven = uneven
+
+    def _list_peer_rates(self) -> tuple[float, ...]:
+        """Return the requests per second that each live peer reads."""
+        rates = (update.requests for update in self._update_exchange.latest)
+        return tuple(rate for rate in rates if rate >= 0.0)
+
     def _make_update(
         self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
     ) -> PeerUpdate:
@@ -403,6 +435,9 @@
             has_lost_store=self._store_sync.has_lost_store,
             limits=self._placer.limits.report(),
             traits=self._placer.guard.report(),
+            requests=round(
+                self._handler.rate.find(asyncio.get_running_loop().time()), 1
+            ),
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -101,6 +101,8 @@
         "gateways",
         "heavy",
         "limited",
+        "load_ratio",
+        "loop_delay",
         "stalled_seconds",
         "slow",
         "store_answers",
@@ -158,6 +160,16 @@
             name="gateway_limited_endpoints",
             meaning="Endpoints that named a limit of which this gateway has a share.",
         )
+        self.loop_delay = self._make(
+            Gauge,
+            name="gateway_loop_delay_seconds",
+            meaning="Seconds that the event loop took for its latest turn.",
+        )
+        self.load_ratio = self._make(
+            Gauge,
+            name="gateway_load_ratio",
+            meaning="Requests per second here, as a multiple of the peers' mean.",
+        )
         self.suspected = self._make(
             Gauge,
             name="gateway_suspected_parts",
--- a/eelgrassrack/gateway/peers/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -138,7 +138,8 @@
     peers of its own domain only.  `has_lost_store` says that the store doesn't
     answer it, or that a watch is overdue.  `limits` are those that endpoints named to
     it, `traits` what it knows of queries of death.  `crashes` is empty: gateways of an
-    earlier version fill it.
+    earlier version fill it.  `requests` is how many it reads a second, less than 0 if
+    it doesn't say so.
     """
 
     name: str
@@ -161,6 +162,7 @@
     has_lost_store: bool = False
     limits: tuple[LimitReport, ...] = ()
     traits: tuple[TraitReport, ...] = ()
+    requests: float = -1.0
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
--- a/eelgrassrack/gateway/requests/requestlog.py
+++ b/eelgrassrack/gateway/requests/requestlog.py
@@ -18,9 +18,12 @@
 
 
 def log_attempt(
-    job: Job, endpoint: Endpoint, outcome: Outcome, *, seconds: float
+    job: Job, endpoint: Endpoint, outcome: Outcome, *, seconds: float, loop_delay: float
 ) -> None:
-    """Log the outcome of an attempt and why its endpoint was chosen."""
+    """Log the outcome of an attempt and why its endpoint was chosen.
+
+    `loop_delay` is the latest turn of the event loop, in seconds.
+    """
     placement = job.placement
     log.info(
         "serving: attempt {attempt} of {request} at {endpoint} {version}: {outcome}: "
@@ -39,6 +42,7 @@
         running=placement.running,
         slowness=round(placement.slowness, 2),
         news_age=round(placement.update_age, 3),
+        loop_delay=round(loop_delay, 4),
         trait=f"{job.traits.request:x}",
         parts=",".join(part.name for part in job.arrival.parts[:MAX_LOGGED_PARTS]),
     )
@@ -95,9 +99,17 @@
 
 
 def log_refusal(
-    arrival: Arrival, refusal: Refusal, *, configuration: int, seconds: float
+    arrival: Arrival,
+    refusal: Refusal,
+    *,
+    configuration: int,
+    seconds: float,
+    loop_delay: float,
 ) -> None:
-    """Log a request that the gateway refused, and why."""
+    """Log a request that the gateway refused, and why.
+
+    `loop_delay` is the latest turn of the event loop, in seconds.
+    """
     log.info(
         "serving: {request} {path} refused {status}: {reason}; "
         "configuration {configuration}",
@@ -109,6 +121,7 @@
         retry_after=refusal.retry_after,
         configuration=configuration,
         seconds=round(seconds, 4),
+        loop_delay=round(loop_delay, 4),
     )
 
 
--- a/eelgrassrack/gateway/requests/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable
 
+from ...decisions.load import RequestRate
 from ...decisions.modelchoice import choose_first
 from ...decisions.stopping import Readiness, find_retry_after, may_take
 from ..endpoints.endpoint import Endpoint
@@ -21,6 +22,7 @@
 from ..store.configuration import Permit, Router
 from .attempts import AttemptRunner
 from .job import Delivered, ExecutionStatus, Failed, Job, Lost, NotRun, Outcome, Unsure
+from .loopdelay import LoopDelay
 from .messages import Arrival, Refusal
 from .reply import Reply
 from .requestlog import (
@@ -63,7 +65,8 @@
 
     `router` holds the configuration in force.  `is_loading` returns whether a gateway
     that has just started is still reading from the store, `awaits_peers` whether it is
-    still to hear from others, and `get_readiness` how many gateways are ready.
+    still to hear from others, and `get_readiness` how many gateways are ready.  `rate`
+    is that of the requests that were read.
     """
 
     __slots__ = (
@@ -73,11 +76,13 @@
         "_refuses_unfinishable",
         "_is_loading",
         "_loop",
+        "_loop_delay",
         "_metrics",
         "_in_flight",
         "_placer",
         "_retry_budget",
         "_get_readiness",
+        "rate",
         "router",
     )
 
@@ -93,8 +98,11 @@
         is_loading: Callable[[], bool],
         awaits_peers: Callable[[], bool],
         get_readiness: Callable[[], Readiness],
+        loop_delay: LoopDelay,
     ) -> None:
         self.router = router
+        self._loop_delay = loop_delay
+        self.rate = RequestRate(now=asyncio.get_running_loop().time())
         self._is_loading = is_loading
         self._awaits_peers = awaits_peers
         self._get_readiness = get_readiness
@@ -123,6 +131,7 @@
     async def serve(self, *, arrival: Arrival, reply: Reply) -> None:
         """Handle one request; raise `CallerGoneError`."""
         self._metrics.count_arrival()
+        self.rate.note(self._loop.time())
         await self._wait_loaded(arrival)
         verdict = self.router.permit(arrival)
         if isinstance(verdict, Refusal):
@@ -326,7 +335,13 @@
 
     def _note_outcome(self, job: Job, endpoint: Endpoint, outcome: Outcome) -> None:
         """Log an attempt and update the job's and the endpoint's state from it."""
-        log_attempt(job, endpoint, outcome, seconds=self._loop.time() - job.sent_at)
+        log_attempt(
+            job,
+            endpoint,
+            outcome,
+            seconds=self._loop.time() - job.sent_at,
+            loop_delay=self._loop_delay.latest,
+        )
         match outcome:
             case Delivered():
                 self._note_answer(job, endpoint, failed=False)
@@ -402,6 +417,7 @@
             refusal,
             configuration=self.router.version,
             seconds=self._loop.time() - arrival.arrived,
+            loop_delay=self._loop_delay.latest,
         )
         await reply.refuse(refusal)
 
