Leave new connections unread while the processor can't keep up and peers have room

Cause: a gateway accepts and reads whatever comes. Once more comes than it can serve, all of it is late together. Class: admission without regard to what can be served. Ruled out: limits (none are named), endpoints (others serve all).

Turns of the event loop are timed as connections come. While all of them are long, the rate at which connections are taken falls, and rises once turns are short. The rest is closed unread, so that the callers' next tries meet other gateways; kept connections end with their next answer. Only while half of the domain's peers say that they have room: otherwise everything is read as before, so that a burst over all gateways is no storm of connections. A stop reads everything.

--- a/bench/hotgateway/__main__.py
+++ b/bench/hotgateway/__main__.py
@@ -19,12 +19,15 @@
     names = [variant.name for variant in VARIANTS]
     parser.add_argument("--variant", action="append", choices=names)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--keep", type=Path, help="folder for the gateways' logs")
+    parser.add_argument(
+        "--keep", type=Path, help="folder for the gateways' logs, empty before"
+    )
     arguments = parser.parse_args()
     for name in arguments.variant or names:
         with tempfile.TemporaryDirectory() as scratch:
             folder = arguments.keep / name if arguments.keep else Path(scratch)
-            folder.mkdir(parents=True, exist_ok=True)
+            # A log of an earlier play would name the same attempts as read.
+            folder.mkdir(parents=True, exist_ok=not arguments.keep)
             outcome = asyncio.run(
                 play(find_variant(name), seed=arguments.seed, folder=str(folder))
             )
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -26,8 +26,8 @@
 from .metrics import GatewayMetrics
 from .peers.peerlist import PeerList
 from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
+from .requests.admission import ConnectionAdmission
 from .requests.ingress import Ingress
-from .requests.loopdelay import LoopDelay
 from .requests.serving import RequestHandler
 from .requests.translation import Translation
 from .settings import GatewaySettings
@@ -74,6 +74,7 @@
 
     __slots__ = (
         "_contact",
+        "_admission",
         "_count_dropped",
         "_admin_servers",
         "fleet",
@@ -83,7 +84,6 @@
         "_kinds",
         "_is_uneven",
         "_listener",
-        "_loop_delay",
         "_metrics",
         "_update_exchange",
         "_peers",
@@ -120,7 +120,6 @@
         self._is_closing = False
         self._is_uneven = False
         self._metrics = GatewayMetrics()
-        self._loop_delay = LoopDelay(note=self._note_turn)
         self._contact = StoreContact()
         self._supervisor = Supervisor(name="gateway")
         self.router = Router()
@@ -201,6 +200,11 @@
     def _make_servers(self, translation: Translation) -> None:
         """Create the servers for callers, the balancer, peers and operators."""
         settings = self._settings
+        self._admission = ConnectionAdmission(
+            list_rooms=self._list_rooms,
+            is_closing=lambda: self._is_closing,
+            metrics=self._metrics,
+        )
         self._handler = RequestHandler(
             router=self.router,
             placer=self._placer,
@@ -211,12 +215,12 @@
             is_loading=lambda: self.has_store and not self._store_sync.is_loaded,
             awaits_peers=lambda: self._update_exchange.awaits_peers,
             get_readiness=lambda: self._update_exchange.readiness,
-            loop_delay=self._loop_delay,
+            loop_delay=self._admission.loop_delay,
         )
         self.ingress = Ingress(
             handler=self._handler,
             decode=translation.decode_arrival,
-            is_closing=lambda: self._is_closing,
+            is_closing=lambda: self._is_closing or self._admission.sends_away,
             find_limits=self.router.find_limits,
         )
         self._server = HTTPServer(self.ingress, body_timeout=BODY_TIMEOUT_SECONDS)
@@ -288,6 +292,7 @@
                 server.open()
         with _explain("listen", settings.listen):
             self._listener = self._listener or open_listener(settings.listen)
+        self._listener.admit = self._admission.admit
         self._start_tasks()
         self._server.add_socket(self._listener)
         log.notice(
@@ -365,7 +370,8 @@
             await asyncio.sleep(CHORE_SECONDS)
             now = asyncio.get_running_loop().time()
             self._note_stall(now - due)
-            self._loop_delay.measure()
+            self._admission.note_late(now - due)
+            self._admission.loop_delay.measure()
             self._compare_load(now)
             self._pool.prune(now=now)
             self._pool.probe_silent(
@@ -388,9 +394,6 @@
         self._metrics.stalled_seconds.inc(seconds)
         log.warning("gateway: held up for {seconds} s", seconds=round(seconds, 2))
 
-    def _note_turn(self, seconds: float, _: float) -> None:
-        self._metrics.loop_delay.set(seconds)
-
     def _compare_load(self, now: float) -> None:
         """Log when this gateway begins or ceases to get far more than its part."""
         own = self._handler.rate.find(now)
@@ -406,6 +409,14 @@
             )
         self._is_uneven = uneven
 
+    def _list_rooms(self) -> tuple[bool, ...]:
+        """Return whether each live peer that takes callers of this domain has room."""
+        return tuple(
+            update.has_room
+            for update in self._update_exchange.latest
+            if update.is_ready and update.domain == self._settings.domain
+        )
+
     def _list_peer_rates(self) -> tuple[float, ...]:
         """Return the requests per second that each live peer reads."""
         rates = (update.requests for update in self._update_exchange.latest)
@@ -438,6 +449,7 @@
             requests=round(
                 self._handler.rate.find(asyncio.get_running_loop().time()), 1
             ),
+            has_room=self._admission.has_room,
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -100,6 +100,7 @@
         "dropped_lines",
         "gateways",
         "heavy",
+        "left_connections",
         "limited",
         "load_ratio",
         "loop_delay",
@@ -135,6 +136,11 @@
             name="gateway_held_up_seconds",
             meaning="Seconds in which the process couldn't go on with what was due.",
         )
+        self.left_connections = self._make(
+            Counter,
+            name="gateway_left_connections",
+            meaning="Connections closed unread, for other gateways with room.",
+        )
         self.version = self._make(
             Gauge,
             name="gateway_configuration_version",
--- a/eelgrassrack/gateway/peers/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -139,7 +139,7 @@
     answer it, or that a watch is overdue.  `limits` are those that endpoints named to
     it, `traits` what it knows of queries of death.  `crashes` is empty: gateways of an
     earlier version fill it.  `requests` is how many it reads a second, less than 0 if
-    it doesn't say so.
+    it doesn't say so.  `has_room` says whether it could take more connections.
     """
 
     name: str
@@ -163,6 +163,7 @@
     limits: tuple[LimitReport, ...] = ()
     traits: tuple[TraitReport, ...] = ()
     requests: float = -1.0
+    has_room: bool = True
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
