--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -15,6 +15,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..errors import BrokenError, ConnectError, NoDescriptorError
+from ..patience import wait_unless_late
 from ..requests.messages import Data, End
 
 READ_BYTES = 65_536
@@ -217,7 +218,7 @@
 
 
 async def open_connection(*, address: tuple[str, int], timeout: float) -> Connection:
-    """Connect within `timeout` seconds.
+    """Connect within `timeout` seconds, in which this process's own delays don't count.
 
     Raises `ConnectError` on failure and `NoDescriptorError` before it tries.
     """
@@ -226,8 +227,7 @@
     except OSError as error:
         raise NoDescriptorError(str(error)) from error
     try:
-        async with asyncio.timeout(timeout):
-            await stream.connect(address)
+        await wait_unless_late(stream.connect(address), timeout)
     except (StreamClosedError, OSError, TimeoutError) as error:
         stream.close()
         raise ConnectError(
--- a/eelgrassrack/gateway/endpoints/pool.py
+++ b/eelgrassrack/gateway/endpoints/pool.py
@@ -200,15 +200,20 @@
         return False
 
     async def _ask_witness(self, witness: Endpoint) -> bool:
-        """Return whether an endpoint accepts a connection, or refuses it, in time."""
+        """Return whether an endpoint accepts a connection, or refuses it, in time.
+
+        If this process itself is late, nothing is shown.
+        """
+        loop = asyncio.get_running_loop()
+        latest = loop.time() + WITNESS_TIMEOUT_SECONDS
         try:
             connection = await open_connection(
                 address=witness.address, timeout=WITNESS_TIMEOUT_SECONDS
             )
         except ConnectError as error:
-            return error.is_refused
+            return error.is_refused and loop.time() <= latest
         self._keep_probed(witness, connection)
-        return True
+        return loop.time() <= latest
 
     def find_heard_at(self, endpoint: Endpoint) -> float:
         """Return the loop time at which an endpoint last sent part of an answer.
