Lend room within endpoints' limits to the gateway that has the requests

Callers: with limits that all endpoints name, twice what comes in sum, and 0.85 of new connections at one of eight gateways, 0.33 were served; the others got 503 `limited` at once while each limit was used to 0.13 to 0.17. Cause: shares go by names, whoever has the requests. Class: a shared bound is split without regard to demand. Ruled out: processor (a third of a core), the endpoints.

A gateway without room asks the others that have a share; each lends what it doesn't need, to one at a time, for half a second. A lease counts at the borrower from when it asked, at the lender from when it lent: the borrower has stopped before the lender begins again, whatever is lost, killed or frozen. Entries save up one request at most, and the first in the order lends nothing, so that those which may have saved one up are never more than the bound's slack (4 L + 2 L + 5 where 6 L + 5 are allowed).

--- a/eelgrassrack/decisions/load.py
+++ b/eelgrassrack/decisions/load.py
@@ -1,5 +1,6 @@
 """How an entry's load compares with that of others."""
 
+import math
 from collections.abc import Iterable
 
 # An entry has far more than its part with this multiple of the others' mean, unless it
@@ -51,3 +52,27 @@
 def is_uneven(own: float, others: Iterable[float]) -> bool:
     """Return whether an entry has far more than its part of the requests."""
     return own >= MIN_UNEVEN_RATE and compare_load(own, others) >= UNEVEN_FACTOR
+
+
+class RecentRate:
+    """The rate of requests, of which the latest `SECONDS` count most."""
+
+    SECONDS = 0.5
+
+    __slots__ = ("_at", "_count")
+
+    def __init__(self) -> None:
+        self._at = 0.0
+        self._count = 0.0
+
+    def note(self, amount: float, now: float) -> None:
+        """Count `amount` requests."""
+        self._count = self._fade(now) + amount
+        self._at = now
+
+    def find(self, now: float) -> float:
+        """Return the requests per second."""
+        return self._fade(now) / self.SECONDS
+
+    def _fade(self, now: float) -> float:
+        return self._count * math.exp((self._at - now) / self.SECONDS)
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -26,6 +26,7 @@
 from .metrics import GatewayMetrics
 from .peers.peerlist import PeerList
 from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
+from .peers.roommessages import RoomMessage
 from .requests.admission import ConnectionAdmission
 from .requests.ingress import Ingress
 from .requests.serving import RequestHandler
@@ -147,6 +148,7 @@
             seeds=find_seeds(settings),
             make_update=self._make_update,
             receive_update=self._receive_update,
+            receive_message=self._receive_message,
             count_crossed=lambda size: self._metrics.count_crossed(size, "news"),
         )
         self._peers = PeerList(
@@ -173,6 +175,7 @@
             ),
             list_peer_updates=lambda: self._update_exchange.latest,
             tell_peers=self._update_exchange.hurry,
+            tell_peer=self._update_exchange.tell,
         )
 
     def _make_store_sync(self) -> None:
@@ -450,6 +453,7 @@
                 self._handler.rate.find(asyncio.get_running_loop().time()), 1
             ),
             has_room=self._admission.has_room,
+            lends=True,
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
@@ -508,6 +512,9 @@
         self._placer.guard.merge(update.traits)
         self._placer.note_peer_updates()
 
+    def _receive_message(self, message: RoomMessage) -> None:
+        self._placer.limits.receive(message)
+
     def _find_write_rank(self) -> int:
         """Return this gateway's position among the live ones, sorted by name.
 
--- a/eelgrassrack/gateway/endpoints/endpointlimits.py
+++ b/eelgrassrack/gateway/endpoints/endpointlimits.py
@@ -6,103 +6,74 @@
 
 import asyncio
 import collections
-from collections.abc import Callable, Iterable
+import math
+import secrets
+from collections.abc import Callable, Collection, Iterable
 
 import logbook
 import msgspec
 
-from ...decisions.limitshares import find_send_time, share_limit
+from ...decisions.limitshares import Holding, share_limit
 from ...decisions.precedence import Sharer
+from ...decisions.sharedlimit import SharedLimit
 from ...decisions.statedlimits import NO_LIMIT, StatedLimits
 from ..peers.peerupdates import LimitReport
+from ..peers.roommessages import RoomGrant, RoomMessage, RoomRequest, RoomShare
 from ..requests.job import Job
 from ..requests.messages import ResponseHead
 from ..settings import GatewaySettings
 from .endpointstate import EndpointState
+from .limitwait import LimitWait
 
 log = logbook.Logger("placing")
 
-# How long a share is cached: computing it takes a third of a millisecond with hundreds
-# of gateways.
+# How long shares are cached: computing them takes a third of a millisecond with
+# hundreds of gateways.
 SHARE_SECONDS = 0.25
 
 # The longest time after which a caller is told to come again.
 MAX_PAUSE_SECONDS = 30.0
 
+# The least time between two requests to borrow, and how long their answers may take.
+ASK_SECONDS = 0.15
+
+# For how many of its requests to borrow a gateway knows when it asked.
+KEPT_REQUESTS = 20
+
 MAX_LOGGED_TEXT = 80
 
 
-class LimitShare(msgspec.Struct, frozen=True):
-    """This gateway's share of a limit, in requests per second, and for how long."""
+class KnownLimit(msgspec.Struct):
+    """A limit in requests per second, this gateway's part of it, and until when."""
 
     rate: float
-    share: float
+    part: SharedLimit
+    holding: Holding
     until: float
 
 
-class LimitWait:
-    """A request's place among those of its service that wait for room.
-
-    Use it as a context, and call `begin` when the request starts to wait for room.
-    """
-
-    __slots__ = ("_is_waiting", "_priority", "_service", "_waiting")
-
-    def __init__(
-        self, *, waiting: collections.Counter, service: str, priority: int
-    ) -> None:
-        self._waiting = waiting
-        self._service = service
-        self._priority = priority
-        self._is_waiting = False
-
-    def __enter__(self) -> "LimitWait":
-        """Return this place; the request doesn't wait yet."""
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        """Give up the place, also if the request is cancelled."""
-        if self._is_waiting:
-            self._waiting[self._service, self._priority] -= 1
-
-    def begin(self) -> None:
-        """Let others count this request as one that waits."""
-        if not self._is_waiting:
-            self._is_waiting = True
-            self._waiting[self._service, self._priority] += 1
-
-    def count_ahead(self) -> int:
-        """Return how many requests go first.
-
-        These are the more urgent ones that wait and, for one that has just come, also
-        those of its own priority.
-        """
-        least = self._priority - self._is_waiting
-        return sum(
-            count
-            for (service, priority), count in self._waiting.items()
-            if service == self._service and priority <= least
-        )
-
-
-NO_SHARE = LimitShare(NO_LIMIT, 0.0, float("-inf"))
-
-
 class EndpointLimits:
     """Keeps the limits that endpoints name, and sends within this gateway's shares.
 
     `list_sharers` returns the other gateways that share limits, None while they aren't
-    known; this gateway has no share until then.
+    known; this gateway has no share until then.  `tell` sends a peer a message, by the
+    peer's name.
     """
 
     __slots__ = (
+        "_asked_at",
+        "_known",
+        "_last_asked",
         "_last_sent",
         "_list_sharers",
         "_loop",
+        "_missed",
+        "_number",
         "_odd",
         "_settings",
-        "_shares",
         "_stated",
+        "_states",
+        "_tell",
         "_waiting",
     )
 
@@ -111,15 +82,22 @@
         *,
         settings: GatewaySettings,
         list_sharers: Callable[[], tuple[Sharer, ...] | None],
+        tell: Callable[[str, RoomMessage], None],
     ) -> None:
         self._settings = settings
         self._list_sharers = list_sharers
+        self._tell = tell
         self._loop = asyncio.get_running_loop()
         self._stated = StatedLimits()
+        self._states: dict[int, EndpointState] = {}
+        self._known: dict[int, KnownLimit] = {}
         self._last_sent: dict[int, float] = {}
         self._odd: set[int] = set()
-        self._shares: dict[int, LimitShare] = {}
         self._waiting: collections.Counter[tuple[str, int]] = collections.Counter()
+        self._number = secrets.randbits(32)
+        self._asked_at: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self._last_asked = -math.inf
+        self._missed = 0
 
     def note_head(
         self, state: EndpointState, head: ResponseHead, *, asked_at: float
@@ -152,26 +130,31 @@
             for key, notice in sorted(self._stated.list_own(now).items())
         )
 
-    def forget(self, present: Iterable[EndpointState]) -> None:
-        """Forget limits of endpoints that have been gone for long."""
-        keys = {state.key for state in present}
-        now = self._loop.time()
-        self._stated.forget(present=keys, now=now)
-        for kept in (self._last_sent, self._shares):
+    def sweep(self, present: Iterable[EndpointState]) -> None:
+        """Forget limits of endpoints that have been gone for long, and borrow room."""
+        self._states = {state.key: state for state in present}
+        keys = self._states.keys()
+        self._stated.forget(present=set(keys), now=self._loop.time())
+        for kept in (self._last_sent, self._known):
             for key in kept.keys() - keys:
                 if self._stated.find_rate(key) == NO_LIMIT:
                     del kept[key]
         self._odd &= keys
+        self._ask()
 
     def note_sent(self, state: EndpointState) -> None:
         """Count a request that is about to be sent."""
-        self._last_sent[state.key] = self._loop.time()
+        now = self._loop.time()
+        if self._is_limited(state):
+            self._find_part(state).note_sent(now)
+        self._last_sent[state.key] = now
 
     def count(self) -> int:
         """Return how many endpoints have limits of which this gateway has a share."""
-        return sum(share.share > 0.0 for share in self._shares.values())
+        now = self._loop.time()
+        return sum(known.part.find_share(now) > 0.0 for known in self._known.values())
 
-    def wait(self, job: Job) -> "LimitWait":
+    def wait(self, job: Job) -> LimitWait:
         """Return a request's place among those that wait for room."""
         return LimitWait(
             waiting=self._waiting,
@@ -179,54 +162,153 @@
             priority=job.permit.priority,
         )
 
-    def has_room(self, state: EndpointState, waiting: "LimitWait") -> bool:
+    def has_room(self, state: EndpointState, waiting: LimitWait) -> bool:
         """Return whether a request may be sent to an endpoint now.
 
         What is left of a limit goes to the requests that wait, the most urgent first.
         """
-        if self._stated.find_rate(state.key) == NO_LIMIT:
+        if not self._is_limited(state):
             self._note_unlimited(state)
             return True
         if self._find_send_time(state) > self._loop.time():
             return False
         return not waiting.count_ahead()
 
-    def find_wait(self, states: Iterable[EndpointState], waiting: "LimitWait") -> float:
-        """Return in how many seconds a request has room at one of its endpoints."""
+    def note_missed(
+        self, states: Collection[EndpointState], waiting: LimitWait
+    ) -> None:
+        """Count a request for which no endpoint has room, and ask peers for some.
+
+        It counts at one endpoint: room for a whole request there is worth more than
+        a little at each of several.
+        """
+        if waiting.has_missed:
+            return
+        waiting.has_missed = True
+        limited = [state for state in states if self._is_limited(state)]
+        if limited:
+            self._missed += 1
+            missed = limited[self._missed % len(limited)]
+            self._find_part(missed).note_missed(self._loop.time())
+        self._ask()
+
+    def find_wait(self, states: Iterable[EndpointState], waiting: LimitWait) -> float:
+        """Return in how many seconds a request has room at one of its endpoints.
+
+        Peers may still answer whether they lend some.
+        """
+        now = self._loop.time()
         states = tuple(states)
-        share = sum(self._find_share(state).share for state in states)
+        share = sum(self._find_part(state).find_share(now) for state in states)
+        answered_at = self._last_asked + ASK_SECONDS
         if not share:
-            return float("inf")
+            return answered_at - now if now < answered_at else math.inf
         first = min(map(self._find_send_time, states))
-        return max(first - self._loop.time(), 0.0) + waiting.count_ahead() / share
+        return max(first - now, 0.0) + waiting.count_ahead() / share
 
     def find_pause(self, states: Iterable[EndpointState]) -> float:
         """Return how many seconds pass between two requests of all gateways."""
         rates = (self._stated.find_rate(state.key) for state in states)
         return 1.0 / max(sum(rates), 1.0 / MAX_PAUSE_SECONDS)
 
-    def _find_send_time(self, state: EndpointState) -> float:
-        return find_send_time(
-            last_sent=self._last_sent.get(state.key, float("-inf")),
-            share=self._find_share(state).share,
+    def receive(self, message: RoomMessage) -> None:
+        """Handle a peer's request for room, or its answer to one."""
+        match message:
+            case RoomRequest():
+                self._lend(message)
+            case RoomGrant():
+                self._borrow(message)
+
+    def _ask(self) -> None:
+        """Ask peers for room where this gateway lacks some."""
+        now = self._loop.time()
+        if not self._known or now < self._last_asked + ASK_SECONDS:
+            return
+        wishes: dict[str, list[RoomShare]] = collections.defaultdict(list)
+        for key, known in self._known.items():
+            for holder in known.part.list_wishes(now):
+                wishes[holder.name].append(RoomShare.make(key, holder.share))
+        if not wishes:
+            return
+        self._number += 1
+        self._last_asked = now
+        self._asked_at[self._number] = now
+        while len(self._asked_at) > KEPT_REQUESTS:
+            self._asked_at.popitem(last=False)
+        for name, shares in wishes.items():
+            message = RoomRequest(
+                name=self._settings.name, number=self._number, shares=tuple(shares)
+            )
+            self._tell(name, message)
+
+    def _lend(self, request: RoomRequest) -> None:
+        """Answer a peer's request with what this gateway doesn't need."""
+        now = self._loop.time()
+        shares = tuple(
+            self._lend_share(request.name, wish, now) for wish in request.shares
+        )
+        self._tell(
+            request.name,
+            RoomGrant(name=self._settings.name, number=request.number, shares=shares),
         )
 
-    def _find_share(self, state: EndpointState) -> LimitShare:
+    def _lend_share(self, taker: str, wish: RoomShare, now: float) -> RoomShare:
+        state = self._states.get(wish.lifetime)
+        if state is None or not self._is_limited(state):
+            return RoomShare(wish.lifetime, 0)
+        share = self._find_part(state).lend(taker, wish.share, now)
+        return RoomShare.make(wish.lifetime, share)
+
+    def _borrow(self, grant: RoomGrant) -> None:
+        asked_at = self._asked_at.get(grant.number)
+        if asked_at is None:
+            return
+        now = self._loop.time()
+        for lent in grant.shares:
+            known = self._known.get(lent.lifetime)
+            if known is not None:
+                known.part.borrow(grant.name, lent.share, asked_at=asked_at, now=now)
+
+    def _is_limited(self, state: EndpointState) -> bool:
+        return self._stated.find_rate(state.key) != NO_LIMIT
+
+    def _find_send_time(self, state: EndpointState) -> float:
+        return self._find_part(state).find_send_time(self._loop.time())
+
+    def _find_part(self, state: EndpointState) -> SharedLimit:
+        """Return this gateway's part of an endpoint's limit."""
         now = self._loop.time()
         rate = self._stated.find_rate(state.key)
-        known = self._shares.get(state.key, NO_SHARE)
-        if known.rate == rate and now < known.until:
-            return known
-        found = LimitShare(rate, self._compute_share(state, rate), now + SHARE_SECONDS)
-        self._shares[state.key] = found
-        if (known.rate, known.share) != (found.rate, found.share):
-            self._log_share(state, found)
-        return found
-
-    def _compute_share(self, state: EndpointState, rate: float) -> float:
+        known = self._known.get(state.key)
+        if known is not None and known.rate == rate and now < known.until:
+            return known.part
+        holding = self._share(state, rate)
+        if known is None:
+            part = self._make_part(state, rate, holding, now)
+        else:
+            part = known.part
+            part.update(rate, holding)
+        self._known[state.key] = KnownLimit(rate, part, holding, now + SHARE_SECONDS)
+        if known is None or (known.rate, known.holding.own) != (rate, holding.own):
+            self._log_share(state, rate, holding)
+        return part
+
+    def _make_part(
+        self, state: EndpointState, rate: float, holding: Holding, now: float
+    ) -> SharedLimit:
+        return SharedLimit(
+            name=self._settings.name,
+            key=state.key,
+            rate=rate,
+            holding=holding,
+            last_sent=self._last_sent.get(state.key, -math.inf),
+            now=now,
+        )
+
+    def _share(self, state: EndpointState, rate: float) -> Holding:
         sharers = self._list_sharers()
         if sharers is None:
-            return 0.0
+            return Holding()
         return share_limit(
             rate=rate,
             own=Sharer(self._settings.name, self._settings.domain),
@@ -236,17 +318,17 @@
         )
 
     def _note_unlimited(self, state: EndpointState) -> None:
-        if self._shares.pop(state.key, None) is not None:
+        if self._known.pop(state.key, None) is not None:
             log.info("placing: {} names no limit any more", state.endpoint.name)
 
-    def _log_share(self, state: EndpointState, found: LimitShare) -> None:
+    def _log_share(self, state: EndpointState, rate: float, holding: Holding) -> None:
         now = self._loop.time()
         log.info(
             "placing: {endpoint} takes {limit} requests a second, {share} of this "
             "gateway, by news of {news_age} s ago",
             endpoint=state.endpoint.name,
-            limit=found.rate,
-            share=round(found.share, 3),
+            limit=rate,
+            share=round(rate * holding.own, 3),
             news_age=round(self._stated.find_age(state.key, now), 3),
         )
 
--- a/eelgrassrack/gateway/endpoints/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -23,6 +23,7 @@
 from ...decisions.precedence import Sharer
 from ...decisions.rest import may_wait
 from ..peers.peerupdates import Audience, EndpointReport, PeerUpdate
+from ..peers.roommessages import RoomMessage
 from ..requests.job import Job, NotRun, Placement
 from ..requests.messages import Refusal, ResponseHead
 from ..requests.prompts import (
@@ -37,10 +38,11 @@
 from ..versions.rollouts import Rollouts
 from .coldlimits import ColdLimits
 from .endpoint import Endpoint
-from .endpointlimits import EndpointLimits, LimitWait
+from .endpointlimits import EndpointLimits
 from .endpointreports import PeerReports, detect_slow, report_endpoints
 from .endpointstate import EndpointState
 from .fleet import Fleet
+from .limitwait import LimitWait
 from .passivehealth import PassiveHealthCheck
 from .selection import EndpointSelector
 from .wishes import EndpointWishes
@@ -72,7 +74,8 @@
     them, `wishes` from their answers which want no requests, and `limits` how many
     those in need take.  `list_sharers` returns the other gateways that share the common
     limits, or None while they aren't known, and `list_peer_updates` the latest update
-    of each peer.  `tell_peers` sends them this gateway's soon.
+    of each peer.  `tell_peers` sends them this gateway's soon, `tell_peer` one of them
+    a message.
     """
 
     __slots__ = (
@@ -105,6 +108,7 @@
         list_sharers: Callable[[], tuple[Sharer, ...] | None],
         list_peer_updates: Callable[[], tuple[PeerUpdate, ...]],
         tell_peers: Callable[[], None],
+        tell_peer: Callable[[str, RoomMessage], None],
     ) -> None:
         self.guard = QueryGuard(
             name=settings.name, list_sharers=list_sharers, tell_peers=tell_peers
@@ -124,7 +128,9 @@
             fleet=fleet, rollouts=rollouts, wishes=self.wishes, settings=settings
         )
         self._cold = ColdLimits(settings=settings, list_sharers=list_sharers)
-        self.limits = EndpointLimits(settings=settings, list_sharers=list_sharers)
+        self.limits = EndpointLimits(
+            settings=settings, list_sharers=list_sharers, tell=tell_peer
+        )
         self.heavy: frozenset[str] = frozenset()
         self._loop = asyncio.get_running_loop()
         self._usage = Usage(now=self._loop.time())
@@ -198,6 +204,7 @@
             self._cold.has_capacity(state, job.permit.service, now) for state in states
         ):
             return None
+        self.limits.note_missed(states, waiting)
         wait = self.limits.find_wait(states, waiting)
         if self._may_wait(job, wait):
             waiting.begin()
@@ -425,7 +432,7 @@
         now = self._loop.time()
         detect_slow(self._fleet, now)
         self._usage.fade(now)
-        self.limits.forget(self._fleet)
+        self.limits.sweep(self._fleet)
         updates = self._list_peer_updates()
         self._pace.replace_reports(
             itertools.chain.from_iterable(update.paces for update in updates)
--- a/eelgrassrack/gateway/peers/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -27,6 +27,7 @@
 from ...decisions.urgency import LEAST_URGENT
 from ...decisions.versiontrial import Tally
 from ..store.storeobjects import Peer
+from .roommessages import RoomMessage, decode_message, is_message
 
 log = logbook.Logger("news")
 
@@ -139,7 +140,8 @@
     answer it, or that a watch is overdue.  `limits` are those that endpoints named to
     it, `traits` what it knows of queries of death.  `crashes` is empty: gateways of an
     earlier version fill it.  `requests` is how many it reads a second, less than 0 if
-    it doesn't say so.  `has_room` says whether it could take more connections.
+    it doesn't say so.  `has_room` says whether it could take more connections,
+    `lends` whether it answers requests for room within endpoints' limits.
     """
 
     name: str
@@ -164,6 +166,7 @@
     traits: tuple[TraitReport, ...] = ()
     requests: float = -1.0
     has_room: bool = True
+    lends: bool = False
 
     @property
     def urgent_state(self) -> tuple[object, ...]:
@@ -193,6 +196,10 @@
     at: float
 
 
+def _ignore_message(message: RoomMessage) -> None:
+    """Ignore a message of a peer."""
+
+
 def _count_nothing(size: int) -> None:
     """Ignore the bytes sent to other failure domains."""
 
@@ -201,7 +208,8 @@
     """Send this gateway's updates to all peers, and keep theirs.
 
     `make_update` returns the update to send, `receive_update` gets each new update
-    of a peer, and `count_crossed` the bytes sent to other failure domains.
+    of a peer, `receive_message` what peers tell this gateway alone, and `count_crossed`
+    the bytes sent to other failure domains.
     `lifetime` tells this process from earlier ones of the same name.  `is_listed`
     says whether a list of all gateways that includes this one was read.
     """
@@ -215,6 +223,7 @@
         seeds: tuple[str, ...],
         make_update: Callable[..., PeerUpdate],
         receive_update: Callable[[PeerUpdate], None],
+        receive_message: Callable[[RoomMessage], None] = _ignore_message,
         count_crossed: Callable[[int], None] = _count_nothing,
     ) -> None:
         self.is_listed = False
@@ -226,6 +235,7 @@
         self.set_seeds(seeds)
         self._make_update = make_update
         self._receive_update = receive_update
+        self._receive_message = receive_message
         self._count_crossed = count_crossed
         self._peers: dict[str, tuple[str, int]] = {}
         self._received: dict[str, ReceivedUpdate] = {}
@@ -312,6 +322,16 @@
             self._count_crossed(len(data) * len(addresses))
         return update
 
+    def tell(self, name: str, message: RoomMessage) -> None:
+        """Send a message to one peer, if it is live and answers such messages."""
+        received = self._received.get(name)
+        if self._transport is None or received is None or not received.update.lends:
+            return
+        data = msgspec.msgpack.encode(message)
+        self._transport.sendto(data, self._peers[name])
+        if self.is_far(name):
+            self._count_crossed(len(data))
+
     def _log_new_peers(self) -> None:
         """Log the peers heard since the last round in one line."""
         if not self._unlogged:
@@ -423,8 +443,11 @@
         self._transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in a peer's update unless a newer one has arrived already."""
+        """Take in a message, or a peer's update unless a newer one has arrived."""
         try:
+            if is_message(data):
+                self._receive_message(decode_message(data))
+                return
             update = msgspec.msgpack.decode(data, type=PeerUpdate)
         except msgspec.DecodeError as error:
             log.warning("news: update from {} can't be read: {}", addr[0], error)
--- a/test/decisions/test_stated_limits.py
+++ b/test/decisions/test_stated_limits.py
@@ -7,11 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from eelgrassrack.decisions.limitshares import (
-    MIN_HOLDERS,
-    find_send_time,
-    share_limit,
-)
+from eelgrassrack.decisions.limitshares import MIN_HOLDERS, SendPace, share_limit
 from eelgrassrack.decisions.precedence import Sharer
 from eelgrassrack.decisions.statedlimits import NO_LIMIT, StatedLimits
 
@@ -28,19 +24,35 @@
     ]
 
 
+def find_share(own, others, *, rate):
+    """Return the requests per second of an entry that knows some others."""
+    return rate * share_limit(rate=rate, own=own, others=others, **ENDPOINT).own
+
+
 def find_shares(entries, *, rate):
     """Return the share of each entry if all know each other."""
     return {
-        own.name: share_limit(
-            rate=rate,
-            own=own,
-            others=[entry for entry in entries if entry is not own],
-            **ENDPOINT,
+        own.name: find_share(
+            own, [entry for entry in entries if entry is not own], rate=rate
         )
         for own in entries
     }
 
 
+def start_pace(now=0.0):
+    """Return the pace of an entry that hasn't sent anything yet."""
+    return SendPace(share=1.0, credit=1.0, now=now)
+
+
+def try_send(pace, share, now):
+    """Return whether an entry with a share may send now, and let it do so."""
+    pace.set_share(share, now)
+    may_send = now >= pace.find_send_time()
+    if may_send:
+        pace.note_sent()
+    return may_send
+
+
 def find_most(times):
     """Return the most sends of all entries in any window of four seconds."""
     times = sorted(times)
@@ -75,11 +87,10 @@
     shares = find_shares(make_entries(count), rate=rate)
     sends = []
     for share in filter(None, shares.values()):
-        last = float("-inf")
+        pace = start_pace()
         at = 0.0
         while (at := at + rng.expovariate(rate)) < seconds:
-            if at >= find_send_time(last_sent=last, share=share):
-                last = at
+            if try_send(pace, share, at):
                 sends.append(at)
     assert find_most(sends) <= OVERAGE * rate * WINDOW_SECONDS + SLACK
     assert len(sends) >= 0.6 * rate * seconds
@@ -100,7 +111,7 @@
         for own in entries
         for other in entries
     }
-    last = dict.fromkeys(entries, float("-inf"))
+    paces = {entry: start_pace(joins[entry]) for entry in entries}
     sends = []
     at = 0.0
     while at < 14.0:
@@ -114,9 +125,7 @@
         # A gateway that has just started has no share before it has a list of others.
         if at < joins[own] + 1.0 and joins[own] > 0.0:
             continue
-        share = share_limit(rate=rate, own=own, others=others, **ENDPOINT)
-        if at >= find_send_time(last_sent=last[own], share=share):
-            last[own] = at
+        if try_send(paces[own], find_share(own, others, rate=rate), at):
             sends.append(at)
     counted = [send for send in sends if send >= 1.0]
     assert find_most(counted) <= OVERAGE * rate * WINDOW_SECONDS + SLACK
@@ -173,20 +182,20 @@
 
     It finds its share once a second, as it hears of others about as often.
     """
-    last, lifetime = float("-inf"), 0.0
+    pace, lifetime = start_pace(), 0.0
     for second in range(int(seconds)):
         start = fleet.find_start(own, second)
         if start not in {None, lifetime}:
-            last, lifetime = float("-inf"), start
+            pace, lifetime = start_pace(second), start
         others = fleet.list_others(own, second)
-        share = share_limit(rate=rate, own=own, others=others, **ENDPOINT)
-        while (at := max(find_send_time(last_sent=last, share=share), second)) < (
-            second + 1
-        ):
+        share = find_share(own, others, rate=rate)
+        pace.set_share(share, second)
+        while (at := max(pace.find_send_time(), second)) < second + 1:
             start = fleet.find_start(own, at)
             if start is None or (start and at < start + Fleet.LIST_SECONDS):
                 break
-            last = at
+            pace.set_share(share, at)
+            pace.note_sent()
             yield at
 
 
