--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -10,7 +10,6 @@
 import logbook
 from tornado.httpserver import HTTPServer
 
-from ..decisions.load import compare_load, is_uneven
 from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
 from ..stoptime import StopTime
@@ -24,6 +23,7 @@
 from .gracefulstop import stop_gracefully
 from .listener import open_listener
 from .metrics import GatewayMetrics
+from .peers.load import LoadComparison
 from .peers.peerlist import PeerList
 from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
 from .peers.roommessages import RoomMessage
@@ -83,8 +83,8 @@
         "ingress",
         "_is_closing",
         "_kinds",
-        "_is_uneven",
         "_listener",
+        "_load",
         "_metrics",
         "_update_exchange",
         "_peers",
@@ -119,7 +119,6 @@
         self._store = store
         self._kinds = kinds
         self._is_closing = False
-        self._is_uneven = False
         self._metrics = GatewayMetrics()
         self._contact = StoreContact()
         self._supervisor = Supervisor(name="gateway")
@@ -203,8 +202,12 @@
     def _make_servers(self, translation: Translation) -> None:
         """Create the servers for callers, the balancer, peers and operators."""
         settings = self._settings
+        self._load = LoadComparison(
+            list_peer_updates=lambda: self._update_exchange.latest,
+            metrics=self._metrics,
+        )
         self._admission = ConnectionAdmission(
-            list_rooms=self._list_rooms,
+            list_rooms=lambda: self._load.list_rooms(self._settings.domain),
             is_closing=lambda: self._is_closing,
             metrics=self._metrics,
         )
@@ -219,6 +222,7 @@
             awaits_peers=lambda: self._update_exchange.awaits_peers,
             get_readiness=lambda: self._update_exchange.readiness,
             loop_delay=self._admission.loop_delay,
+            note_request=self._load.note_request,
         )
         self.ingress = Ingress(
             handler=self._handler,
@@ -296,6 +300,7 @@
         with _explain("listen", settings.listen):
             self._listener = self._listener or open_listener(settings.listen)
         self._listener.admit = self._admission.admit
+        self._admission.begin()
         self._start_tasks()
         self._server.add_socket(self._listener)
         log.notice(
@@ -375,7 +380,7 @@
             self._note_stall(now - due)
             self._admission.note_late(now - due)
             self._admission.loop_delay.measure()
-            self._compare_load(now)
+            self._load.compare()
             self._pool.prune(now=now)
             self._pool.probe_silent(
                 now=now, note_unreachable=self._placer.health.note_unreachable
@@ -397,34 +402,6 @@
         self._metrics.stalled_seconds.inc(seconds)
         log.warning("gateway: held up for {seconds} s", seconds=round(seconds, 2))
 
-    def _compare_load(self, now: float) -> None:
-        """Log when this gateway begins or ceases to get far more than its part."""
-        own = self._handler.rate.find(now)
-        others = self._list_peer_rates()
-        uneven = is_uneven(own, others)
-        self._metrics.load_ratio.set(compare_load(own, others))
-        if uneven != self._is_uneven:
-            log.info(
-                "gateway: {state} far more requests than others: {own} a second",
-                state="gets" if uneven else "no longer gets",
-                own=round(own, 1),
-                ratio=round(compare_load(own, others), 2),
-            )
-        self._is_uneven = uneven
-
-    def _list_rooms(self) -> tuple[bool, ...]:
-        """Return whether each live peer that takes callers of this domain has room."""
-        return tuple(
-            update.has_room
-            for update in self._update_exchange.latest
-            if update.is_ready and update.domain == self._settings.domain
-        )
-
-    def _list_peer_rates(self) -> tuple[float, ...]:
-        """Return the requests per second that each live peer reads."""
-        rates = (update.requests for update in self._update_exchange.latest)
-        return tuple(rate for rate in rates if rate >= 0.0)
-
     def _make_update(
         self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
     ) -> PeerUpdate:
@@ -449,9 +426,7 @@
             has_lost_store=self._store_sync.has_lost_store,
             limits=self._placer.limits.report(),
             traits=self._placer.guard.report(),
-            requests=round(
-                self._handler.rate.find(asyncio.get_running_loop().time()), 1
-            ),
+            requests=self._load.report(),
             has_room=self._admission.has_room,
             lends=True,
         )
--- a/eelgrassrack/gateway/requests/admission.py
+++ b/eelgrassrack/gateway/requests/admission.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 
 import logbook
@@ -15,6 +16,10 @@
 
 log = logbook.Logger("ingress")
 
+# How long a gateway that has just started reads all connections.  They came while it
+# was loading.
+START_SECONDS = 1.0
+
 # How long it is taken as known whether other gateways have room.
 ROOM_SECONDS = 0.1
 
@@ -39,6 +44,7 @@
         "_loop",
         "_metrics",
         "_room_until",
+        "_starts_until",
         "loop_delay",
     )
 
@@ -56,6 +62,7 @@
         self._loop = asyncio.get_running_loop()
         self._has_room_elsewhere = False
         self._room_until = 0.0
+        self._starts_until = math.inf
         self._left = 0
         self._logged_at = 0.0
         self.loop_delay = LoopDelay(note=self._note_turn)
@@ -74,12 +81,18 @@
         """Note how late regular work ran, in seconds."""
         self._accept_rate.note_late(seconds)
 
+    def begin(self) -> None:
+        """Note that the gateway begins to accept connections."""
+        self._starts_until = self._loop.time() + START_SECONDS
+
     def admit(self) -> bool:
         """Return whether a new connection is read."""
         self.loop_delay.measure()
         now = self._loop.time()
         if not self._accept_rate.exceeds(now) or self._is_closing():
             return True
+        if now < self._starts_until:
+            return True
         if not self._may_leave():
             return True
         self._note_left(now)
--- a/eelgrassrack/gateway/requests/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -10,7 +10,6 @@
 import math
 from collections.abc import Callable
 
-from ...decisions.load import RequestRate
 from ...decisions.modelchoice import choose_first
 from ...decisions.stopping import Readiness, find_retry_after, may_take
 from ..endpoints.endpoint import Endpoint
@@ -65,8 +64,8 @@
 
     `router` holds the configuration in force.  `is_loading` returns whether a gateway
     that has just started is still reading from the store, `awaits_peers` whether it is
-    still to hear from others, and `get_readiness` how many gateways are ready.  `rate`
-    is that of the requests that were read.
+    still to hear from others, and `get_readiness` how many gateways are ready.
+    `note_request` counts each request.
     """
 
     __slots__ = (
@@ -77,12 +76,12 @@
         "_is_loading",
         "_loop",
         "_loop_delay",
+        "_note_request",
         "_metrics",
         "_in_flight",
         "_placer",
         "_retry_budget",
         "_get_readiness",
-        "rate",
         "router",
     )
 
@@ -99,10 +98,11 @@
         awaits_peers: Callable[[], bool],
         get_readiness: Callable[[], Readiness],
         loop_delay: LoopDelay,
+        note_request: Callable[[], None],
     ) -> None:
         self.router = router
         self._loop_delay = loop_delay
-        self.rate = RequestRate(now=asyncio.get_running_loop().time())
+        self._note_request = note_request
         self._is_loading = is_loading
         self._awaits_peers = awaits_peers
         self._get_readiness = get_readiness
@@ -131,7 +131,7 @@
     async def serve(self, *, arrival: Arrival, reply: Reply) -> None:
         """Handle one request; raise `CallerGoneError`."""
         self._metrics.count_arrival()
-        self.rate.note(self._loop.time())
+        self._note_request()
         await self._wait_loaded(arrival)
         verdict = self.router.permit(arrival)
         if isinstance(verdict, Refusal):
