--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -25,8 +25,9 @@
 from .metrics import GatewayMetrics
 from .peers.load import LoadComparison
 from .peers.peerlist import PeerList
-from .peers.peerupdates import Audience, PeerUpdate, UpdateExchange
+from .peers.peerupdates import PeerUpdate, UpdateExchange
 from .peers.roommessages import RoomMessage
+from .peers.updatemaker import UpdateMaker
 from .requests.admission import ConnectionAdmission
 from .requests.ingress import Ingress
 from .requests.serving import RequestHandler
@@ -87,6 +88,7 @@
         "_load",
         "_metrics",
         "_update_exchange",
+        "_update_maker",
         "_peers",
         "_placer",
         "_pool",
@@ -131,6 +133,14 @@
         )
         self._make_store_sync()
         self._make_servers(translation)
+        self._update_maker = UpdateMaker(
+            admission=self._admission,
+            load=self._load,
+            placer=self._placer,
+            rollouts=self.rollouts,
+            router=self.router,
+            store_sync=self._store_sync,
+        )
 
     def _make_placer(self) -> None:
         """Create the parts that know the endpoints and choose one for a request."""
@@ -402,33 +412,9 @@
         self._metrics.stalled_seconds.inc(seconds)
         log.warning("gateway: held up for {seconds} s", seconds=round(seconds, 2))
 
-    def _make_update(
-        self, *, name: str, lifetime: str, port: int, number: int, audience: Audience
-    ) -> PeerUpdate:
-        trials, pins = self.rollouts.report(audience)
-        return PeerUpdate(
-            name=name,
-            lifetime=lifetime,
-            port=port,
-            number=number,
-            configuration=self.router.version,
-            knows_store=self._store_sync.knows_store,
-            revisions=self._store_sync.revisions,
-            endpoints=self._placer.report_endpoints(),
-            trials=trials,
-            pins=pins,
-            suspected=self._placer.health.report_suspected(),
-            usage=self._placer.report_usage(),
-            domain=self._settings.domain,
-            is_ready=self.is_ready,
-            link_mbps=self._settings.link_mbps,
-            paces=self._placer.report_paces(audience),
-            has_lost_store=self._store_sync.has_lost_store,
-            limits=self._placer.limits.report(),
-            traits=self._placer.guard.report(),
-            requests=self._load.report(),
-            has_room=self._admission.has_room,
-            lends=True,
+    def _make_update(self, **options: object) -> PeerUpdate:
+        return self._update_maker.make(
+            settings=self._settings, is_ready=self.is_ready, **options
         )
 
     def _answer_internal(self, path: str) -> tuple[int, bytes]:
