--- a/bench/hotgateway/__main__.py
+++ b/bench/hotgateway/__main__.py
@@ -6,11 +6,14 @@
 
 import argparse
 import asyncio
+import itertools
 import tempfile
 from pathlib import Path
 
+import msgspec
+
 from .play import Outcome, play
-from .variants import VARIANTS, find_variant
+from .variants import VARIANTS, Variant, find_variant
 
 
 def main() -> None:
@@ -19,25 +22,39 @@
     names = [variant.name for variant in VARIANTS]
     parser.add_argument("--variant", action="append", choices=names)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--during",
+        type=float,
+        action="append",
+        help="requests a second while connections go to one gateway, for a sweep",
+    )
     parser.add_argument(
         "--keep", type=Path, help="folder for the gateways' logs, empty before"
     )
     arguments = parser.parse_args()
-    for name in arguments.variant or names:
+    for name, during in itertools.product(
+        arguments.variant or names, arguments.during or (None,)
+    ):
+        variant = find_variant(name)
+        if during is not None:
+            variant = msgspec.structs.replace(variant, during=during)
         with tempfile.TemporaryDirectory() as scratch:
-            folder = arguments.keep / name if arguments.keep else Path(scratch)
-            # A log of an earlier play would name the same attempts as read.
-            folder.mkdir(parents=True, exist_ok=not arguments.keep)
+            folder = Path(scratch)
+            if arguments.keep:
+                # A log of an earlier play would name the same attempts as read.
+                folder = arguments.keep / f"{name}-{variant.during:g}"
+                folder.mkdir(parents=True)
             outcome = asyncio.run(
-                play(find_variant(name), seed=arguments.seed, folder=str(folder))
+                play(variant, seed=arguments.seed, folder=str(folder))
             )
-        print(_describe(name, arguments.seed, outcome), flush=True)
+        print(_describe(variant, arguments.seed, outcome), flush=True)
 
 
-def _describe(name: str, seed: int, outcome: Outcome) -> str:
+def _describe(variant: Variant, seed: int, outcome: Outcome) -> str:
     after = outcome.after
     text = (
-        f"{name} seed {seed}: {outcome.before.served:.3f} -> {after.served:.3f} of "
+        f"{variant.name} at {variant.during:g} a second, seed {seed}: "
+        f"{outcome.before.served:.3f} -> {after.served:.3f} of "
         f"{after.requests}; median {outcome.before.median:.2f} -> {after.median:.2f} s;"
         f" {after.tries:.2f} tries; {after.never_read} never read, "
         f"{after.silent} silent; {after.ends}"
