--- a/eelgrassrack/decisions/sharedlimit.py
+++ b/eelgrassrack/decisions/sharedlimit.py
@@ -20,8 +20,15 @@
 from .limitshares import Holder, Holding, SendPace
 from .load import RecentRate
 
-# How long a lease lasts.  Room moves back as late as this.
-LEASE_SECONDS = 0.5
+# How long a lease lasts at least and at most.  Room moves back as late as this.
+MIN_LEASE_SECONDS = 0.5
+MAX_LEASE_SECONDS = 3.0
+
+# A lease lasts for this multiple of the time that answers take.
+ROUND_TRIPS = 4.0
+
+# How much of the longest time that an answer took counts after each further answer.
+ROUND_TRIP_FADE = 0.9
 
 # An entry keeps and wants this multiple of what it lately had to send.
 NEED_FACTOR = 1.5
@@ -46,6 +53,24 @@
     until: float
 
 
+class LeaseTime:
+    """For how long an entry borrows, by how long others take to answer."""
+
+    __slots__ = ("_round_trip",)
+
+    def __init__(self) -> None:
+        self._round_trip = 0.0
+
+    def note_answer(self, seconds: float) -> None:
+        """Note how long an answer took."""
+        self._round_trip = max(seconds, self._round_trip * ROUND_TRIP_FADE)
+
+    def find(self) -> float:
+        """Return for how many seconds to borrow."""
+        wanted = self._round_trip * ROUND_TRIPS
+        return min(max(wanted, MIN_LEASE_SECONDS), MAX_LEASE_SECONDS)
+
+
 class SharedLimit:
     """One entry's part of one endpoint's limit.
 
@@ -133,22 +158,29 @@
             rest -= holder.share
         return wishes
 
-    def lend(self, taker: str, wanted: float, now: float) -> float:
-        """Lend another entry a part of the limit; return how much, 0 for nothing."""
+    def lend(self, taker: str, wanted: float, *, seconds: float, now: float) -> float:
+        """Lend another entry a part of the limit; return how much, 0 for nothing.
+
+        `seconds` is for how long the other entry wants it, up to the longest lease.
+        """
         self._asked[taker] = now
         share = min(wanted, self._find_spare(now))
         if share < MIN_SHARE or not self._is_next(taker, now):
             return 0.0
         self._pace.set_share(self.find_share(now), now)
         self._taker = taker
-        self._lent.append(Lease(share, now + LEASE_SECONDS))
+        until = now + min(seconds, MAX_LEASE_SECONDS)
+        self._lent.append(Lease(share, until))
         self._pace.set_share(self.find_share(now), now)
         return share
 
-    def borrow(self, giver: str, share: float, *, asked_at: float, now: float) -> None:
-        """Note what another entry lends, as answer to a request of `asked_at`."""
+    def borrow(self, giver: str, share: float, *, until: float, now: float) -> None:
+        """Note what another entry lends.
+
+        `until` is the time of the request for it, and the seconds that it was for.
+        """
         self._pace.set_share(self.find_share(now), now)
-        self._borrowed[giver] = Lease(share, asked_at + LEASE_SECONDS)
+        self._borrowed[giver] = Lease(share, until)
 
     def _find_need(self, now: float) -> float:
         """Return the part of the limit that the entry needs itself."""
--- a/eelgrassrack/gateway/endpoints/endpointlimits.py
+++ b/eelgrassrack/gateway/endpoints/endpointlimits.py
@@ -15,7 +15,7 @@
 
 from ...decisions.limitshares import Holding, share_limit
 from ...decisions.precedence import Sharer
-from ...decisions.sharedlimit import SharedLimit
+from ...decisions.sharedlimit import LeaseTime, SharedLimit
 from ...decisions.statedlimits import NO_LIMIT, StatedLimits
 from ..peers.peerupdates import LimitReport
 from ..peers.roommessages import RoomGrant, RoomMessage, RoomRequest, RoomShare
@@ -37,7 +37,7 @@
 # The least time between two requests to borrow, and how long their answers may take.
 ASK_SECONDS = 0.15
 
-# For how many of its requests to borrow a gateway knows when it asked.
+# How many of its latest requests to borrow a gateway remembers.
 KEPT_REQUESTS = 20
 
 MAX_LOGGED_TEXT = 80
@@ -52,6 +52,13 @@
     until: float
 
 
+class RoomQuestion(msgspec.Struct, frozen=True):
+    """When this gateway asked peers for room, and until when it may use it."""
+
+    at: float
+    until: float
+
+
 class EndpointLimits:
     """Keeps the limits that endpoints name, and sends within this gateway's shares.
 
@@ -61,10 +68,11 @@
     """
 
     __slots__ = (
-        "_asked_at",
+        "_asked",
         "_known",
         "_last_asked",
         "_last_sent",
+        "_lease_time",
         "_list_sharers",
         "_loop",
         "_missed",
@@ -95,7 +103,10 @@
         self._odd: set[int] = set()
         self._waiting: collections.Counter[tuple[str, int]] = collections.Counter()
         self._number = secrets.randbits(32)
-        self._asked_at: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self._lease_time = LeaseTime()
+        self._asked: collections.OrderedDict[int, RoomQuestion] = (
+            collections.OrderedDict()
+        )
         self._last_asked = -math.inf
         self._missed = 0
 
@@ -232,42 +243,49 @@
             return
         self._number += 1
         self._last_asked = now
-        self._asked_at[self._number] = now
-        while len(self._asked_at) > KEPT_REQUESTS:
-            self._asked_at.popitem(last=False)
+        seconds = self._lease_time.find()
+        self._asked[self._number] = RoomQuestion(now, now + seconds)
+        while len(self._asked) > KEPT_REQUESTS:
+            self._asked.popitem(last=False)
         for name, shares in wishes.items():
             message = RoomRequest(
-                name=self._settings.name, number=self._number, shares=tuple(shares)
+                name=self._settings.name,
+                number=self._number,
+                seconds=seconds,
+                shares=tuple(shares),
             )
             self._tell(name, message)
 
     def _lend(self, request: RoomRequest) -> None:
         """Answer a peer's request with what this gateway doesn't need."""
         now = self._loop.time()
-        shares = tuple(
-            self._lend_share(request.name, wish, now) for wish in request.shares
-        )
+        shares = tuple(self._lend_share(request, wish, now) for wish in request.shares)
         self._tell(
             request.name,
             RoomGrant(name=self._settings.name, number=request.number, shares=shares),
         )
 
-    def _lend_share(self, taker: str, wish: RoomShare, now: float) -> RoomShare:
+    def _lend_share(
+        self, request: RoomRequest, wish: RoomShare, now: float
+    ) -> RoomShare:
         state = self._states.get(wish.lifetime)
         if state is None or not self._is_limited(state):
             return RoomShare(wish.lifetime, 0)
-        share = self._find_part(state).lend(taker, wish.share, now)
+        share = self._find_part(state).lend(
+            request.name, wish.share, seconds=request.seconds, now=now
+        )
         return RoomShare.make(wish.lifetime, share)
 
     def _borrow(self, grant: RoomGrant) -> None:
-        asked_at = self._asked_at.get(grant.number)
-        if asked_at is None:
+        question = self._asked.get(grant.number)
+        if question is None:
             return
         now = self._loop.time()
+        self._lease_time.note_answer(now - question.at)
         for lent in grant.shares:
             known = self._known.get(lent.lifetime)
             if known is not None:
-                known.part.borrow(grant.name, lent.share, asked_at=asked_at, now=now)
+                known.part.borrow(grant.name, lent.share, until=question.until, now=now)
 
     def _is_limited(self, state: EndpointState) -> bool:
         return self._stated.find_rate(state.key) != NO_LIMIT
--- a/eelgrassrack/gateway/peers/roommessages.py
+++ b/eelgrassrack/gateway/peers/roommessages.py
@@ -37,10 +37,14 @@
 
 
 class RoomRequest(msgspec.Struct, frozen=True, kw_only=True, tag="room-request"):
-    """What the gateway `name` would like to borrow; `number` counts its requests."""
+    """What the gateway `name` would like to borrow for some seconds.
+
+    `number` counts its requests.
+    """
 
     name: str
     number: int
+    seconds: float
     shares: tuple[RoomShare, ...]
 
 
