--- a/bench/hotgateway/play.py
+++ b/bench/hotgateway/play.py
@@ -70,7 +70,7 @@
 def _set_limit(engine: DirectEngine, variant: Variant, share: float) -> None:
     if variant.limit_factor is not None:
         limit = variant.limit_factor * variant.during * share / ENDPOINTS
-        engine.limit = str(limit)
+        engine.limit = f"{limit:g}"
 
 
 @contextlib.asynccontextmanager
