--- a/test/decisions/test_sharedlimit.py
+++ b/test/decisions/test_sharedlimit.py
@@ -1,6 +1,5 @@
 """Room within an endpoint's limit that entries lend each other."""
 
-import bisect
 import collections
 import heapq
 import itertools
@@ -19,9 +18,7 @@
     SharedLimit,
 )
 
-WINDOW_SECONDS = 4.0
-OVERAGE = 1.5
-SLACK = 5
+from .test_stated_limits import OVERAGE, SLACK, WINDOW_SECONDS, find_most
 
 ROUNDING = 1.000_001
 
@@ -148,13 +145,7 @@
     @property
     def most(self):
         """Return the most sends of all entries in any window."""
-        return max(
-            (
-                number + 1 - bisect.bisect_right(self.sends, end - WINDOW_SECONDS)
-                for number, end in enumerate(self.sends)
-            ),
-            default=0,
-        )
+        return find_most(self.sends)
 
     @property
     def bound(self):
