Roll back versions that aren't found good by their limit, and leave room for chance

Cause: a version without evidence was held as it was beyond its limit, and with three endpoints and few answers neither verdict is reached for long. The room kept at the move ignored that the coming requests vary by chance.

Why it works: once all requests have moved, the limit is at most some seconds away, and a version given up 1 s past it has met fewer bad answers than the rule allows within 5 s of the fiftieth. One that only lacks requests stays on trial.

--- a/eelgrassrack/decisions/versionevidence.py
+++ b/eelgrassrack/decisions/versionevidence.py
@@ -443,13 +443,18 @@
         return False
     if len(counts) < MIN_OTHER_ENDPOINTS:
         return True
+    usual = _find_rate(evidence.other_bad, evidence.other_answers)
+    known = [count for count in counts if count[0] >= MIN_ENDPOINT_ANSWERS]
+    if len(known) >= MIN_OTHER_ENDPOINTS and all(
+        _find_rate(bad, answers) >= usual + RATE_MARGIN for answers, bad in known
+    ):
+        return True
     rate = _find_rate(evidence.bad, evidence.answers)
     found = sum(
         (answers / evidence.answers * (_find_rate(bad, answers) - rate)) ** 2
         for answers, bad in counts
     )
     error = math.sqrt(found * len(counts) / (len(counts) - 1))
-    usual = _find_rate(evidence.other_bad, evidence.other_answers)
     return rate - usual >= ERRORS * error
 
 
--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -8,7 +8,8 @@
 version.  All requests move to it only once the evidence says that it is good (see
 `versionevidence`), and so late that even a version that turns out bad has got no more
 than operators allow by then.  The old endpoints are given up last, since that can't be
-taken back.  A version without evidence keeps its share, beyond its time limit too.
+taken back.  A version that isn't found good by its time limit is rolled back, unless it
+only had too few requests.
 """
 
 import math
@@ -47,8 +48,13 @@
 SOUND_SECONDS = 0.2
 LAST_PART = 0.97
 
-# Part of the remaining traffic, and of the slack, that is kept for retries and bursts.
-RESERVE_PART = 0.08
+# Time beyond the limit in which a version may still be found good, or its status
+# written.
+GIVE_UP_SECONDS = 1.0
+
+# Part of the remaining traffic, and of the slack, that is kept for retries and bursts;
+# chance takes up to about the square root of the traffic besides.
+RESERVE_PART = 0.04
 
 # The endpoints in use change so often, as a part of the time limit and at most: one
 # that is slow or broken for its own reasons shows as different from the others.
@@ -117,7 +123,7 @@
         return False
     coming = progress.rate * (progress.limit - progress.elapsed)
     allowed = progress.allowed_share * (progress.sent + coming) + progress.slack
-    reserve = RESERVE_PART * (coming + progress.slack)
+    reserve = RESERVE_PART * (coming + progress.slack) + math.sqrt(coming) / 2
     return progress.sent_new + coming + reserve <= allowed
 
 
@@ -126,6 +132,17 @@
     return progress.part >= LATEST_MOVE_PART
 
 
+def must_give_up(progress: Progress, *, has_moved: bool, is_doubted: bool) -> bool:
+    """Return whether a version without enough evidence is rolled back.
+
+    A version that has all requests, or against which some answers speak, would give
+    more and more bad answers beyond its time limit.  One that lacks only requests stays
+    on trial.
+    """
+    is_over = progress.elapsed >= progress.limit + GIVE_UP_SECONDS
+    return is_over and (has_moved or is_doubted)
+
+
 def find_demand(
     progress: Progress,
     *,
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -32,6 +32,7 @@
     is_quiet,
     may_end,
     may_move,
+    must_give_up,
     must_move,
 )
 from ..endpoints.endpointstate import EndpointState
@@ -365,10 +366,19 @@
             )
         trial.keep_totals(tallies, now)
         verdicts = {trial.evidence.verdict, trial.full_load.verdict}
-        trial.is_bad = Verdict.BAD in verdicts
+        trial.is_bad = Verdict.BAD in verdicts or self._gives_up(trial)
         if trial.is_bad or trial.evidence.verdict is not before:
             log_evidence(trial, self._find_progress(trial))
 
+    def _gives_up(self, trial: Trial) -> bool:
+        """Return whether a version is rolled back for want of evidence."""
+        progress = self._find_progress(trial)
+        return not self._is_sound(trial, progress) and must_give_up(
+            progress,
+            has_moved=trial.moved_at is not None,
+            is_doubted=trial.evidence.is_doubted or trial.full_load.is_doubted,
+        )
+
     def _find_demand(self, trial: Trial) -> Demand:
         versions = VersionChoice(only=trial.order.version, is_strict=True)
         states = self._fleet.select(service=trial.order.service, versions=versions)
--- a/test/decisions/test_versionevidence.py
+++ b/test/decisions/test_versionevidence.py
@@ -81,6 +81,17 @@
     assert not is_bad(rows)
 
 
+@pytest.mark.parametrize("bad", [(4, 6, 7), (9, 4, 6)])
+def test_a_bad_version_with_three_endpoints_is_bad(bad):
+    """Half of its answers fail, and a tenth of the old version's.
+
+    Chance alone lets three endpoints differ by much, so that their differences must
+    not clear the version.
+    """
+    rows = [("v2", "r", f"e{number}", 11, count) for number, count in enumerate(bad)]
+    assert is_bad([*rows, ("", "r", "", 300, 33)])
+
+
 def test_a_third_of_the_endpoints_broken_is_no_bad_version():
     """Some endpoints of the new version fail for reasons of their own."""
     rows = [("v2", "r", f"e{number}", 12, 5) for number in range(2)]
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -14,6 +14,7 @@
     is_quiet,
     may_end,
     may_move,
+    must_give_up,
     must_move,
     rank_on_trial,
 )
@@ -109,6 +110,22 @@
     assert is_end(0.98, sound_for=0.0)
 
 
+@pytest.mark.parametrize(
+    ("has_moved", "is_doubted", "gives_up"),
+    [(True, False, True), (False, True, True), (False, False, False)],
+)
+def test_a_version_without_evidence_is_rolled_back_after_its_time_limit(
+    has_moved, is_doubted, gives_up
+):
+    """It has all requests, or is doubted, and nothing shows that it is good.
+
+    Held on for longer it would give ever more bad answers.
+    """
+    flags = {"has_moved": has_moved, "is_doubted": is_doubted}
+    assert must_give_up(make_progress(1.1), **flags) is gives_up
+    assert not must_give_up(make_progress(1.0), **flags)
+
+
 def test_evidence_asked_for_follows_the_requests():
     busy = find_demand(make_progress(0.5, rate=100.0), endpoints=9)
     calm = find_demand(make_progress(0.5, rate=3.0), endpoints=9)
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -32,6 +32,8 @@
         "endpoints": 27,
         "gateways": 30,
     },
+    "slow, three endpoints": {"fault": Fault(whole=4.0), "rate": 7.5, "endpoints": 3},
+    "slower, three endpoints": {"fault": Fault(first=3.0), "rate": 7.5, "endpoints": 3},
     "slow, one gateway": {"fault": Fault(whole=4.0), "gateways": 1},
     "slow, a short limit": {"fault": Fault(whole=8.0), "limit": 10.0},
     "slow late in a long limit": {
