Sum tallies once for each judgement, and find variances among endpoints in one place

Three sums of the same tallies for each judgement, and the sum of all peers' requests for each choice of a version, were work done twice; the variance among endpoints stood twice, for times and for rates. Two docstrings told of rules that no longer hold.

--- a/eelgrassrack/decisions/versionevidence.py
+++ b/eelgrassrack/decisions/versionevidence.py
@@ -2,7 +2,7 @@
 
 A new version may fail, lose answers, or be slower in its first piece, its pace or the
 whole answer.  Callers of a version that is taken over can't be given the old one back,
-so that being taken over asks for evidence too: a version without it stays on trial.
+so that being taken over asks for evidence too.
 
 The signals are the rate of bad answers, and the mean slowness of first pieces, of the
 pace of the others and of whole answers: the logarithm of the time that they took
@@ -52,7 +52,7 @@
 # Minimum number of timed answers of each version for a comparison of their times.
 MIN_TIMED_ANSWERS = 8
 
-# A version is good if neither signal comes near what makes it bad: bad answers by the
+# A version is good if no signal comes near what makes it bad: bad answers by the
 # standard errors, slowness at its typical endpoint.
 GOOD_ERRORS = 2.0
 GOOD_SLOWNESS = 0.3
@@ -373,9 +373,10 @@
     if min(mine.answers, theirs.answers) < MIN_TIMED_ANSWERS:
         return TimeComparison(answers=mine.answers)
     among_answers = mine.variance / mine.answers
+    groups = [(one.answers, one.mean) for one in endpoints]
     error = math.sqrt(
         theirs.variance / theirs.answers
-        + max(among_answers, _find_variance_among(endpoints, mine))
+        + max(among_answers, _find_variance_among(groups, mine.mean))
     )
     return TimeComparison(
         answers=mine.answers,
@@ -396,14 +397,15 @@
     return [times for times in found if times.answers]
 
 
-def _find_variance_among(endpoints: Sequence[TimeSums], total: TimeSums) -> float:
-    """Return the variance of the mean that follows from how endpoints differ."""
+def _find_variance_among(endpoints: Sequence[tuple[int, float]], mean: float) -> float:
+    """Return the variance of the mean that follows from how endpoints differ.
+
+    `endpoints` are the answers and the mean of each, `mean` that of all answers.
+    """
     if len(endpoints) < 2:
         return 0.0
-    found = sum(
-        (one.answers / total.answers * (one.mean - total.mean)) ** 2
-        for one in endpoints
-    )
+    total = sum(answers for answers, _ in endpoints)
+    found = sum((answers / total * (own - mean)) ** 2 for answers, own in endpoints)
     return found * len(endpoints) / (len(endpoints) - 1)
 
 
@@ -450,11 +452,8 @@
     ):
         return True
     rate = _find_rate(evidence.bad, evidence.answers)
-    found = sum(
-        (answers / evidence.answers * (_find_rate(bad, answers) - rate)) ** 2
-        for answers, bad in counts
-    )
-    error = math.sqrt(found * len(counts) / (len(counts) - 1))
+    rates = [(answers, _find_rate(bad, answers)) for answers, bad in counts]
+    error = math.sqrt(_find_variance_among(rates, rate))
     return rate - usual >= ERRORS * error
 
 
--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -5,11 +5,11 @@
 an hour's requests would be bad.
 
 Until nearly the end of its time limit, a small share of the sessions uses the new
-version.  All requests move to it only once the evidence says that it is good (see
-`versionevidence`), and so late that even a version that turns out bad has got no more
-than operators allow by then.  The old endpoints are given up last, since that can't be
-taken back.  A version that isn't found good by its time limit is rolled back, unless it
-only had too few requests.
+version.  All requests move to it so late that even a version that turns out bad has got
+no more than operators allow by then, and not while the evidence speaks against it (see
+`versionevidence`).  The old endpoints are given up last, which can't be taken back and
+asks for evidence that the version is good.  A version that isn't found good by its time
+limit is rolled back, unless it only had too few requests.
 """
 
 import math
@@ -215,7 +215,7 @@
     return math.ceil(share * endpoints)
 
 
-def find_slot(progress: Progress) -> int:
+def find_slot(*, elapsed: float, limit: float) -> int:
     """Return the number of the current slot, each with other endpoints in use."""
-    seconds = min(progress.limit * SLOT_PART, MAX_SLOT_SECONDS)
-    return int(progress.elapsed / max(seconds, 0.001))
+    seconds = min(limit * SLOT_PART, MAX_SLOT_SECONDS)
+    return int(elapsed / max(seconds, 0.001))
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -165,10 +165,17 @@
         if trial.state is RolloutState.DONE:
             return VersionChoice(only=version)
         if self._is_new(trial, session, request):
-            slot = find_slot(self._find_progress(trial)) if trial.share < 1.0 else 0
-            return VersionChoice(only=version, share=trial.share, slot=slot)
+            return VersionChoice(
+                only=version, share=trial.share, slot=self._find_slot(trial)
+            )
         return VersionChoice(never=version)
 
+    def _find_slot(self, trial: Trial) -> int:
+        if trial.share >= 1.0:
+            return 0
+        elapsed = self._loop.time() - trial.since
+        return find_slot(elapsed=elapsed, limit=trial.order.seconds)
+
     def begin(self, attempt: VersionAttempt) -> None:
         """Note that a request was sent."""
         self._running[id(attempt)] = attempt
@@ -347,24 +354,23 @@
         if trial.is_bad:
             return
         now = self._loop.time()
-        tallies = self._list_tallies(trial) + tuple(
-            itertools.chain.from_iterable(peer.tallies for peer in trial.peers.values())
-        )
+        peers = (peer.tallies for peer in trial.peers.values())
+        totals = sum_tallies(itertools.chain(self._list_tallies(trial), *peers))
         demand = self._find_demand(trial)
         before = trial.evidence.verdict
         trial.evidence = judge(
-            tallies=tallies,
-            recent=trial.list_recent(tallies, now),
+            tallies=totals.values(),
+            recent=trial.list_recent(totals, now),
             version=trial.order.version,
             demand=demand,
         )
         if trial.moved_at is not None:
             trial.full_load = confirm(
-                tallies=trial.list_since_move(tallies),
+                tallies=trial.list_since_move(totals),
                 version=trial.order.version,
                 demand=demand,
             )
-        trial.keep_totals(tallies, now)
+        trial.keep_totals(totals, now)
         verdicts = {trial.evidence.verdict, trial.full_load.verdict}
         trial.is_bad = Verdict.BAD in verdicts or self._gives_up(trial)
         if trial.is_bad or trial.evidence.verdict is not before:
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -194,27 +194,29 @@
         self._lost_at[endpoint] = now
         self.count(tally)
 
-    def keep_totals(self, tallies: tuple[Tally, ...], now: float) -> None:
+    def keep_totals(self, totals: dict[TallyKey, Tally], now: float) -> None:
         """Keep the totals of all gateways, from which the latest answers follow."""
         if self._totals and now < self._totals[-1][0] + TOTALS_SECONDS:
             return
-        self._totals.append((now, sum_tallies(tallies)))
+        self._totals.append((now, totals))
         while len(self._totals) > 1 and self._totals[1][0] <= now - RECENT_SECONDS:
             self._totals.popleft()
 
-    def list_recent(self, tallies: tuple[Tally, ...], now: float) -> tuple[Tally, ...]:
+    def list_recent(
+        self, totals: Mapping[TallyKey, Tally], now: float
+    ) -> tuple[Tally, ...]:
         """Return those of all gateways' answers that are of the latest time."""
         if not self._totals or self._totals[0][0] > now - RECENT_SECONDS:
             return ()
-        return subtract_tallies(sum_tallies(tallies), self._totals[0][1])
+        return subtract_tallies(totals, self._totals[0][1])
 
-    def list_since_move(self, tallies: tuple[Tally, ...]) -> tuple[Tally, ...]:
+    def list_since_move(self, totals: Mapping[TallyKey, Tally]) -> tuple[Tally, ...]:
         """Return the new version's answers since the move, and all of the old one."""
         version = self.order.version
         before = {
             key: row for key, row in self._before_move.items() if key[0] == version
         }
-        return subtract_tallies(sum_tallies(tallies), before)
+        return subtract_tallies(totals, before)
 
 
 def make_tally(key: TallyKey, *, is_bad: bool, slowness: Slowness) -> Tally:
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -148,7 +148,7 @@
 def test_a_trial_reaches_many_endpoints():
     """One endpoint that is slow for its own reasons mustn't stand for the version."""
     names = [f"e{number}" for number in range(9)]
-    slots = {find_slot(make_progress(part / 100)) for part in range(100)}
+    slots = {find_slot(elapsed=part / 100 * 15.0, limit=15.0) for part in range(100)}
     used = {
         min(names, key=lambda name, slot=slot: rank_on_trial(name, slot=slot))
         for slot in slots
