Review: connections to slow readers are reset during planned work

Cause: TCP_USER_TIMEOUT of 2 s on callers' connections also counts while a live caller advertises a window of zero. Change: a case, review/1, with the stand-ins that all scripts use.

--- /dev/null
+++ b/review/lib/engine.py
@@ -0,0 +1,97 @@
+"""A stand-in for an engine, as PROTOCOL.md describes it."""
+
+import asyncio
+import dataclasses
+import time
+
+from http1 import Request, encode_answer, encode_head, start_server
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that an engine began to work on."""
+
+    engine: str
+    attempt: str
+    at: float
+    headers: dict[str, str]
+    body: bytes
+
+
+class Engine:
+    """One engine; `runs` holds what it ran, `on_run` is called with each."""
+
+    def __init__(self, *, name: str, service: str, zone: str = "lansing") -> None:
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.state = "ready"
+        self.slots = 6
+        self.work = 0.045
+        self.body = b"x" * 800
+        self.events = 0
+        self.event_gap = 0.04
+        self.event_bytes = 60
+        self.runs: list[Run] = []
+        self.address = ("", 0)
+        self._running = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self.address = (host, port)
+        self._server = await start_server(host, port, self._serve)
+
+    def describe(self) -> dict[str, object]:
+        """Return the engine's entry in the store."""
+        return {
+            "service": self.service,
+            "address": f"{self.address[0]}:{self.address[1]}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1_790_000_000_000,
+        }
+
+    async def _serve(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        attempt = request.headers.get("x-attempt-id", "")
+        common = {"X-Attempt-Id": attempt, "X-Instance": self.name}
+        if request.headers.get("x-expect-instance") != self.name:
+            writer.write(encode_answer(421, common, b""))
+            return
+        self.runs.append(
+            Run(self.name, attempt, time.monotonic(), request.headers, request.body)
+        )
+        common["X-Server-Stamp"] = f"stamp.{self.name}.{attempt}"
+        self._running += 1
+        try:
+            if self.events:
+                await self._stream(common, writer)
+                return
+            await asyncio.sleep(self.work)
+            common["X-Instance-Load"] = f"{self._running},0,{self.slots}"
+            writer.write(encode_answer(200, common, self.body))
+            await writer.drain()
+        finally:
+            self._running -= 1
+
+    async def _stream(
+        self, common: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        head = {
+            **common,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(encode_head(200, head))
+        for number in range(1, self.events + 1):
+            await asyncio.sleep(self.event_gap)
+            data = "y" * self.event_bytes
+            event = f"id: {number}\ndata: {data}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
