--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -69,12 +69,22 @@
         await self.store.start("127.0.0.1", port)
         self.store_address = f"127.0.0.1:{port}"
 
-    def make_gateway(self, name: str, ip: str, **options: object) -> Gateway:
-        """Return a gateway that isn't started yet."""
+    def make_gateway(
+        self,
+        name: str,
+        ip: str,
+        *,
+        ports: list[int] | None = None,
+        **options: object,
+    ) -> Gateway:
+        """Return a gateway that isn't started yet.
+
+        Gateways that are to hear each other need the same `ports`.
+        """
         gateway = Gateway(
             name=name,
             ip=ip,
-            ports=find_ports(ip, 4),
+            ports=ports or find_ports(ip, 4),
             store=self.store_address,
             folder=self.folder,
             **options,
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from collections.abc import Callable
 
 from http1 import Request, encode_answer, encode_head, start_server
 
@@ -34,14 +35,23 @@
         self.event_bytes = 60
         self.runs: list[Run] = []
         self.address = ("", 0)
+        self.born = 1_790_000_000_000
+        self.deadly = ""
+        self.on_crash: Callable[[Engine], None] = lambda _: None
         self._running = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
         self.address = (host, port)
         self._server = await start_server(host, port, self._serve)
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether the engine listens."""
+        return self._server is not None and self._server.is_serving()
+
     def describe(self) -> dict[str, object]:
         """Return the engine's entry in the store."""
         return {
@@ -53,7 +63,7 @@
             "state": self.state,
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1_790_000_000_000,
+            "born": self.born,
         }
 
     async def _serve(self, request: Request, writer: asyncio.StreamWriter) -> None:
@@ -66,8 +76,15 @@
             Run(self.name, attempt, time.monotonic(), request.headers, request.body)
         )
         common["X-Server-Stamp"] = f"stamp.{self.name}.{attempt}"
+        self._writers.add(writer)
         self._running += 1
         try:
+            if self.deadly and request.target == self.deadly:
+                lifetime = self.born
+                await asyncio.sleep(self.work)
+                if lifetime == self.born and self.is_up:
+                    self.crash()
+                return
             if self.events:
                 await self._stream(common, writer)
                 return
@@ -76,7 +93,22 @@
             writer.write(encode_answer(200, common, self.body))
             await writer.drain()
         finally:
-            self._running -= 1
+            self._running = max(self._running - 1, 0)
+            self._writers.discard(writer)
+
+    def crash(self) -> None:
+        """End like a crashed process: reset all connections and listen no more."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+        self._running = 0
+        self.on_crash(self)
+
+    async def restart(self) -> None:
+        """Listen again at the same address, as a new lifetime of the same id."""
+        self.born = int(time.time() * 1000)
+        await self.start(*self.address)
 
     async def _stream(
         self, common: dict[str, str], writer: asyncio.StreamWriter
