--- a/review/lib/caller.py
+++ b/review/lib/caller.py
@@ -44,7 +44,7 @@
             reader, writer = await asyncio.open_connection(*address)
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             await _read(reader, answer)
-    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+    except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         pass
     finally:
         if writer is not None:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -136,7 +136,7 @@
             held = await asyncio.wait_for(play(deployment), 100.0)
             deployment.note("the rule held" if held else "the rule was broken")
             return HELD if held else BROKEN
-        except (RuntimeError, OSError, TimeoutError) as error:
+        except Exception as error:
             deployment.note(f"the case couldn't run: {error!r}")
             return NOT_RUN
         finally:
--- a/review/lib/engine.py
+++ b/review/lib/engine.py
@@ -20,7 +20,12 @@
 
 
 class Engine:
-    """One engine; `runs` holds what it ran, `on_run` is called with each."""
+    """One engine; `runs` holds what it ran, `rejected` whom it turned away.
+
+    An engine that `is_full` turns requests away.  A stream pauses once for `pause`
+    seconds after the event `pause_after`.  `deadly` is the target of requests that
+    crash it.
+    """
 
     def __init__(self, *, name: str, service: str, zone: str = "lansing") -> None:
         self.name = name
@@ -34,7 +39,11 @@
         self.event_gap = 0.04
         self.event_bytes = 60
         self.runs: list[Run] = []
+        self.rejected: list[str] = []
         self.address = ("", 0)
+        self.is_full = False
+        self.pause_after = 0
+        self.pause = 0.0
         self.born = 1_790_000_000_000
         self.deadly = ""
         self.on_crash: Callable[[Engine], None] = lambda _: None
@@ -72,6 +81,12 @@
         if request.headers.get("x-expect-instance") != self.name:
             writer.write(encode_answer(421, common, b""))
             return
+        if self.is_full:
+            common["X-Not-Executed"] = "1"
+            common["X-Instance-Load"] = f"{self.slots},{self.slots},{self.slots}"
+            writer.write(encode_answer(503, common, b""))
+            self.rejected.append(attempt)
+            return
         self.runs.append(
             Run(self.name, attempt, time.monotonic(), request.headers, request.body)
         )
@@ -86,7 +101,8 @@
                     self.crash()
                 return
             if self.events:
-                await self._stream(common, writer)
+                last = int(request.headers.get("last-event-id", "0") or "0")
+                await self._stream(common, writer, last)
                 return
             await asyncio.sleep(self.work)
             common["X-Instance-Load"] = f"{self._running},0,{self.slots}"
@@ -111,7 +127,7 @@
         await self.start(*self.address)
 
     async def _stream(
-        self, common: dict[str, str], writer: asyncio.StreamWriter
+        self, common: dict[str, str], writer: asyncio.StreamWriter, last: int
     ) -> None:
         head = {
             **common,
@@ -119,8 +135,11 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(encode_head(200, head))
-        for number in range(1, self.events + 1):
+        for number in range(last + 1, self.events + 1):
             await asyncio.sleep(self.event_gap)
+            if self.pause_after and number == self.pause_after + 1:
+                # The request is preempted and read in again.
+                await asyncio.sleep(self.pause)
             data = "y" * self.event_bytes
             event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
