--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,9 @@
-"""A stream pauses for a moment while the other engines are full."""
+"""An engine begins to drain while a gateway reads a list of engines in pages."""
 
 import asyncio
 import pathlib
-import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 
@@ -11,96 +11,95 @@
 from deployment import HOST, Deployment, find_ports, make_manifest, run_case
 from engine import Engine
 
-SERVICE = "huvo11a"
+SERVICE = "wuno96b"
+OTHER_SERVICE = "huvo11a"
 ROUTE = {
-    "name": "r-2yhvz3p",
+    "name": "r-q7zcd7w",
     "hostname": HOST,
-    "pathPrefix": "/lohu930/",
-    "routeType": "streaming",
-    "timeoutMs": 20000,
-    "targetLatencyMs": 2000,
+    "pathPrefix": "/cufi504/",
+    "routeType": "idempotent",
+    "timeoutMs": 2500,
+    "targetLatencyMs": 200,
     "priority": 1,
     "service": SERVICE,
-    "maxAttempts": 3,
+    "maxAttempts": 2,
     "public": False,
-    "resumable": True,
-    "gapTargetMs": 800,
 }
-ENGINES = 9
-CALLERS = 9
-EVENTS = 55
-# How long a preempted stream waits until it is read in again.  Its consumer waits for
-# eight seconds (four times the objective).
-PAUSE_SECONDS = 2.5
-PAUSE_AFTER = 20
-# As long as a burst in the site files.
-FULL_SECONDS = 3.0
+# As in `large/keelwater-cert-large`: 48 model engines and 5 of the other service.
+# Its site file lets the store list 50 in a page.
+MODEL_ENGINES = 48
+ENGINES = 5
+PAGE = 50
+# `drainMs` is 2,000 on the small sites and 4,000 on the large ones.
+DRAIN_SECONDS = 4.0
+# The store's answers may arrive this much later than they were given.
+SLACK_SECONDS = 0.5
+REQUESTS = 100
+AT_ONCE = 10
+
+
+async def send(deployment: Deployment, number: int) -> None:
+    """Send one request."""
+    attempt = f"9c41d07be2a3{number:04x}"
+    (gateway,) = deployment.gateways
+    answer = await call(gateway.address, attempt=attempt, path="/cufi504/fi50/2f")
+    deployment.note(f"caller {attempt} sent a request and got {answer.status}")
 
 
 async def play(deployment: Deployment) -> bool:
-    """Return whether each request got a complete answer."""
+    """Return whether no request reached the engine after `drainMs`."""
+    store = deployment.store
     await deployment.start_store()
-    engines = [Engine(name=f"i-{n}7f3a91c2", service=SERVICE) for n in range(ENGINES)]
+    engines = [
+        Engine(name=f"i-0{number}7f3a91c2", service=SERVICE)
+        for number in range(ENGINES)
+    ]
+    leaving = engines[0]
     for engine in engines:
-        engine.slots = 48
-        engine.events = EVENTS
-        if deployment.trouble:
-            engine.pause_after = PAUSE_AFTER
-            engine.pause = PAUSE_SECONDS
         await engine.start("127.0.0.1", find_ports("127.0.0.1", 1)[0])
-        deployment.store.put("servers", engine.name, engine.describe())
-    services = [{"name": SERVICE, "healthPath": "/healthz", "maxConnections": 310}]
-    deployment.store.put("config", "main", make_manifest([ROUTE], services))
-    gateway = deployment.make_gateway("edge-lansing-1", "127.0.0.1")
-    gateway.start()
-    await deployment.wait_ready(gateway)
-    # The machine is in touch `contactMs` after its start.
-    await asyncio.sleep(3.5)
-    gateway.write_settings(**{"bounds.sessionS": "6"})
-    gateway.send(signal.SIGHUP)
-    deployment.note("SIGHUP, the settings file has changed")
-    await asyncio.sleep(0.5)
+        store.put("servers", engine.name, engine.describe())
+    # They get no requests in this case.
+    for number, port in enumerate(find_ports("127.0.0.1", MODEL_ENGINES)):
+        model = Engine(name=f"i-9{number:02}d9e6b4", service=OTHER_SERVICE)
+        model.address = ("127.0.0.1", port)
+        store.put("servers", model.name, model.describe())
+    services = [
+        {"name": name, "healthPath": "/healthz", "maxConnections": 310}
+        for name in (SERVICE, OTHER_SERVICE)
+    ]
+    store.put("config", "main", make_manifest([ROUTE], services))
+    acknowledged: list[float] = []
 
-    async def send(number: int) -> bool:
-        attempt = f"9c41d07be2a3{number:04x}"
-        answer = await call(
-            gateway.address,
-            attempt=attempt,
-            path="/lohu930/2f",
-            method="POST",
-            deadline_ms=20000,
-            body=b"body",
-            headers={
-                "X-Token-Usage": "1460,80",
-                "X-Prompt-Prefix": f"5c1e07a2:800,{number:08x}:660",
-            },
-        )
-        end = "a complete answer" if answer.is_whole else "no complete answer"
-        events = answer.body.count(b"data: ")
-        deployment.note(
-            f"caller {attempt} got {answer.status}, {events} of {EVENTS} events, {end}"
-        )
-        return answer.is_whole
+    def drain(kind: str, page: int, has_more: bool) -> None:
+        """Let the engine drain once the first page of the list was answered."""
+        if kind == "servers" and page == 1 and has_more and not acknowledged:
+            leaving.state = "draining"
+            store.put("servers", leaving.name, leaving.describe())
+            acknowledged.append(time.monotonic())
+            deployment.note(f"the store acknowledged that {leaving.name} drains")
 
-    calls = [asyncio.ensure_future(send(number)) for number in range(CALLERS)]
-    await asyncio.sleep(0.5)
     if deployment.trouble:
-        for engine in engines:
-            engine.is_full = True
-        deployment.note("the engines are full and turn new requests away")
-        await asyncio.sleep(FULL_SECONDS)
-        for engine in engines:
-            engine.is_full = False
-        deployment.note("the engines have room again")
-    whole = await asyncio.gather(*calls)
+        store.after_page = drain
+    gateway = deployment.make_gateway("edge-lansing-1", "127.0.0.1")
+    gateway.start()
+    await deployment.wait_ready(gateway)
+    deployment.note("the gateway is ready")
+    # The machine is in touch `contactMs` after its start, 5 s on the large sites.
+    await asyncio.sleep(5.5)
+    for first in range(0, REQUESTS, AT_ONCE):
+        numbers = range(first, first + AT_ONCE)
+        await asyncio.gather(*(send(deployment, number) for number in numbers))
+    late = 0
     for engine in engines:
         for run in engine.runs:
-            deployment.note(f"engine {engine.name} ran {run.attempt}")
-        for attempt in engine.rejected:
-            deployment.note(f"engine {engine.name} turned {attempt} away")
-    deployment.note(f"{sum(whole)} of {CALLERS} answers arrived whole")
-    return all(whole)
+            since = run.at - acknowledged[0] if acknowledged else 0.0
+            is_late = engine is leaving and since > DRAIN_SECONDS + SLACK_SECONDS
+            late += is_late
+            state = f", {since:.2f} s after it began to drain" if is_late else ""
+            deployment.note(f"engine {engine.name} ran {run.attempt}{state}")
+    deployment.note(f"{late} of {REQUESTS} requests reached the draining engine late")
+    return not late
 
 
 if __name__ == "__main__":
-    run_case(play, folder=pathlib.Path(__file__).resolve().parent)
+    run_case(play, folder=pathlib.Path(__file__).resolve().parent, page=PAGE)
