Watch from the revision of a list's first page

The store was calm and answered within milliseconds.

Cause: each page tells the store's revision at the time of that page. A list had the revision of its last page, and the watch went on from there, so that whatever changed on a page that had been read was never reported.

Change: a list has the revision of its first page and claims no later change. A watch from there reports what changed meanwhile, some of it once more; the last state of a name counts. The stand-in of the store, which had no pages, has them now.

Ruled out: the follower (it watches from what it is given), the fleet (it applies a drain that it is told of), peers (`list_newer` compares with the same revision, and the watcher itself lacks the change).

--- a/eelgrassrack/gateway/store/storeobjects.py
+++ b/eelgrassrack/gateway/store/storeobjects.py
@@ -39,7 +39,9 @@
 class ListResult(msgspec.Struct, kw_only=True, frozen=True):
     """All objects of one kind, by name, as of a revision of the store.
 
-    `newest` is the revision of the last change that these objects show.
+    They show all changes up to `revision`, and perhaps some later ones: a watch from
+    there reports every later change.  `newest` is the revision of the last change up
+    to it that these objects show.
     """
 
     revision: int
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -120,9 +120,14 @@
 
         A page fails after `timeout` seconds in which none of its bytes arrive.  With
         `allow_stale` the store may return an outdated list.
+
+        The result has the revision of the first page.  Objects may change on pages
+        that were read before the last one, and a watch from a later revision would
+        never report that.
         """
         objects: dict[str, object] = {}
         newest = 0
+        revision: int | None = None
         after = ""
         while True:
             query = {"after": after} if after else {}
@@ -138,12 +143,15 @@
                     if isinstance(page, StoreUnavailable)
                     else StoreUnavailable(reason="410 to a list")
                 )
+            if revision is None:
+                revision = page.store_revision
             for item in page.items:
                 objects[item.metadata.name] = _decode(kind, item)
                 newest = max(newest, item.metadata.revision)
             if not page.has_more or not page.items:
+                # Later pages may show later changes, but not all of them.
                 return ListResult(
-                    revision=page.store_revision, newest=newest, objects=objects
+                    revision=revision, newest=min(newest, revision), objects=objects
                 )
             after = page.items[-1].metadata.name
 
--- a/eelgrassrack/standins/metadatastore.py
+++ b/eelgrassrack/standins/metadatastore.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+from collections.abc import Callable
 
 import msgspec
 import tornado.web
@@ -21,6 +22,10 @@
 # The interval at which a watch checks for changes.
 POLL_SECONDS = 0.01
 
+# Number of objects on one page of a list.
+PAGE_OBJECTS = 500
+AFTER_QUERY = "after"
+
 
 class Fault(enum.Enum):
     """How the store treats calls instead of answering them normally.
@@ -47,7 +52,9 @@
 class MetadataStore:
     """The store and its HTTP server.
 
-    `delay` is the seconds before each call, `calls` the number of calls.
+    `delay` is the seconds before each call, `calls` the number of calls, and
+    `page_objects` the number of objects on one page of a list.  `after_page` is called
+    with the kind and each page of a list that was answered.
     """
 
     __slots__ = (
@@ -55,10 +62,12 @@
         "_forgotten_until",
         "_objects",
         "_server",
-        "_stale_pages",
+        "_stale",
+        "after_page",
         "calls",
         "delay",
         "fault",
+        "page_objects",
         "revision",
         "waits",
     )
@@ -67,9 +76,12 @@
         self._objects: dict[str, dict[str, WireObject]] = {}
         self._changes: list[tuple[int, str, WireEvent]] = []
         self._forgotten_until = 0
-        self._stale_pages: dict[str, WirePage] | None = None
+        # The objects of each kind and the revision that stale reads get.
+        self._stale: tuple[dict[str, dict[str, WireObject]], int] | None = None
         self.calls = 0
         self.delay = 0.0
+        self.page_objects = PAGE_OBJECTS
+        self.after_page: Callable[[str, WirePage], None] = _ignore_page
         self.fault = Fault.NONE
         self.revision = 1
         # The wait in seconds that the last watch of each kind asked for.
@@ -108,27 +120,37 @@
         """Return an object, or None if it doesn't exist."""
         return self._objects.get(kind, {}).get(name)
 
+    def list_names(self, kind: str) -> set[str]:
+        """Return the names of all objects of a kind."""
+        return set(self._objects.get(kind, {}))
+
     def forget_history(self) -> None:
         """Forget all changes, so that a watch from an older revision gets 410."""
         self._forgotten_until = self.revision
 
     def freeze_stale_reads(self) -> None:
         """Serve the present objects from now on to callers that accept stale lists."""
-        self._stale_pages = {kind: self.list_page(kind) for kind in self._objects}
-
-    def list_stale_page(self, kind: str) -> WirePage:
-        """Return all objects of a kind, as of `freeze_stale_reads` if it was called."""
-        if self._stale_pages is None:
-            return self.list_page(kind)
-        return self._stale_pages.get(
-            kind, WirePage(items=(), store_revision=self.revision)
+        objects = {kind: dict(found) for kind, found in self._objects.items()}
+        self._stale = (objects, self.revision)
+
+    def list_page(
+        self, kind: str, *, after: str = "", allow_stale: bool = False
+    ) -> WirePage:
+        """Return the first objects of a kind whose names come after `after`.
+
+        With `allow_stale` they are as of `freeze_stale_reads` if it was called.
+        """
+        objects, revision = self._objects, self.revision
+        if allow_stale and self._stale is not None:
+            objects, revision = self._stale
+        found = objects.get(kind, {})
+        names = sorted(name for name in found if name > after)
+        return WirePage(
+            items=tuple(found[name] for name in names[: self.page_objects]),
+            store_revision=revision,
+            has_more=len(names) > self.page_objects,
         )
 
-    def list_page(self, kind: str) -> WirePage:
-        """Return all objects of a kind."""
-        items = tuple(self._objects.get(kind, {}).values())
-        return WirePage(items=items, store_revision=self.revision)
-
     def find_changes(self, kind: str, after: int) -> WireWatch | None:
         """Return the changes after a revision, or None if they were forgotten."""
         if after < self._forgotten_until:
@@ -168,6 +190,10 @@
         self._changes.append((self.revision, kind, event))
 
 
+def _ignore_page(kind: str, page: WirePage) -> None:
+    """Ignore a page; the default of `after_page`."""
+
+
 class _Handler(tornado.web.RequestHandler):
     """Handles one call to the store."""
 
@@ -191,13 +217,17 @@
             found = self.store.find(kind=kind, name=name)
             self._answer(200 if found else 404, found)
             return
-        after = self.get_query_argument(WATCH_QUERY, None)
-        if after is None:
-            is_stale = self.get_query_argument(STALE_QUERY, "") == "1"
-            find = self.store.list_stale_page if is_stale else self.store.list_page
-            self._answer(200, find(kind))
+        since = self.get_query_argument(WATCH_QUERY, None)
+        if since is None:
+            page = self.store.list_page(
+                kind,
+                after=self.get_query_argument(AFTER_QUERY, ""),
+                allow_stale=self.get_query_argument(STALE_QUERY, "") == "1",
+            )
+            self._answer(200, page)
+            self.store.after_page(kind, page)
             return
-        await self._watch(kind, int(after))
+        await self._watch(kind, int(since))
 
     async def post(self, kind: str, _: str | None, __: str | None) -> None:
         draft = msgspec.json.decode(self.request.body, type=Draft)
--- /dev/null
+++ b/test/gateway/test_lists_in_pages.py
@@ -0,0 +1,123 @@
+"""Gateways that read long lists of endpoints in pages while the endpoints change."""
+
+import asyncio
+
+import pytest
+
+from eelgrassrack.platform.store import Kinds
+from eelgrassrack.standins.metadatastore import Fault
+
+from .world import make_world, run, wait_for
+
+NAMES = ("e1", "e2", "e3", "e4", "e5")
+PAGE_OBJECTS = 2
+
+# A change must be in force this long after it.
+IN_FORCE_SECONDS = 2.0
+
+
+def list_endpoint(world, name, **rest):
+    """Register an endpoint that gets no requests."""
+    entry = {
+        "service": "plain",
+        "address": "127.0.0.1:9",
+        "zone": "north",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "born": 1_000,
+        **rest,
+    }
+    world.store.put(kind=Kinds.ENDPOINTS, name=name, spec=entry)
+
+
+def drain(world):
+    list_endpoint(world, "e1", state="draining")
+    return lambda fleet: fleet.find("e1").endpoint.is_draining
+
+
+def remove(world):
+    world.store.remove(kind=Kinds.ENDPOINTS, name="e1")
+    return lambda fleet: fleet.find("e1") is None
+
+
+def replace(world):
+    world.store.remove(kind=Kinds.ENDPOINTS, name="e1")
+    list_endpoint(world, "e1", born=2_000)
+    return lambda fleet: fleet.find("e1").endpoint.born == 2_000
+
+
+def add(world):
+    list_endpoint(world, "e0")
+    return lambda fleet: fleet.find("e0") is not None
+
+
+def remove_on_a_later_page(world):
+    world.store.remove(kind=Kinds.ENDPOINTS, name="e4")
+    return lambda fleet: fleet.find("e4") is None
+
+
+async def start(world):
+    return await world.start_gateway()
+
+
+async def lose_history(world):
+    gateway = await world.start_gateway()
+    await world.wait_ready()
+    world.store.forget_history()
+    return gateway
+
+
+async def lose_store(world):
+    gateway = await world.start_gateway()
+    await world.wait_ready()
+    world.store.fault = Fault.BUSY
+    await wait_for(lambda: not gateway.has_store)
+    world.store.forget_history()
+    world.store.fault = Fault.NONE
+    return gateway
+
+
+async def miss_a_watch(world):
+    gateway = await world.start_gateway()
+    await world.wait_ready()
+    world.store.fault = Fault.HANGS_WATCHES
+    await asyncio.sleep(0.3)
+    return gateway
+
+
+@pytest.mark.parametrize("reason", [start, lose_history, lose_store, miss_a_watch])
+@pytest.mark.parametrize(
+    "change", [drain, remove, replace, add, remove_on_a_later_page]
+)
+def test_what_changes_between_two_pages_is_in_force_in_time(change, reason):
+    """Guards against requests to an endpoint that left while the list was read."""
+
+    async def main():
+        async with make_world() as world:
+            store = world.store
+            store.page_objects = PAGE_OBJECTS
+            for name in NAMES:
+                list_endpoint(world, name)
+            changed = []
+
+            def after_page(kind, page):
+                is_first = page.has_more and page.items[0].metadata.name == "e1"
+                if kind == Kinds.ENDPOINTS and is_first and is_armed and not changed:
+                    changed.append(change(world))
+                    store.fault = Fault.NONE
+
+            store.after_page = after_page
+            is_armed = reason is start
+            gateway = await reason(world)
+            is_armed = True
+            await wait_for(lambda: changed)
+            await wait_for(lambda: gateway.fleet.is_loaded)
+            (is_in_force,) = changed
+            await wait_for(lambda: is_in_force(gateway.fleet), IN_FORCE_SECONDS)
+            # An older change must not come back.
+            await asyncio.sleep(0.5)
+            assert is_in_force(gateway.fleet)
+
+    run(main())
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,15 +2,17 @@
 
 import asyncio
 
+import pytest
+
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import MetadataStore
 
 
-def run(scenario):
+def run(scenario, *, standin=None):
     """Run a scenario with a client and the stand-in of the store."""
+    standin = standin or MetadataStore()
 
     async def main():
-        standin = MetadataStore()
         await standin.start()
         store = PlatformStore(url=standin.url)
         try:
@@ -63,3 +65,73 @@
         assert b"10.0.0.1:7" in find_address(standin)
 
     run(scenario)
+
+
+def change_between_pages(standin, change):
+    """Let `change` happen between the first two pages of a list of domains."""
+    standin.page_objects = 2
+    for name in ("b", "c", "d", "e", "f"):
+        standin.put(kind=Kinds.EVACUATIONS, name=name, spec={})
+
+    def after_page(kind, page):
+        if page.items[0].metadata.name == "b":
+            change()
+
+    standin.after_page = after_page
+
+
+async def list_domains(store):
+    return await store.list(kind=Kinds.EVACUATIONS, timeout=2.0)
+
+
+async def watch_domains(store, revision):
+    return await store.watch(
+        kind=Kinds.EVACUATIONS, revision=revision, wait=0.1, slack=1.0, stall=1.0
+    )
+
+
+@pytest.mark.parametrize("name", ["a", "b", "c", "d", "f", "g"])
+@pytest.mark.parametrize("change", ["written", "removed", "replaced"])
+def test_a_change_between_two_pages_is_watched(change, name):
+    """Guards against changes on a page that was already read, which nobody reports."""
+
+    async def scenario(store, standin):
+        def act():
+            if change != "written":
+                standin.remove(kind=Kinds.EVACUATIONS, name=name)
+            if change != "removed":
+                standin.put(kind=Kinds.EVACUATIONS, name=name, spec={"again": True})
+
+        change_between_pages(standin, act)
+        listed = await list_domains(store)
+        watched = await watch_domains(store, listed.revision)
+        known = {**listed.objects, **watched.objects}
+        left = {name for name, found in known.items() if found is not None}
+        assert left == standin.list_names(Kinds.EVACUATIONS)
+        # What was changed, if it was there, is reported once more by the watch.
+        is_there = change != "removed" or name in "bcdf"
+        assert (name in watched.objects) == is_there
+
+    run(scenario)
+
+
+def test_a_list_in_pages_claims_no_change_that_it_may_lack():
+    """Guards against peers that take an incomplete list for one of a later revision.
+
+    The last page shows a change that is later than one on the first page.
+    """
+
+    async def scenario(store, standin):
+        def act():
+            standin.put(kind=Kinds.EVACUATIONS, name="b", spec={"again": True})
+            standin.put(kind=Kinds.EVACUATIONS, name="f", spec={"again": True})
+
+        change_between_pages(standin, act)
+        before = standin.revision
+        listed = await list_domains(store)
+        assert (listed.revision, listed.newest) == (before, before)
+        watched = await watch_domains(store, listed.revision)
+        assert set(watched.objects) == {"b", "f"}
+        assert watched.newest == standin.revision
+
+    run(scenario)
