Don't take a list that breaks off for a whole one

A page without objects that says that more follow was the end of the list. All objects on the pages that are missing would have counted as removed, and callers would have been refused for want of endpoints.

The list now fails as if the store hadn't answered, and is read again. test_a_list_that_breaks_off_is_no_list failed before: a `ListResult` with two of five objects.

--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -148,11 +148,13 @@
             for item in page.items:
                 objects[item.metadata.name] = _decode(kind, item)
                 newest = max(newest, item.metadata.revision)
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 # Later pages may show later changes, but not all of them.
                 return ListResult(
                     revision=revision, newest=min(newest, revision), objects=objects
                 )
+            if not page.items:
+                return StoreUnavailable(reason="an empty page, and more to come")
             after = page.items[-1].metadata.name
 
     async def watch(
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from eelgrassrack.gateway.store.storeobjects import StoreUnavailable
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import MetadataStore
 
@@ -135,3 +137,24 @@
         assert watched.newest == standin.revision
 
     run(scenario)
+
+
+class EmptyPages(MetadataStore):
+    """A store whose lists break off after their first page."""
+
+    def list_page(self, kind, *, after="", allow_stale=False):
+        page = super().list_page(kind, after=after, allow_stale=allow_stale)
+        return msgspec.structs.replace(page, items=()) if after else page
+
+
+def test_a_list_that_breaks_off_is_no_list():
+    """Guards against a part of a list that is taken for the whole.
+
+    All objects on the pages that are missing would count as removed.
+    """
+
+    async def scenario(store, standin):
+        change_between_pages(standin, lambda: None)
+        assert isinstance(await list_domains(store), StoreUnavailable)
+
+    run(scenario, standin=EmptyPages())
