Tell peers of what only a list shows to be gone

With more than eight gateways, four read the store and the others fetch from them when they report a later change than they have. An endpoint that went while all readers listed (the store had dropped its history), or while they were being replaced, stayed in use at the others until the next change of any endpoint: callers' requests reached an endpoint that was gone (DRAIN), a failure domain stayed out, a roll-out's order stayed.

The change that a reader reports is the newest of the objects on its list, and a removed one is on no list. The random play of test_changelog.py knew this gap: it ends with one more change "that tells gateways that they are behind".

Change: a reader that dropped something for a list reports the list's own revision, also when an endpoint kept in doubt after an outage is dropped at last. A reader that hears of a change up to its list that the list doesn't show (of an object that came and went) does so too, once for each gap. Lists that a peer's report caused claim no more than that report: otherwise two readers would make each other list for ever.

Left: readers that are all restarted within two seconds know neither the object nor what peers have heard.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -407,7 +407,7 @@
             self._pool.probe_silent(
                 now=now, note_unreachable=self._placer.health.note_unreachable
             )
-            self.fleet.sweep()
+            self._store_sync.drop_missing()
             self.ingress.close_overdue()
             self._placer.evict_prefixes()
             self._placer.guard.sweep()
--- a/eelgrassrack/gateway/endpoints/fleet.py
+++ b/eelgrassrack/gateway/endpoints/fleet.py
@@ -148,12 +148,20 @@
         back = {name for name, found in changes.items() if found is None}
         self.replace_evacuations(out - back)
 
-    def sweep(self) -> None:
-        """Drop endpoints that haven't registered again after an outage in time."""
+    def sweep(self) -> bool:
+        """Drop endpoints that haven't registered again after an outage in time.
+
+        Return whether there were any.
+        """
         now = self._clock()
-        for state in tuple(self._states.values()):
-            if state.missing_since is not None and not self._may_be_back(now):
-                self._drop(state, "still missing after the store's return")
+        missing = [
+            state
+            for state in self._states.values()
+            if state.missing_since is not None and not self._may_be_back(now)
+        ]
+        for state in missing:
+            self._drop(state, "still missing after the store's return")
+        return bool(missing)
 
     def find_state(self, endpoint: Endpoint) -> EndpointState | None:
         """Return the state of this lifetime of an endpoint, None if it has ended."""
--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import logbook
@@ -187,6 +187,7 @@
     `is_active` whether this gateway watches at all, and `is_standby` whether it
     watches only because no regular watcher reaches the store.  `may_watch` returns
     whether watches may begin; lists may at any time.
+    `list_known` returns the names of the objects known here, from the store or peers.
     `revision` is the store's revision to watch from, None if a list is due.
     `event_revision` is the store's revision at the last change seen, and `has_listed`
     is set once a list was read since this gateway began to watch.
@@ -198,8 +199,12 @@
         "_contact",
         "_find_wait",
         "_has_changed",
+        "_has_gap",
+        "_heard_revision",
         "_is_active",
         "_is_standby",
+        "_list_known",
+        "_list_revision",
         "_may_watch",
         "_store",
         "_apply_changes",
@@ -226,12 +231,17 @@
         is_active: Callable[[], bool],
         is_standby: Callable[[], bool],
         may_watch: Callable[[], bool] = _always,
+        list_known: Callable[[], Collection[str]] = tuple,
     ) -> None:
+        self._list_known = list_known
         self._is_active = is_active
         self._is_standby = is_standby
         self._may_watch = may_watch
         self._find_wait = find_wait
         self._listed_for = 0
+        self._list_revision = 0
+        self._heard_revision = 0
+        self._has_gap = True
         self._has_changed = False
         self.event_revision = 0
         self.has_listed = False
@@ -255,6 +265,7 @@
             if not self._is_active():
                 # Changes arrive through peers meanwhile.
                 self.revision = None
+                self._has_gap = True
                 self.has_listed = False
                 self._contact.note_unwatched()
                 await self._wait_woken()
@@ -290,6 +301,10 @@
         """
         if self._store.is_receiving(self.kind):
             return
+        self._has_gap = True
+        self._cancel_watch()
+
+    def _cancel_watch(self) -> None:
         self.revision = None
         if self._watching is not None:
             self._watching.cancel()
@@ -305,8 +320,7 @@
             case ListResult():
                 self.has_listed = True
                 self.revision = result.revision
-                self.event_revision = max(self.event_revision, result.newest, 1)
-                self._replace_all(result.objects)
+                self._apply_list(result)
             case WatchResult():
                 # After `relist` the revision is None and stays so: this result may
                 # lack changes.
@@ -317,13 +331,11 @@
                     self._apply_changes(result.objects)
             case HistoryGone():
                 log.notice("store: history of {} is gone, listing", self.kind)
-                self.revision = None
-                self.on_gap()
+                self._note_gap()
             case WatchOverdue():
                 log.notice("store: watch of {} is overdue, listing", self.kind)
                 self._contact.note_overdue(now=now)
-                self.revision = None
-                self.on_gap()
+                self._note_gap()
                 return True
             case WatchCancelled():
                 return True
@@ -333,6 +345,44 @@
         self._contact.note_answer(asked_at=asked_at, now=now)
         return True
 
+    def _note_gap(self) -> None:
+        self.revision = None
+        self._has_gap = True
+        self.on_gap()
+
+    def _apply_list(self, result: ListResult) -> None:
+        """Apply a list, and find up to which change this gateway's view is complete.
+
+        A list doesn't show what was removed.  Gateways that fetch from this one would
+        keep a removed object unless they are told of a later change than they know.
+        """
+        known = set(self._list_known())
+        self.event_revision = max(self.event_revision, result.newest, 1)
+        self._list_revision = result.revision
+        self._replace_all(result.objects)
+        if known.difference(self._list_known()):
+            self.claim_list()
+        self._compare_heard()
+
+    def claim_list(self) -> None:
+        """Count the last list as a change, so that peers fetch all that it shows."""
+        self.event_revision = max(self.event_revision, self._list_revision)
+        self._has_gap = False
+
+    def _compare_heard(self) -> None:
+        """Claim a change that a peer has seen and the last list doesn't show.
+
+        It was of an object that was removed later, perhaps unseen by any gateway, so
+        the list itself counts as a change.  This is done once for each gap: otherwise
+        two gateways that list for each other's claims would go on for ever.
+        """
+        if not self.event_revision < self._heard_revision <= self._list_revision:
+            return
+        if self._has_gap:
+            self.claim_list()
+        else:
+            self.event_revision = self._heard_revision
+
     async def _list(self) -> ListResult | StoreUnavailable:
         return await self._store.list(kind=self.kind, timeout=LIST_TIMEOUT_SECONDS)
 
@@ -344,12 +394,14 @@
         is arriving it probably brings the change, and so does a watch that is about
         to begin.
         """
+        self._heard_revision = max(self._heard_revision, revision)
+        self._compare_heard()
         if self._watching is None or self._store.is_receiving(self.kind):
             return
         if self.revision is None or revision <= max(self.revision, self._listed_for):
             return
         self._listed_for = revision
-        self.relist()
+        self._cancel_watch()
 
     async def _watch(
         self,
--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import logbook
@@ -197,6 +197,11 @@
             sources, revisions=self._peer_revisions[1:], spread=self._settings.name
         )
 
+    def drop_missing(self) -> None:
+        """Drop endpoints that are still missing after an outage, and let peers know."""
+        if self._fleet.sweep():
+            self._endpoint_follower.claim_list()
+
     def list_newer(self, update: PeerUpdate) -> None:
         """List each kind again for which a peer reports a newer change."""
         for follower, revision in zip(self.followers, update.revisions, strict=False):
@@ -422,18 +427,21 @@
                 replace_all=self._replace_endpoints,
                 apply_changes=self._apply_endpoint_changes,
                 find_bound_ms=lambda: self._settings.drain_ms,
+                list_known=lambda: [state.endpoint.name for state in fleet],
             ),
             self._follow(
                 kind=kinds.ROLLOUTS,
                 replace_all=rollouts.replace_all,
                 apply_changes=rollouts.apply_changes,
                 find_bound_ms=lambda: self._settings.rollback_ms,
+                list_known=lambda: [order.service for order in rollouts.orders],
             ),
             self._follow(
                 kind=kinds.EVACUATIONS,
                 replace_all=fleet.replace_evacuations,
                 apply_changes=fleet.apply_evacuation_changes,
                 find_bound_ms=lambda: self._settings.evacuation_ms,
+                list_known=lambda: fleet.evacuated,
             ),
         )
 
@@ -444,6 +452,7 @@
         replace_all: ReplaceAll,
         apply_changes: ApplyChanges,
         find_bound_ms: Callable[[], float],
+        list_known: Callable[[], Collection[str]] = tuple,
     ) -> Follower:
         follower = Follower(
             store=self._store,
@@ -456,6 +465,7 @@
             is_standby=lambda: self._find_role().is_standby,
             # Changes of endpoints are frequent at a start, and urgent.
             may_watch=lambda: kind == self._kinds.ENDPOINTS or self._may_watch(),
+            list_known=list_known,
         )
         follower.on_gap = lambda: self._relist_others(follower)
         return follower
