Keep what a starting gateway has read when a peer's older view arrives

A gateway that starts lists each kind in the store and asks a peer for its view, until it knows a configuration and the endpoints. The view replaced everything, also kinds that the gateway had read itself meanwhile. A failure domain that was taken out while the view was on its way (a slow link, a long list of endpoints) got requests from this gateway for as long as the order stood, and one that was back stayed out; a roll-out's order was lost or came back. The gateway's watch goes on from what it has read and reports none of it.

A gateway that had loaded everything already compared revisions; one that starts didn't, and the revision compared was that of the newest object on the list, which tells nothing of removals.

Change: the same comparison in both cases, by the revision of the gateway's own list or last change, whichever is later.

It costs no call and no byte.

--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -364,6 +364,11 @@
             self.claim_list()
         self._compare_heard()
 
+    @property
+    def complete_revision(self) -> int:
+        """Return the revision up to which this gateway has read all changes itself."""
+        return max(self.event_revision, self._list_revision)
+
     def claim_list(self) -> None:
         """Count the last list as a change, so that peers fetch all that it shows."""
         self.event_revision = max(self.event_revision, self._list_revision)
--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -370,20 +370,19 @@
             return
         if self._reads_store and self._fleet.is_loaded:
             return
-        if not self._fleet.is_loaded:
-            self._peer_revisions = view.revisions
-            self._apply_view(view)
-        elif view.knows_store:
-            known = tuple(map(max, self._peer_revisions, self.revisions))
-            newest = map(max, self._peer_revisions, view.revisions)
-            self._peer_revisions = tuple(newest)
-            self._apply_view(self._drop_older(view, known))
+        if self._fleet.is_loaded and not view.knows_store:
+            return
+        read = (follower.complete_revision for follower in self.followers)
+        known = tuple(map(max, self._peer_revisions, read))
+        newest = map(max, self._peer_revisions, view.revisions)
+        self._peer_revisions = tuple(newest)
+        self._apply_view(self._drop_older(view, known))
 
     def _drop_older(self, view: StoreView, known: tuple[int, ...]) -> StoreView:
         """Return a view without the kinds of which later changes are known here.
 
-        This gateway may have read them itself until it lost the store, and its next
-        watch doesn't report them again.
+        This gateway may have read them itself, until it lost the store or since it
+        started, and its next watch doesn't report them again.
         """
         revisions = zip(self._followed, known, view.revisions, strict=False)
         older = {kind for kind, mine, theirs in revisions if theirs < mine}
