Take a restart under the same name also if its clock was set back

An endpoint's entry was ignored if it tells of an earlier start than the one known under that name. `clock_step` sets the time of day back on any machine, so that an endpoint that starts again may tell of an earlier start: that it is cold, and later that it drains, went unnoticed, and callers' requests reached it until the clock had caught up.

The check remains useful where the store carries out a call of an earlier lifetime late, so the lifetimes that were replaced are remembered and their entries are ignored, whatever time they tell.

The set of lifetimes that leave serves for this too: `Lifetimes` in decisions/lifetimes.py, renamed from `LeavingEndpoints`.

test_a_restart_with_a_clock_that_was_set_back_is_another_lifetime failed before ("TimeoutError"); test_a_late_write_of_an_earlier_lifetime_changes_nothing held before too and guards the rest. Nothing is read or sent for it.

--- a/eelgrassrack/gateway/endpoints/fleet.py
+++ b/eelgrassrack/gateway/endpoints/fleet.py
@@ -6,7 +6,7 @@
 import logbook
 import msgspec
 
-from ...decisions.leaving import LeavingEndpoints
+from ...decisions.lifetimes import Lifetimes
 from ..store.follower import StoreContact
 from .endpoint import Endpoint
 from .endpointstate import EndpointState
@@ -57,6 +57,7 @@
         "_states",
         "_forget",
         "_leaving",
+        "_replaced",
         "_selected",
         "_unlogged",
         "evacuated",
@@ -74,7 +75,8 @@
         self._clock = clock
         self._forget = forget
         self._states: dict[str, EndpointState] = {}
-        self._leaving = LeavingEndpoints()
+        self._leaving = Lifetimes()
+        self._replaced = Lifetimes()
         # What was selected since the last change of an endpoint.
         self._selected: dict[tuple[str, VersionChoice], list[EndpointState]] = {}
         self._unlogged: list[Endpoint] = []
@@ -206,7 +208,8 @@
     def _apply(self, endpoint: Endpoint) -> None:
         now = self._clock()
         state = self._states.get(endpoint.name)
-        if state is not None and state.endpoint.born > endpoint.born:
+        if state is not None and endpoint.lifetime in self._replaced:
+            # The store may carry out a call of an earlier lifetime late.
             return
         self._selected.clear()
         if endpoint.is_draining:
@@ -217,6 +220,7 @@
             endpoint = msgspec.structs.replace(endpoint, is_draining=True)
         if state is None or state.endpoint.lifetime != endpoint.lifetime:
             if state is not None:
+                self._replaced.note(state.endpoint.lifetime)
                 self._drop(state, "started again")
             self._states[endpoint.name] = EndpointState(endpoint=endpoint, now=now)
             self._unlogged.append(endpoint)
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -237,6 +237,40 @@
     run(main())
 
 
+def test_a_restart_with_a_clock_that_was_set_back_is_another_lifetime():
+    """Guards against requests to an endpoint that drains, as its entry is ignored."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", born=2_000)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            world.list_engine("e1", born=1_000)
+            await wait_for(lambda: gateway.fleet.find("e1").endpoint.born == 1_000)
+            world.list_engine("e1", born=1_000, state="draining")
+            await wait_for(lambda: gateway.fleet.find("e1").endpoint.is_draining, 2.0)
+
+    run(main())
+
+
+def test_a_late_write_of_an_earlier_lifetime_changes_nothing():
+    """Guards against the loss of what is known of the lifetime that runs."""
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1", born=1_000)
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            world.list_engine("e1", born=2_000)
+            await wait_for(lambda: gateway.fleet.find("e1").endpoint.born == 2_000)
+            world.list_engine("e1", born=1_000, state="draining")
+            await asyncio.sleep(1.0)
+            endpoint = gateway.fleet.find("e1").endpoint
+            assert (endpoint.born, endpoint.is_draining) == (2_000, False)
+
+    run(main())
+
+
 def test_the_end_of_an_earlier_watch_isnt_the_store_s_return():
     """The store refuses new calls, and a watch that began earlier ends normally.
 
