Leave out repeated events also if they come in several pieces

A caller whose stream was resumed could get events twice (ORDER): an endpoint that goes on from `Last-Event-Id` may send earlier events again, and these are left out. But the id up to which the caller has everything was then set back to that of the repeated event, so that the next piece of repeated events was forwarded.

The id never falls now while a stream is resumed. Events of a first run count as before.

test_events_that_are_repeated_piece_by_piece_are_left_out failed before (ids 1, 2, 3, 4, 2, ...; three events too many).

--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -19,7 +19,7 @@
     SilentError,
 )
 from ..metrics import GatewayMetrics
-from .events import EVENT_END, Events, EventSplitter, skip_delivered
+from .events import EVENT_END, Events, EventSplitter, find_later, skip_delivered
 from .holding import hold_more
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
 from .messages import Data, End, ResponseHead
@@ -386,11 +386,12 @@
             if events is None:
                 continue
             self._note_pieces(job, events)
-            data = events.data
+            data, last_id = events.data, events.last_id
             if is_resumed:
                 data = skip_delivered(data, last_id=job.resume_after)
+                last_id = find_later(job.resume_after, last_id)
             await self._forward_events(job, reply, head, data)
-            job.resume_after = events.last_id
+            job.resume_after = last_id
 
     def _note_pieces(self, job: Job, events: Events) -> None:
         if job.trial_attempt is not None:
--- a/eelgrassrack/gateway/requests/events.py
+++ b/eelgrassrack/gateway/requests/events.py
@@ -72,6 +72,17 @@
     return b"".join(event + EVENT_END for event in new)
 
 
+def find_later(last_id: str, next_id: str) -> str:
+    """Return the id up to which the caller has all events.
+
+    `next_id` is that of an event that an endpoint has just sent, perhaps again.
+    """
+    is_repeated = (
+        last_id.isdecimal() and next_id.isdecimal() and int(next_id) < int(last_id)
+    )
+    return last_id if is_repeated else next_id
+
+
 def _is_delivered(event: bytes, last_id: int) -> bool:
     found = _find_last_id(event + b"\n")
     return found.isdecimal() and int(found) <= last_id
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -97,9 +97,13 @@
 
 
 class Raw(msgspec.Struct, kw_only=True, frozen=True):
-    """Send pieces of bytes unchanged, then close the connection normally."""
+    """Send pieces of bytes unchanged, then close the connection normally.
+
+    There are `gap` seconds after each piece.
+    """
 
     pieces: tuple[bytes, ...]
+    gap: float = 0.0
 
 
 class Hang(msgspec.Struct, kw_only=True, frozen=True):
@@ -305,11 +309,11 @@
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
                 await writer.drain()
                 return False
-            case Raw(pieces=pieces):
+            case Raw(pieces=pieces, gap=gap):
                 for piece in pieces:
                     writer.write(piece)
                     await writer.drain()
-                    await asyncio.sleep(0)
+                    await asyncio.sleep(gap)
                 return False
             case Hang():
                 await self._wait_for_cancel(run, reader)
--- a/test/gateway/test_streams.py
+++ b/test/gateway/test_streams.py
@@ -89,6 +89,33 @@
     run(main())
 
 
+def make_events(*numbers):
+    return b"".join(f"id: {one}\ndata: {one}\n\n".encode() for one in numbers)
+
+
+def test_events_that_are_repeated_piece_by_piece_are_left_out():
+    """Guards against events that a caller gets twice when its stream is resumed."""
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            await world.add_engine(
+                "e1", Events(count=6, breaks_after=4), slots=100, **rest
+            )
+            pieces = (UNFRAMED_HEAD, *map(make_events, range(1, 7)))
+            await world.add_engine("e2", Raw(pieces=pieces, gap=0.05), slots=1, **rest)
+            await world.start_gateway()
+            await world.wait_ready()
+            got = await world.call("/chat/1")
+            assert got.is_whole
+            lines = got.body.decode().split("\n")
+            assert [line for line in lines if line.startswith("id")] == [
+                f"id: {number}" for number in range(1, 7)
+            ]
+
+    run(main())
+
+
 def test_a_caller_that_has_all_events_gets_the_end():
     """A caller's connection broke after the last event and before the end.
 
