End a stream whose rest can't be had, rather than write a second head into it

A caller whose stream broke off got the head and body of another answer in the midst of its chunks, on a connection that stayed open, if the endpoint that was to resume the stream answered with a whole body instead (a 200 that is no stream, 204, 4xx): the caller waited for the rest in vain.

Cause: whoever takes over from another run didn't look at whether the caller has the beginning. Such an answer now counts as lost, like a stream that breaks off, so that another endpoint may resume it; else the connection ends without the stream's end.

test_an_answer_that_resumes_no_stream_is_never_joined_to_one (200, 204, 404) failed before: "TimeoutError" after 10 s, with the connection open.

--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -249,6 +249,8 @@
             return await self._relay_events(
                 job, endpoint, connection, head, reply, silence
             )
+        if reply.is_started and head.status not in FAILURE_STATUSES:
+            return Lost(reason=f"status {head.status}, which resumes no stream")
         body = await self._read_body(connection)
         silence.stop()
         if head.status in FAILURE_STATUSES:
--- a/test/gateway/test_streams.py
+++ b/test/gateway/test_streams.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from eelgrassrack.platform.headers import STAMP
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.standins.directengine import (
     STAMP_VALUE,
     Events,
     Raw,
+    Reply,
 )
 
 from .world import (
@@ -116,6 +119,35 @@
     run(main())
 
 
+@pytest.mark.parametrize("status", [200, 204, 404])
+def test_an_answer_that_resumes_no_stream_is_never_joined_to_one(status):
+    """Guards against a second answer's head and body in the midst of a stream."""
+
+    async def main():
+        async with make_world() as world:
+            rest = {"service": "models"}
+            await world.add_engine(
+                "e1", Events(count=6, breaks_after=2), slots=100, **rest
+            )
+            other = await world.add_engine(
+                "e2", Reply(status=status, body=b""), slots=1, **rest
+            )
+            await world.start_gateway()
+            await world.wait_ready()
+            caller = await connect(world.settings[0].listen)
+            caller.send("/chat/1")
+            got = await asyncio.wait_for(caller.reader.read(), 10.0)
+            assert other.runs
+            assert got.startswith(b"HTTP/1.1 200 ")
+            assert got.count(b"HTTP/1.1") == 1
+            assert b"id: 2\n" in got
+            # The last chunk, which would make the answer look whole.
+            assert not got.endswith(b"0\r\n\r\n")
+            caller.close()
+
+    run(main())
+
+
 def test_a_caller_that_has_all_events_gets_the_end():
     """A caller's connection broke after the last event and before the end.
 
