Split the sync with the store: whether it answers, and who watches it

`follower.py` kept whether the store answers, which all kinds share, beside following one kind; `storesync.py` kept a gateway's role among the watchers beside applying what is read.

145 tests of the store's sync, roles, views and formats pass.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -37,7 +37,8 @@
 from .settings import GatewaySettings
 from .stopsignals import StopSignals
 from .store.configuration import Router
-from .store.follower import Store, StoreContact
+from .store.follower import Store
+from .store.storecontact import StoreContact
 from .store.storesync import Kinds, StoreSync
 from .store.storeviews import StoreViewFetcher, encode_view, parse_path
 from .versions.rollouts import Rollouts
--- a/eelgrassrack/gateway/endpoints/fleet.py
+++ b/eelgrassrack/gateway/endpoints/fleet.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ...decisions.lifetimes import Lifetimes
-from ..store.follower import StoreContact
+from ..store.storecontact import StoreContact
 from .endpoint import Endpoint
 from .endpointstate import EndpointState
 
--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -4,7 +4,6 @@
 away, fetch changes from peers.
 """
 
-import asyncio
 import time
 from collections.abc import Callable, Collection
 from typing import Protocol
@@ -13,7 +12,6 @@
 import msgspec
 
 from ...decisions.sources import Source, rank_sources
-from ...decisions.watchers import WatchRole, find_watch_role
 from ...decisions.watchschedule import find_wait
 from ..endpoints.endpoint import Endpoint
 from ..endpoints.fleet import Fleet
@@ -22,25 +20,15 @@
 from ..versions.rollouts import Rollouts
 from .changelog import ChangeLog
 from .configuration import Configuration, Router
-from .follower import ApplyChanges, Follower, ReplaceAll, Store, StoreContact
+from .follower import ApplyChanges, Follower, ReplaceAll, Store
+from .storecontact import StoreContact
 from .storeviews import KnownRevisions, PullNeed, StoreView
+from .watchroles import WatchRoles
 
 log = logbook.Logger("gateway")
 
 MILLISECONDS = 1000.0
 
-# How long a role is kept.  Finding it sorts the names of all gateways, and it is asked
-# for with each peer update, a hundred times a second.
-ROLE_SECONDS = 0.2
-
-# How long no gateway must have reached the store before all of them watch it.  Those
-# that replace watchers need most of this to list everything over a thin link.
-UNREACHED_SECONDS = 2.0
-
-# How long a gateway that has just started waits at most to learn whether it is one of
-# those that watch, before it begins to watch anything but endpoints.
-STARTING_SECONDS = 1.25
-
 
 class Kinds(Protocol):
     """The store's names for the kinds of objects that a gateway reads."""
@@ -61,20 +49,14 @@
     __slots__ = (
         "_peer_revisions",
         "_contact",
-        "_last_reached_at",
-        "_lost_peers",
         "_endpoint_changes",
         "_fleet",
         "_kinds",
         "_list_peer_updates",
-        "_role",
-        "_role_until",
-        "_is_starting",
-        "_knows_peers",
         "_rollouts",
+        "_roles",
         "_router",
         "_settings",
-        "_started_at",
         "_store",
         "followers",
     )
@@ -100,20 +82,21 @@
         self._fleet = fleet
         self._rollouts = rollouts
         self._list_peer_updates = list_peer_updates
-        self._knows_peers = knows_peers
-        self._is_starting = True
-        self._started_at = asyncio.get_running_loop().time()
+        self._roles = WatchRoles(
+            settings=settings,
+            contact=contact,
+            list_peer_updates=list_peer_updates,
+            knows_peers=knows_peers,
+            has_listed=lambda: self._has_listed,
+        )
         self._endpoint_changes = ChangeLog()
-        self._last_reached_at = float("-inf")
-        self._lost_peers: set[str] = set()
-        self._role = WatchRole(None, 0)
-        self._role_until = float("-inf")
         self._peer_revisions: tuple[int, ...] = (0, 0, 0, 0)
         self.followers = self._make_followers()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed time bounds, from the next watch on."""
         self._settings = settings
+        self._roles.apply_settings(settings)
 
     @property
     def is_loaded(self) -> bool:
@@ -246,23 +229,14 @@
 
     def note_role_change(self, update: PeerUpdate) -> None:
         """Find this gateway's role anew if a peer has lost or regained the store."""
-        if update.has_lost_store is (update.name in self._lost_peers):
-            return
-        self._lost_peers ^= {update.name}
-        log.info(
-            "gateway: {} {} the store",
-            update.name,
-            "has lost" if update.has_lost_store else "reaches",
-        )
-        self._role_until = float("-inf")
-        for follower in self.followers:
-            follower.wake.set()
+        if self._roles.note_update(update):
+            for follower in self.followers:
+                follower.wake.set()
 
     @property
     def has_lost_store(self) -> bool:
         """Return whether this gateway has lost the store, perhaps."""
-        now = asyncio.get_running_loop().time()
-        return self._contact.has_failed(now=now)
+        return self._roles.has_lost_store
 
     def is_news(self, update: PeerUpdate) -> bool:
         """Return whether a peer's update tells of something to fetch from a peer.
@@ -295,59 +269,16 @@
         has_lost_store = self.is_watcher() and self._contact.lost_at is not None
         return has_lost_store and self.lacks_configuration
 
-    def _find_role(self) -> WatchRole:
-        """Return this gateway's role in watching the store, up to a moment old."""
-        now = asyncio.get_running_loop().time()
-        if now >= self._role_until:
-            self._role = self._compute_role()
-            self._role_until = now + ROLE_SECONDS
-        return self._role
-
-    def _compute_role(self) -> WatchRole:
-        updates = self._list_peer_updates()
-        now = asyncio.get_running_loop().time()
-        reaching = {update.name for update in updates if update.knows_store}
-        if reaching:
-            self._last_reached_at = now
-        if self._has_listed and self._contact.lost_at is None:
-            reaching.add(self._settings.name)
-        lost = {update.name for update in updates if update.has_lost_store}
-        return find_watch_role(
-            name=self._settings.name,
-            others=(update.name for update in updates),
-            is_store_reachable=now < self._last_reached_at + UNREACHED_SECONDS,
-            lost=lost | {self._settings.name} if self.has_lost_store else lost,
-            reaching=reaching,
-            links={
-                self._settings.name: self._settings.link_mbps,
-                **{update.name: update.link_mbps for update in updates},
-            },
-        )
-
-    def _may_watch(self) -> bool:
-        """Return whether this gateway knows its role, or has waited long enough.
-
-        Each watch is a call to the store.  When all gateways start together, each of
-        them would begin to watch every kind before it has heard of the others.
-        """
-        if not self._is_starting:
-            return True
-        now = asyncio.get_running_loop().time()
-        if self._knows_peers() or now >= self._started_at + STARTING_SECONDS:
-            self._is_starting = False
-            self._role_until = now
-        return not self._is_starting
-
     def is_watcher(self) -> bool:
         """Return whether this gateway watches the store itself."""
-        return self._find_role().rank is not None
+        return self._roles.find().rank is not None
 
     @property
     def _reads_store(self) -> bool:
         return self.is_watcher() and self._contact.lost_at is None
 
     def _find_wait(self, bound: float) -> float:
-        role = self._find_role()
+        role = self._roles.find()
         return find_wait(
             bound=bound,
             entries=role.watchers,
@@ -461,9 +392,9 @@
             apply_changes=apply_changes,
             find_wait=lambda: self._find_wait(find_bound_ms() / MILLISECONDS),
             is_active=self.is_watcher,
-            is_standby=lambda: self._find_role().is_standby,
+            is_standby=lambda: self._roles.find().is_standby,
             # Changes of endpoints are frequent at a start, and urgent.
-            may_watch=lambda: kind == self._kinds.ENDPOINTS or self._may_watch(),
+            may_watch=lambda: kind == self._kinds.ENDPOINTS or self._roles.may_watch(),
             list_known=list_known,
         )
         follower.on_gap = lambda: self._relist_others(follower)
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -40,7 +40,7 @@
 from ..peers.updatemessages import Audience, PeerUpdate, SessionPin, TrialReport
 from ..requests.job import Delivered, Failed, Lost, NotRun, Outcome, Unsure
 from ..settings import GatewaySettings
-from ..store.follower import StoreContact
+from ..store.storecontact import StoreContact
 from ..store.storeobjects import RolloutOrder, RolloutState, RolloutStatus
 from .attempt import VersionAttempt
 from .trial import (
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -17,7 +17,7 @@
 from eelgrassrack.gateway.peers.updatemessages import Audience, PeerUpdate
 from eelgrassrack.gateway.requests.job import Delivered, Failed, Lost
 from eelgrassrack.gateway.settings import GatewaySettings
-from eelgrassrack.gateway.store.follower import StoreContact
+from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.gateway.store.storeobjects import RolloutOrder
 from eelgrassrack.gateway.versions.attempt import VersionAttempt
 from eelgrassrack.gateway.versions.rollouts import Rollouts
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -6,7 +6,8 @@
 import pytest
 
 from bench.gatewaysoak.links import Link
-from eelgrassrack.gateway.store.follower import Follower, StoreContact
+from eelgrassrack.gateway.store.follower import Follower
+from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import Fault
 
--- a/test/gateway/test_many_gateways.py
+++ b/test/gateway/test_many_gateways.py
@@ -13,7 +13,7 @@
 from eelgrassrack.gateway.peers.peerupdates import UpdateExchange
 from eelgrassrack.gateway.peers.updatemessages import PeerUpdate
 from eelgrassrack.gateway.settings import GatewaySettings
-from eelgrassrack.gateway.store.follower import StoreContact
+from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.gateway.store.storeobjects import ListResult, Peer
 from eelgrassrack.platform.store import Kinds
 
--- a/test/gateway/test_watch_role.py
+++ b/test/gateway/test_watch_role.py
@@ -6,7 +6,7 @@
 import pytest
 
 from eelgrassrack.gateway.peers.updatemessages import Audience
-from eelgrassrack.gateway.store import storesync
+from eelgrassrack.gateway.store import watchroles
 
 from .spread import World, make_rng, play
 
@@ -37,15 +37,15 @@
         await world.start()
         await asyncio.sleep(SECONDS)
         ranked = []
-        rank = storesync.find_watch_role
+        rank = watchroles.find_watch_role
         monkeypatch.setattr(
-            storesync,
+            watchroles,
             "find_watch_role",
             lambda **known: ranked.append(known["name"]) or rank(**known),
         )
         await asyncio.sleep(SECONDS)
         per_second = len(ranked) / GATEWAYS / SECONDS
-        assert per_second <= 1.0 / storesync.ROLE_SECONDS
+        assert per_second <= 1.0 / watchroles.ROLE_SECONDS
         world.stop()
 
     play(main())
