Let the server of a test wait until its caller has given up

The server paused for 0.6 s and the caller waits for 0.3 s, which both measure on one event loop: traced with the loop held up for 0.9 s in the midst of the wait, where the test failed in the same way. A caller that gets its answer late isn't what the test is about.

The server goes on when the caller has given up, as the test wants it; checks and bounds are as before. With the same delay both tests pass, and without the call's abort both fail still.

--- a/test/store/test_http.py
+++ b/test/store/test_http.py
@@ -7,18 +7,18 @@
 from ..gateway.world import run
 
 STALL_SECONDS = 0.3
-PAUSE_SECONDS = 0.6
 PIECE_BYTES = 16_384
 PIECES = 100
 HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {PIECES * PIECE_BYTES}\r\n\r\n"
 
 
 class SlowServer:
-    """Sends a large answer that pauses after its first piece."""
+    """Sends a large answer that pauses after its first piece until it may go on."""
 
     def __init__(self):
         self.sent = 0
         self.is_done = asyncio.Event()
+        self.may_go_on = asyncio.Event()
         self.url = ""
         self._server = None
 
@@ -38,7 +38,9 @@
                 writer.write(b"x" * PIECE_BYTES)
                 await writer.drain()
                 self.sent += 1
-                await asyncio.sleep(0.01 if number else PAUSE_SECONDS)
+                if not number:
+                    await self.may_go_on.wait()
+                await asyncio.sleep(0.01)
         except ConnectionError:
             return
         finally:
@@ -58,6 +60,7 @@
         caller = HttpCaller(url=server.url, max_clients=2)
         answer = await caller.fetch(path="/x", timeout=8.0, stall=STALL_SECONDS)
         assert isinstance(answer, NoAnswer)
+        server.may_go_on.set()
         await asyncio.wait_for(server.is_done.wait(), 3.0)
         assert server.sent < PIECES / 2
         caller.close()
@@ -76,6 +79,7 @@
         calling = asyncio.ensure_future(caller.fetch(path="/x", timeout=8.0))
         await asyncio.sleep(STALL_SECONDS)
         calling.cancel()
+        server.may_go_on.set()
         await asyncio.wait_for(server.is_done.wait(), 3.0)
         assert server.sent < PIECES / 2
         caller.close()
