Play lists that break off between two pages

The store is silent, slow or drops its history between two pages while an endpoint of the first one drains or goes.

--- a/test/gateway/test_lists_in_pages.py
+++ b/test/gateway/test_lists_in_pages.py
@@ -15,6 +15,9 @@
 # A change must be in force this long after it.
 IN_FORCE_SECONDS = 2.0
 
+# The store's trouble is over before, with the time in which it is asked again.
+TROUBLE_SECONDS = 6.0
+
 
 def list_endpoint(world, name, **rest):
     """Register an endpoint that gets no requests."""
@@ -87,6 +90,55 @@
     return gateway
 
 
+def lose_answers(store):
+    """Let the store be silent for longer than a call may take."""
+    store.fault = Fault.SILENT
+    asyncio.get_running_loop().call_later(1.5, setattr, store, "fault", Fault.NONE)
+
+
+def slow_down(store):
+    """Let each call take nearly as long as it may."""
+    store.delay = 0.9
+    asyncio.get_running_loop().call_later(2.5, setattr, store, "delay", 0.0)
+
+
+def forget_history(store):
+    """Let watches from before be refused."""
+    store.forget_history()
+
+
+@pytest.mark.parametrize("trouble", [lose_answers, slow_down, forget_history])
+@pytest.mark.parametrize("change", [drain, remove])
+def test_what_changes_while_a_list_breaks_off_is_in_force(change, trouble):
+    """Guards against a list that is read anew, or followed, from the wrong moment.
+
+    The store is away, slow or has dropped its history between two pages.
+    """
+
+    async def main():
+        async with make_world() as world:
+            world.store.page_objects = PAGE_OBJECTS
+            for name in NAMES:
+                list_endpoint(world, name)
+            changed = []
+
+            def after_page(kind, page):
+                is_first = page.has_more and page.items[0].metadata.name == "e1"
+                if kind == Kinds.ENDPOINTS and is_first and not changed:
+                    changed.append(change(world))
+                    trouble(world.store)
+
+            world.store.after_page = after_page
+            gateway = await world.start_gateway()
+            await wait_for(lambda: gateway.fleet.is_loaded, TROUBLE_SECONDS)
+            (is_in_force,) = changed
+            await wait_for(lambda: is_in_force(gateway.fleet), TROUBLE_SECONDS)
+            await asyncio.sleep(0.5)
+            assert is_in_force(gateway.fleet)
+
+    run(main())
+
+
 @pytest.mark.parametrize("reason", [start, lose_history, lose_store, miss_a_watch])
 @pytest.mark.parametrize(
     "change", [drain, remove, replace, add, remove_on_a_later_page]
