--- a/test/gateway/test_streams.py
+++ b/test/gateway/test_streams.py
@@ -24,6 +24,12 @@
 )
 
 
+def list_ids(body):
+    """Return the ids of a stream's events."""
+    lines = body.decode().split("\n")
+    return [line.removeprefix("id: ") for line in lines if line.startswith("id")]
+
+
 def test_a_stream_resumes_on_another_endpoint():
     """An endpoint crashes in the middle of an event.
 
@@ -41,10 +47,7 @@
             await world.wait_ready()
             got = await world.call("/chat/1")
             assert got.is_whole
-            lines = got.body.decode().split("\n")
-            assert [line for line in lines if line.startswith("id")] == [
-                f"id: {number}" for number in range(1, 7)
-            ]
+            assert list_ids(got.body) == ["1", "2", "3", "4", "5", "6"]
             assert second.runs[0].headers["last-event-id"] == "2"
             assert len(first.runs) == 1
 
@@ -111,10 +114,7 @@
             await world.wait_ready()
             got = await world.call("/chat/1")
             assert got.is_whole
-            lines = got.body.decode().split("\n")
-            assert [line for line in lines if line.startswith("id")] == [
-                f"id: {number}" for number in range(1, 7)
-            ]
+            assert list_ids(got.body) == ["1", "2", "3", "4", "5", "6"]
 
     run(main())
 
