--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -6,6 +6,8 @@
 import pytest
 
 from bench.gatewaysoak.links import Link
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
+from eelgrassrack.gateway.endpoints.fleet import LAPSE_SECONDS, Fleet
 from eelgrassrack.gateway.store.follower import Follower
 from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.platform.store import Kinds, PlatformStore
@@ -157,6 +159,40 @@
     run(main())
 
 
+# A store that cuts a watch now and then, in seconds.
+CUT_EVERY_SECONDS = 1.5
+BACK_AFTER_SECONDS = 0.1
+
+
+def test_an_endpoint_that_stays_missing_isnt_kept_while_watches_are_cut():
+    """Guards against requests to an endpoint that is gone for good.
+
+    Its entry goes during an outage.  The store is back, and cuts a watch each 1.5 s.
+    """
+    now = 0.0
+    contact = StoreContact()
+    fleet = Fleet(contact=contact, clock=lambda: now, forget=lambda lifetime: None)
+    endpoint = Endpoint(
+        name="e1",
+        born=1_000,
+        service="plain",
+        address=("127.0.0.1", 9),
+        domain="north",
+        version="v1",
+        slots=8,
+    )
+    fleet.replace_all({"e1": endpoint})
+    contact.note_lost(now=now, kind="one", reason="busy")
+    fleet.apply_changes({"e1": None})
+    while now < 5 * LAPSE_SECONDS:
+        now += BACK_AFTER_SECONDS
+        contact.note_answer(asked_at=now, now=now)
+        now += CUT_EVERY_SECONDS
+        fleet.sweep()
+        contact.note_lost(now=now, kind="one", reason="reset")
+    assert fleet.find("e1") is None
+
+
 def test_an_endpoint_that_leaves_gets_no_more_work():
     """One endpoint announces that it drains, and another's entry is removed."""
 
