Let a peer without the store learn of changes between two pages

A second gateway that the store turns away fetches from one that lists in pages while an endpoint of the first page and one of the last change.

--- a/test/gateway/test_lists_in_pages.py
+++ b/test/gateway/test_lists_in_pages.py
@@ -173,3 +173,37 @@
             assert is_in_force(gateway.fleet)
 
     run(main())
+
+
+@pytest.mark.parametrize("change", [drain, remove, replace, add])
+def test_a_peer_without_the_store_learns_of_it_too(change):
+    """Guards against requests of gateways that only know what others have read.
+
+    A change on the last page is seen at once, the one before it by the watch only.
+    """
+
+    async def main():
+        async with make_world() as world:
+            store = world.store
+            store.page_objects = PAGE_OBJECTS
+            for name in NAMES:
+                list_endpoint(world, name)
+            changed = []
+
+            def after_page(kind, page):
+                is_first = page.has_more and page.items[0].metadata.name == "e1"
+                if kind == Kinds.ENDPOINTS and is_first and not changed:
+                    changed.append(change(world))
+                    list_endpoint(world, "e5", slots=9)
+
+            store.after_page = after_page
+            await world.start_gateway(number=1)
+            away = await world.start_gateway(number=2, objects_url="http://127.0.0.9:9")
+            await wait_for(lambda: changed and away.fleet.is_loaded)
+            (is_in_force,) = changed
+            await wait_for(lambda: is_in_force(away.fleet), IN_FORCE_SECONDS)
+            assert away.fleet.find("e5").endpoint.slots == 9
+            await asyncio.sleep(0.5)
+            assert is_in_force(away.fleet)
+
+    run(main())
