--- a/test/gateway/test_lists_in_pages.py
+++ b/test/gateway/test_lists_in_pages.py
@@ -61,6 +61,29 @@
     return lambda fleet: fleet.find("e4") is None
 
 
+def fill(world):
+    """Register endpoints whose list takes several pages."""
+    world.store.page_objects = PAGE_OBJECTS
+    for name in NAMES:
+        list_endpoint(world, name)
+
+
+def act_between_pages(world, act):
+    """Call `act` once, when the first page of the next list was answered.
+
+    Returns a list that gets what it returns.
+    """
+    results = []
+
+    def after_page(kind, page):
+        is_first = page.has_more and page.items[0].metadata.name == "e1"
+        if kind == Kinds.ENDPOINTS and is_first and not results:
+            results.append(act())
+
+    world.store.after_page = after_page
+    return results
+
+
 async def start(world):
     return await world.start_gateway()
 
@@ -112,23 +135,18 @@
 def test_what_changes_while_a_list_breaks_off_is_in_force(change, trouble):
     """Guards against a list that is read anew, or followed, from the wrong moment.
 
-    The store is away, slow or has dropped its history between two pages.
+    The store is silent, slow or has dropped its history between two pages.
     """
 
     async def main():
         async with make_world() as world:
-            world.store.page_objects = PAGE_OBJECTS
-            for name in NAMES:
-                list_endpoint(world, name)
-            changed = []
-
-            def after_page(kind, page):
-                is_first = page.has_more and page.items[0].metadata.name == "e1"
-                if kind == Kinds.ENDPOINTS and is_first and not changed:
-                    changed.append(change(world))
-                    trouble(world.store)
-
-            world.store.after_page = after_page
+
+            def act():
+                trouble(world.store)
+                return change(world)
+
+            fill(world)
+            changed = act_between_pages(world, act)
             gateway = await world.start_gateway()
             await wait_for(lambda: gateway.fleet.is_loaded, TROUBLE_SECONDS)
             (is_in_force,) = changed
@@ -148,24 +166,19 @@
 
     async def main():
         async with make_world() as world:
-            store = world.store
-            store.page_objects = PAGE_OBJECTS
-            for name in NAMES:
-                list_endpoint(world, name)
-            changed = []
-
-            def after_page(kind, page):
-                is_first = page.has_more and page.items[0].metadata.name == "e1"
-                if kind == Kinds.ENDPOINTS and is_first and is_armed and not changed:
-                    changed.append(change(world))
-                    store.fault = Fault.NONE
-
-            store.after_page = after_page
-            is_armed = reason is start
-            gateway = await reason(world)
-            is_armed = True
-            await wait_for(lambda: changed)
-            await wait_for(lambda: gateway.fleet.is_loaded)
+
+            def act():
+                world.store.fault = Fault.NONE
+                return change(world)
+
+            fill(world)
+            if reason is start:
+                changed = act_between_pages(world, act)
+                gateway = await reason(world)
+            else:
+                gateway = await reason(world)
+                changed = act_between_pages(world, act)
+            await wait_for(lambda: changed and gateway.fleet.is_loaded)
             (is_in_force,) = changed
             await wait_for(lambda: is_in_force(gateway.fleet), IN_FORCE_SECONDS)
             # An older change must not come back.
@@ -184,19 +197,14 @@
 
     async def main():
         async with make_world() as world:
-            store = world.store
-            store.page_objects = PAGE_OBJECTS
-            for name in NAMES:
-                list_endpoint(world, name)
-            changed = []
-
-            def after_page(kind, page):
-                is_first = page.has_more and page.items[0].metadata.name == "e1"
-                if kind == Kinds.ENDPOINTS and is_first and not changed:
-                    changed.append(change(world))
-                    list_endpoint(world, "e5", slots=9)
-
-            store.after_page = after_page
+
+            def act():
+                is_in_force = change(world)
+                list_endpoint(world, "e5", slots=9)
+                return is_in_force
+
+            fill(world)
+            changed = act_between_pages(world, act)
             await world.start_gateway(number=1)
             away = await world.start_gateway(number=2, objects_url="http://127.0.0.9:9")
             await wait_for(lambda: changed and away.fleet.is_loaded)
