--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -76,6 +76,9 @@
 # in every update, they would leave little of a slow link for callers.
 TALLY_SECONDS = 0.4
 
+# Time after the end of a roll-out at which the version's answers since are logged.
+AFTER_SECONDS = 5.0
+
 
 class StatusWriter(Protocol):
     """The call to the store that writes a status."""
@@ -179,15 +182,18 @@
     def begin(self, attempt: VersionAttempt) -> None:
         """Note that a request was sent."""
         self._running[id(attempt)] = attempt
-        trial = self._find_running_trial(attempt.service)
+        trial = self._trials.get(attempt.service)
         if trial is not None:
             trial.count_sent(is_new=attempt.version == trial.order.version)
 
     def end(self, attempt: VersionAttempt, outcome: Outcome | None) -> None:
         """Count the answer of an attempt; `outcome` is None if it was cancelled."""
         self._running.pop(id(attempt), None)
+        self._count_since_end(attempt, outcome)
         match outcome:
-            case NotRun() | Lost(is_blameless=True):
+            case NotRun():
+                self._note_not_run(attempt)
+            case Lost(is_blameless=True):
                 return
             case Delivered() | Unsure():
                 attempt.slowness = self._measure(attempt)
@@ -202,6 +208,21 @@
                 if attempt.slowness.whole is not None:
                     self._count(attempt, is_bad=attempt.slowness.is_overdue)
 
+    def _note_not_run(self, attempt: VersionAttempt) -> None:
+        trial = self._find_running_trial(attempt.service)
+        if trial is not None:
+            trial.not_run += 1
+
+    def _count_since_end(
+        self, attempt: VersionAttempt, outcome: Outcome | None
+    ) -> None:
+        trial = self._trials.get(attempt.service)
+        if trial is None or not trial.has_ended:
+            return
+        if attempt.version == trial.order.version:
+            trial.answers_since_end += isinstance(outcome, Delivered | Failed | Lost)
+            trial.bad_since_end += isinstance(outcome, Failed | Lost)
+
     def _measure(self, attempt: VersionAttempt) -> Slowness:
         """Return the slowness of a complete answer, and learn the usual pace from it.
 
@@ -322,9 +343,23 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             for trial in tuple(self._trials.values()):
+                self._log_progress(trial)
                 if not trial.has_ended:
                     await self._advance(trial)
 
+    def _log_progress(self, trial: Trial) -> None:
+        """Log the counts at the time limit, and the answers after the end."""
+        progress = self._find_progress(trial)
+        if progress.part >= 1.0 and not trial.is_overdue:
+            trial.is_overdue = True
+            log_counts(trial, progress)
+            if not trial.has_ended:
+                log_evidence(trial, progress)
+        now = self._loop.time()
+        if trial.ended_at is not None and now >= trial.ended_at + AFTER_SECONDS:
+            trial.ended_at = None
+            log_since_end(trial)
+
     def _receive_share(self, trial: Trial, report: TrialReport) -> None:
         """Use as much of the new version as a peer, so that sessions may go there."""
         trial.raise_share(report.share)
@@ -419,9 +454,6 @@
         if is_due or (is_good and must_move(progress)):
             self._move(trial, self._loop.time())
             log_evidence(trial, progress)
-        elif progress.part >= 1.0 and not trial.is_overdue:
-            trial.is_overdue = True
-            log_evidence(trial, progress)
 
     def _is_sound(self, trial: Trial, progress: Progress) -> bool:
         """Return whether the evidence suffices to give up the old endpoints."""
@@ -485,6 +517,8 @@
         )
         trial.write_after = None
         if written and self._trials.get(order.service) is trial:
+            if state is not RolloutState.RUNNING:
+                trial.ended_at = self._loop.time()
             trial.order = msgspec.structs.replace(trial.order, status=status)
 
     def _is_new(self, trial: Trial, session: str, request: str) -> bool:
@@ -532,6 +566,7 @@
         before = trial.state
         after = Trial(order=order, now=0.0).state
         if before is not after:
+            trial.ended_at = self._loop.time()
             log.info(
                 "rollout: {} of {} is {}", order.version, order.service, after.value
             )
@@ -592,6 +627,43 @@
     )
 
 
+def log_counts(trial: Trial, progress: Progress) -> None:
+    """Log how many requests a version got until its time limit."""
+    allowed = progress.allowed_share * progress.sent + progress.slack
+    log.notice(
+        "rollout: {version} of {service} at its time limit: {state}, {sent_new} of "
+        "{sent} requests, {allowed:.1f} allowed",
+        version=trial.order.version,
+        service=trial.order.service,
+        state=trial.state.value,
+        sent=progress.sent,
+        sent_new=progress.sent_new,
+        allowed=allowed,
+        own_sent=trial.sent,
+        own_sent_new=trial.sent_new,
+        not_run=trial.not_run,
+        verdict=trial.evidence.verdict.value,
+        full_load=trial.full_load.verdict.value,
+        is_bad=trial.is_bad,
+        has_moved=trial.moved_at is not None,
+        is_witnessed=trial.is_witnessed,
+        sources=1 + len(trial.peers),
+    )
+
+
+def log_since_end(trial: Trial) -> None:
+    """Log what a version answered here since its roll-out ended."""
+    log.notice(
+        "rollout: {version} of {service} since it is {state}: {bad} of {answers} "
+        "answers bad",
+        version=trial.order.version,
+        service=trial.order.service,
+        state=trial.state.value,
+        bad=trial.bad_since_end,
+        answers=trial.answers_since_end,
+    )
+
+
 def _estimate_since(order: RolloutOrder, now: float) -> float | None:
     """Return the loop time at which a roll-out began according to its status.
 
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -65,7 +65,8 @@
     wrote its status.
 
     `tallies` holds this gateway's counts of answers, `sent` and `sent_new` its counts
-    of requests, and `peers` the counts of each peer.  `share` is the share of sessions
+    of requests, `not_run` that of attempts that never ran, and `peers` the counts of
+    each peer.  `share` is the share of sessions
     that use the new version.  `moved_at` is the loop time at which all requests moved
     to it, `moved` the progress then and `old_endpoints` the number of the old ones,
     None and 0 before.  `evidence` is the latest judgement, `full_load` that of the
@@ -73,13 +74,18 @@
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
     hash.  `write_after` is the loop time from which this gateway writes the status,
     None if nothing needs to be written, and `is_overdue` says that the time limit has
-    passed without an end.
+    passed.  `answers_since_end` and `bad_since_end` are the version's answers here
+    since the roll-out ended, `ended_at` the loop time of that, None before and once
+    they are logged.
     """
 
     __slots__ = (
         "_before_move",
         "_lost_at",
         "_totals",
+        "answers_since_end",
+        "bad_since_end",
+        "ended_at",
         "estimated_since",
         "evidence",
         "full_load",
@@ -88,6 +94,7 @@
         "is_witnessed",
         "moved",
         "moved_at",
+        "not_run",
         "old_endpoints",
         "order",
         "peers",
@@ -111,12 +118,16 @@
         self.estimated_since = estimated_since
         self.is_witnessed = estimated_since is None
         self.is_bad = False
-        self.is_overdue = False
+        self.is_overdue = self.has_ended
         self.evidence = NO_EVIDENCE
         self.full_load = NO_EVIDENCE
         self.tallies: dict[TallyKey, Tally] = {}
         self.sent = 0
         self.sent_new = 0
+        self.not_run = 0
+        self.answers_since_end = 0
+        self.bad_since_end = 0
+        self.ended_at: float | None = None
         self.share = 0.0
         self.moved: Progress | None = None
         self.old_endpoints = 0
