--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -7,6 +7,8 @@
 import asyncio
 import itertools
 import random
+import types
+import unittest.mock
 from collections import Counter
 
 from eelgrassrack.decisions.answertimes import AnswerTimes
@@ -15,10 +17,11 @@
 from eelgrassrack.gateway.endpoints.endpointstate import EndpointState
 from eelgrassrack.gateway.endpoints.fleet import ANY_VERSION
 from eelgrassrack.gateway.peers.updatemessages import Audience, PeerUpdate
-from eelgrassrack.gateway.requests.job import Delivered, Failed, Lost
+from eelgrassrack.gateway.requests.job import Delivered, Failed, Lost, NotRun
 from eelgrassrack.gateway.settings import GatewaySettings
 from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.gateway.store.storeobjects import RolloutOrder
+from eelgrassrack.gateway.versions import rollouts
 from eelgrassrack.gateway.versions.attempt import VersionAttempt
 from eelgrassrack.gateway.versions.rollouts import Rollouts
 
@@ -115,6 +118,7 @@
             store=play,
             settings=GatewaySettings(name=self.name, domain="north", **SETTINGS),
             find_write_rank=lambda: number,
+            count_gateways=lambda: play.gateway_count,
             contact=self.contact,
         )
         self.task = asyncio.create_task(self.rollouts.run())
@@ -140,7 +144,9 @@
     """One roll-out: `fault` is the new version's, `broken` some endpoints' own.
 
     `bursts` are (begin, end, factor) in seconds after the order.  `kills` are times at
-    which a gateway is replaced by a new process.  `absent` is a span without the store.
+    which a gateway is replaced by a new process.  `absent` is a span without the store,
+    `missing` a time at which the order is missing from lists, and for how long.
+    `refusing_share` of the old version's endpoints refuse connections.
     """
 
     def __init__(
@@ -157,6 +163,8 @@
         bursts=(),
         kills=(),
         absent=(0.0, 0.0),
+        missing=None,
+        refusing_share=0.0,
     ):
         self.rng = random.Random(seed)
         self.fault = fault
@@ -167,6 +175,7 @@
         self.bursts = bursts
         self.kills = kills
         self.absent = absent
+        self.missing = missing
         self.order = None
         self.statuses = {}
         self.sent = Counter()
@@ -183,9 +192,14 @@
             for name in itertools.chain(*names.values())
             if self.rng.random() < broken_share
         }
+        self.refusing = set(names[OLD][: round(refusing_share * endpoints)])
 
     def run(self):
-        with asyncio.Runner(loop_factory=TimeLoop) as runner:
+        clock = types.SimpleNamespace(time=lambda: self.now)
+        with (
+            asyncio.Runner(loop_factory=TimeLoop) as runner,
+            unittest.mock.patch.object(rollouts, "time", clock),
+        ):
             runner.run(self._play())
         return self
 
@@ -228,9 +242,16 @@
         self.gateways = [
             PlayedGateway(self, number) for number in range(self.gateway_count)
         ]
+        for gateway in self.gateways:
+            gateway.rollouts.replace_all({})
         tasks = [
             asyncio.create_task(job)
-            for job in (self._tell(0.3, Audience.NEAR), self._kill(), self._order())
+            for job in (
+                self._tell(0.3, Audience.NEAR),
+                self._kill(),
+                self._order(),
+                self._hide_order(),
+            )
         ]
         ends_at = BEFORE_SECONDS + self.limit + AFTER_SECONDS
         callers = set()
@@ -251,6 +272,17 @@
         for gateway in self.gateways:
             gateway.rollouts.apply_changes({SERVICE: self.order})
 
+    async def _hide_order(self):
+        if self.missing is None:
+            return
+        at, seconds = self.missing
+        await asyncio.sleep(at + BEFORE_SECONDS)
+        for gateway in self.gateways:
+            gateway.rollouts.replace_all({})
+        await asyncio.sleep(seconds)
+        for gateway in self.gateways:
+            gateway.rollouts.replace_all({SERVICE: self.order})
+
     async def _tell(self, seconds, audience):
         while True:
             await asyncio.sleep(seconds)
@@ -271,16 +303,40 @@
         choice = gateway.rollouts.choose_version(
             service=SERVICE, session="", request=f"{self.rng.random()}"
         )
-        version = NEW if choice.only == NEW else OLD
+        allowed = [version for version in (OLD, NEW) if choice.allows(version)]
+        version = self.rng.choice(allowed)
         names = self.names[version]
         if version == NEW and choice.share < 1.0:
             count = count_on_trial(len(names), share=choice.share)
             names = sorted(names, key=lambda n: rank_on_trial(n, slot=choice.slot))
             names = names[:count]
+        names = await self._find_open(gateway.rollouts, route, version, names)
         least = min(self.running[name] for name in names)
         name = self.rng.choice([n for n in names if self.running[n] == least])
         await self._answer(gateway.rollouts, route, version, name)
 
+    async def _find_open(self, rollouts, route, version, names):
+        """Return the endpoints that take connections, after one attempt at another."""
+        if not self.refusing.intersection(names):
+            return names
+        name = self.rng.choice(names)
+        if name in self.refusing:
+            attempt = self._make_attempt(route, version, name, expected=0.0)
+            rollouts.begin(attempt)
+            await asyncio.sleep(0.001)
+            rollouts.end(attempt, NotRun(reason="refused", is_down=True))
+        return [name for name in names if name not in self.refusing]
+
+    def _make_attempt(self, route, version, name, *, expected):
+        return VersionAttempt(
+            service=SERVICE,
+            version=version,
+            route=route,
+            model="",
+            endpoint=name,
+            times=AnswerTimes(sent_at=self.now, expected=expected),
+        )
+
     async def _answer(self, rollouts, route, version, name):
         rng = self.rng
         pieces = max(round(rng.lognormvariate(2.5 if route == "long" else 0.5, 0.7)), 1)
@@ -297,14 +353,7 @@
             )
         ]
         self._note_sent(version, bool(found))
-        attempt = VersionAttempt(
-            service=SERVICE,
-            version=version,
-            route=route,
-            model="",
-            endpoint=name,
-            times=AnswerTimes(sent_at=self.now, expected=reading + 0.03),
-        )
+        attempt = self._make_attempt(route, version, name, expected=reading + 0.03)
         rollouts.begin(attempt)
         self.running[name] += 1
         outcome = None
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -98,3 +98,54 @@
     play = RolloutPlay(seed=seed, fault=Fault(fails=True, above=50)).run()
     got, allowed = play.exposure
     assert got <= allowed
+
+
+UNDER_LOAD = Fault(fails=True, above=50)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("begin", [12.0, 13.2, 14.0])
+def test_a_burst_after_the_move_stays_within_the_allowance(seed, begin):
+    """Three times as many requests come as when the share was raised."""
+    burst = ((begin, 20.0, 3.0),)
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD, bursts=burst).run()
+    got, allowed = play.exposure
+    assert got <= allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("at", [3.0, 7.0, 10.0, 12.5])
+def test_gateways_that_all_restart_stay_within_the_allowance(seed, at):
+    """No process is left that knows how many requests there were."""
+    kills = tuple(at + number / 100 for number in range(4))
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD, kills=kills).run()
+    got, allowed = play.exposure
+    assert got <= allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_attempts_that_never_run_dont_raise_the_allowance(seed):
+    """Half of the old version's endpoints refuse connections at once."""
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD, refusing_share=0.5).run()
+    got, allowed = play.exposure
+    assert got <= allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_version_that_fails_from_shortly_before_its_limit_isnt_taken_over(seed):
+    """Once it is taken over, callers have no other version."""
+    fault = Fault(fails=True, begins=14.0)
+    play = RolloutPlay(seed=seed, fault=fault).run()
+    assert "done" not in play.statuses
+    assert play.count_late() == 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("at", [6.0, 9.0, 13.0])
+def test_an_order_that_is_missing_for_a_moment_keeps_its_counts(seed, at):
+    """A list of orders lacks one that it has a second later."""
+    play = RolloutPlay(seed=seed, fault=Fault(fails=True), missing=(at, 1.0)).run()
+    got, allowed = play.exposure
+    assert "done" not in play.statuses
+    assert got <= allowed
+    assert play.count_late() == 0
