--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -62,6 +62,10 @@
 # The same while a version with all requests waits for its end.
 END_TICK_SECONDS = 0.05
 
+# How long a roll-out goes on while its order is missing.  A list that lacks an order
+# for a moment would otherwise take the counts and the verdict with it.
+MISSING_SECONDS = 5.0
+
 # Time after an order in which the rate of requests is counted, before some of them use
 # the new version.
 RATE_SECONDS = 1.0
@@ -163,8 +167,9 @@
 
     @property
     def orders(self) -> tuple[RolloutOrder, ...]:
-        """Return all orders."""
-        return tuple(trial.order for trial in self._trials.values())
+        """Return all orders that aren't missing."""
+        trials = self._trials.values()
+        return tuple(trial.order for trial in trials if trial.missing_since is None)
 
     def choose_version(
         self, *, service: str, session: str, request: str
@@ -398,6 +403,7 @@
         """Judge trials and write statuses until cancelled."""
         while True:
             await asyncio.sleep(self._find_pause())
+            self._forget_missing()
             for trial in tuple(self._trials.values()):
                 self._log_progress(trial)
                 if not trial.has_ended:
@@ -441,6 +447,8 @@
         trial.note_gateways(self._count_gateways())
         self._judge(trial)
         self._change_share(trial)
+        if trial.missing_since is not None:
+            return
         wanted = self._find_state(trial)
         status = trial.order.status
         is_written = status is not None and status.version == trial.order.version
@@ -624,6 +632,7 @@
         trial = self._trials.get(order.service)
         known = trial.key if trial else None
         if known == (order.service, order.version, order.created):
+            trial.missing_since = None
             if order.revision >= trial.order.revision:
                 self._note_state(trial, order)
                 trial.order = order
@@ -655,9 +664,18 @@
             )
 
     def _drop(self, service: str) -> None:
-        trial = self._trials.pop(service, None)
-        if trial is not None:
-            log.info("rollout: order for {} was removed", service)
+        trial = self._trials.get(service)
+        if trial is not None and trial.missing_since is None:
+            log.info("rollout: order for {} is missing", service)
+            trial.missing_since = self._loop.time()
+
+    def _forget_missing(self) -> None:
+        """Forget the roll-outs whose orders have been missing for long enough."""
+        latest = self._loop.time() - MISSING_SECONDS
+        for service, trial in tuple(self._trials.items()):
+            if trial.missing_since is not None and trial.missing_since <= latest:
+                log.info("rollout: order for {} was removed", service)
+                del self._trials[service]
 
 
 def find_key(trial: Trial, attempt: VersionAttempt) -> TallyKey:
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -149,3 +149,11 @@
     assert "done" not in play.statuses
     assert got <= allowed
     assert play.count_late() == 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_rolled_back_version_gets_nothing_while_its_order_is_missing(seed):
+    """A list without the order would take the verdict with it."""
+    play = RolloutPlay(seed=seed, fault=Fault(fails=True), missing=(13.0, 2.0)).run()
+    assert "rolled back" in play.statuses
+    assert not [at for at in play.sent_new_at if at > 13.0]
