Don't take a response whose head breaks off for a complete one

An engine that closed in the middle of its head: the agent relayed a 200 with an empty body as whole. Curl ends such a transfer without an error, and nothing asked whether the blank line had come. It is a broken connection now.

--- a/eelgrassrack/agent/transfer.py
+++ b/eelgrassrack/agent/transfer.py
@@ -68,6 +68,7 @@
         "_error",
         "_exchange",
         "_error_body",
+        "_has_head",
         "_headers",
         "_on_begun",
         "_on_head",
@@ -89,6 +90,7 @@
         self._begun = False
         self._error: AnswerError | None = None
         self._error_body = bytearray()
+        self._has_head = False
         self._headers: list[tuple[str, str]] = []
         self._status = 0
 
@@ -125,6 +127,9 @@
         """Return the outcome of a transfer that ended without a curl error."""
         if self._error is not None:
             return AnswerFailed(reason=self._error.reason, cut=self._error.cut)
+        if not self._has_head:
+            # Curl takes a head that breaks off for a complete one without a body.
+            return ConnectionBroken(reason="the response's head broke off")
         if not self._answer.accepts(status):
             text = self._error_body[:MAX_REASON_BYTES].decode(errors="replace")
             return AnswerFailed(reason=text or f"status {status}", status=status)
@@ -156,8 +161,10 @@
             # Interim (1xx) responses may come first; the last status counts.
             self._status = int(text.split()[1])
             self._headers.clear()
+            self._has_head = False
             return
         if not text:
+            self._has_head = self._status >= 200
             self._on_head(self._status, tuple(self._headers))
             return
         name, colon, value = text.partition(":")
