--- a/eelgrassrack/gateway/endpoints/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -25,7 +25,7 @@
 from ...decisions.rest import may_wait
 from ..peers.roommessages import RoomMessage
 from ..peers.updatemessages import Audience, EndpointReport, PeerUpdate
-from ..requests.job import ExecutionStatus, Job, NotRun, Outcome, Placement
+from ..requests.job import Job, NotRun, Outcome, Placement
 from ..requests.messages import Refusal, ResponseHead
 from ..requests.prompts import (
     estimate_answer_tokens,
@@ -389,7 +389,6 @@
                 sent_at=job.sent_at,
                 expected=job.reading_seconds + self._pace.base_seconds,
             ),
-            is_repeat=job.execution_status is not ExecutionStatus.NOT_RUN,
         )
         self._rollouts.begin(job.trial_attempt)
 
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -206,17 +206,10 @@
     def _has_room(self, trial: Trial, allowance: Allowance, session: str) -> bool:
         """Return whether a request may use the new version.
 
-        What is kept back is for sessions whose callers have seen its answers.
+        What is kept back is for sessions, whose callers may have seen its answers at
+        any gateway.
         """
-        if not session:
-            return self._has_room_for_more(trial, allowance)
-        key = xxhash.xxh32_intdigest(session.encode())
-        if key in trial.settled:
-            return True
-        has_room = self._has_room_for_more(trial, allowance)
-        if has_room:
-            trial.settled.add(key)
-        return has_room
+        return bool(session) or self._has_room_for_more(trial, allowance)
 
     def _has_room_for_more(self, trial: Trial, allowance: Allowance) -> bool:
         if trial.moved_at is None:
