--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -5,11 +5,10 @@
 an hour's requests would be bad.
 
 Until nearly the end of its time limit, a small share of the sessions uses the new
-version.  All requests move to it so late that what operators allow a bad version is
-likely to suffice, and not while the evidence speaks against it (see `versionevidence`);
-if more come, some use the old version again (see `exposure`).  The old endpoints are
-given up last, which can't be taken back and asks for evidence that the version is
-good.  A version that isn't found good by its time
+version.  All requests move to it so late that even a version that turns out bad has got
+no more than operators allow by then, and not while the evidence speaks against it (see
+`versionevidence`).  The old endpoints are given up last, which can't be taken back and
+asks for evidence that the version is good.  A version that isn't found good by its time
 limit is rolled back, unless it only had too few requests.
 """
 
@@ -32,14 +31,11 @@
 WANTED_ANSWERS = 60.0
 MIN_ANSWERS_PER_SECOND = 4.0
 
-# Part of the time limit at which the move to a good version starts at the latest.
+# Part of the time limit at which the move to a good version starts at the latest, and
+# from which its old endpoints are given up though requests run on them.  What is left
+# is for writing the status with a store that answers late.
 LATEST_MOVE_PART = 0.92
-
-# Time before the limit at which the old endpoints of a good version are given up, and
-# that as a part of short limits.  Until then a version that turns bad is taken back.
-# What is left is for writing the status.
-END_SECONDS = 0.5
-END_PART = 0.06
+LATEST_END_PART = 0.94
 
 # Sessions may change their version from this part of the time limit on.
 FREE_SESSIONS_PART = 0.5
@@ -80,16 +76,14 @@
     """How far a roll-out is, and how many requests its versions got.
 
     `elapsed` and `limit` are the seconds since it was ordered and those that it may
-    take.  `sent_new` of `sent` requests went to the new version, and `rate` is the
-    number that comes per second.  Operators allow a bad version `allowed_share` of the
-    requests, and `slack` more.
+    take.  `sent_new` of `sent` requests went to the new version.  Operators allow a bad
+    version `allowed_share` of the requests, and `slack` more.
     """
 
     elapsed: float
     limit: float
     sent: int
     sent_new: int
-    rate: float
     allowed_share: float
     slack: float
 
@@ -99,9 +93,9 @@
         return self.elapsed / max(self.limit, 0.001)
 
     @property
-    def remaining(self) -> float:
-        """Return the seconds until the time limit, less than 0 after it."""
-        return self.limit - self.elapsed
+    def rate(self) -> float:
+        """Return the requests per second so far."""
+        return self.sent / max(self.elapsed, 0.001)
 
 
 def find_trial_share(progress: Progress, *, settling: float) -> float:
@@ -121,12 +115,15 @@
 
 
 def may_move(progress: Progress) -> bool:
-    """Return whether all requests are likely to be allowed until the time limit."""
+    """Return whether all requests may move to the new version at no risk.
+
+    Even if it turns out bad, it has got no more than is allowed at its time limit.
+    """
     if progress.part < FREE_SESSIONS_PART:
         return False
-    coming = progress.rate * progress.remaining
+    coming = progress.rate * (progress.limit - progress.elapsed)
     allowed = progress.allowed_share * (progress.sent + coming) + progress.slack
-    reserve = RESERVE_PART * (coming + progress.slack) + math.sqrt(max(coming, 0)) / 2
+    reserve = RESERVE_PART * (coming + progress.slack) + math.sqrt(coming) / 2
     return progress.sent_new + coming + reserve <= allowed
 
 
@@ -185,28 +182,23 @@
 
     Operators allow even a bad version all of them.
     """
-    expected = progress.sent + progress.rate * max(progress.remaining, 0.0)
-    return expected <= progress.slack
-
-
-def find_end(limit: float) -> float:
-    """Return the seconds after the order from which old endpoints may be given up."""
-    return limit - min(END_SECONDS, limit * END_PART)
+    return progress.rate * progress.limit <= progress.slack
 
 
 def may_end(
-    progress: Progress, *, moved_for: float, sound_for: float, is_covered: bool
+    *, part: float, moved_for: float, sound_for: float, old_running: int
 ) -> bool:
     """Return whether the old endpoints of a good version may be given up.
 
-    `moved_for` is the seconds since all requests moved, `sound_for` those since the
-    evidence suffices.  `is_covered` says that all requests until the limit are allowed.
+    `part` is the part of the time limit that is over, `moved_for` the seconds since all
+    requests moved, `sound_for` those since the evidence suffices, and `old_running` the
+    number of requests on the old endpoints.
     """
-    if moved_for < MOVE_SECONDS or not is_covered:
+    if moved_for < MOVE_SECONDS:
         return False
-    if sound_for < SOUND_SECONDS and progress.part < LAST_PART:
+    if sound_for < SOUND_SECONDS and part < LAST_PART:
         return False
-    return progress.elapsed >= find_end(progress.limit)
+    return part >= LATEST_END_PART or not old_running
 
 
 def rank_on_trial(name: str, *, slot: int) -> int:
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -176,11 +176,6 @@
             store=self._store,
             settings=settings,
             find_write_rank=self._find_write_rank,
-            count_gateways=lambda: (
-                self._update_exchange.gateway_count
-                if self._update_exchange.is_listed
-                else None
-            ),
             contact=self._contact,
         )
         self._placer = Placer(
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -57,7 +57,6 @@
     `sent` and `sent_new` count the requests that the gateway sent to the service and,
     of them, to the new version.  `share` is the share of sessions that uses it, and
     `moved_for` the seconds since all requests moved to it, less than 0 if they didn't.
-    `rate` is the gateway's requests per second, less than 0 if it doesn't say so.
     """
 
     service: str
@@ -71,7 +70,6 @@
     sent_new: int = 0
     share: float = 0.0
     moved_for: float = -1.0
-    rate: float = -1.0
 
 
 class SessionPin(msgspec.Struct, frozen=True, array_like=True):
--- a/eelgrassrack/gateway/versions/attempt.py
+++ b/eelgrassrack/gateway/versions/attempt.py
@@ -8,8 +8,7 @@
 class VersionAttempt(msgspec.Struct, kw_only=True):
     """One attempt at an endpoint of a service, with its times so far.
 
-    `is_repeat` says that the request has run elsewhere before.  `slowness` is that of
-    its answer, once it has ended.
+    `slowness` is that of its answer, once it has ended.
     """
 
     service: str
@@ -18,5 +17,4 @@
     model: str
     endpoint: str
     times: AnswerTimes
-    is_repeat: bool = False
     slowness: Slowness = NO_SLOWNESS
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -21,15 +21,12 @@
     find_slowness,
     find_unfinished_slowness,
 )
-from ...decisions.exposure import Allowance, share_slack
 from ...decisions.versionevidence import Demand, Tally, Verdict, confirm, judge
 from ...decisions.versiontrial import (
-    END_SECONDS,
     FREE_SESSIONS_PART,
     MAX_TRIAL_SHARE,
     Progress,
     find_demand,
-    find_end,
     find_slot,
     find_trial_share,
     is_quiet,
@@ -47,6 +44,7 @@
 from ..store.storeobjects import RolloutOrder, RolloutState, RolloutStatus
 from .attempt import VersionAttempt
 from .trial import (
+    PeerTrial,
     PinnedSession,
     TallyKey,
     Trial,
@@ -59,13 +57,6 @@
 # Interval at which trials are judged and statuses written.
 TICK_SECONDS = 0.25
 
-# The same while a version with all requests waits for its end.
-END_TICK_SECONDS = 0.05
-
-# How long a roll-out goes on while its order is missing.  A list that lacks an order
-# for a moment would otherwise take the counts and the verdict with it.
-MISSING_SECONDS = 5.0
-
 # Time after an order in which the rate of requests is counted, before some of them use
 # the new version.
 RATE_SECONDS = 1.0
@@ -102,14 +93,12 @@
     """All roll-outs, at most one per service.
 
     `find_write_rank` returns this gateway's turn in writing statuses, 0 for the
-    first, and `count_gateways` how many there are, None while it isn't known.
+    first.
     """
 
     __slots__ = (
         "_contact",
-        "_count_gateways",
         "_fleet",
-        "_is_loaded",
         "_loop",
         "_find_write_rank",
         "_pace",
@@ -127,13 +116,10 @@
         store: StatusWriter,
         settings: GatewaySettings,
         find_write_rank: Callable[[], int],
-        count_gateways: Callable[[], int | None],
         contact: StoreContact,
     ) -> None:
         self._contact = contact
-        self._count_gateways = count_gateways
         self._fleet = fleet
-        self._is_loaded = False
         self._store = store
         self._settings = settings
         self._find_write_rank = find_write_rank
@@ -159,7 +145,6 @@
                     self._drop(name)
                 case _:
                     log.warning("rollout: order {} can't be read: {}", name, found)
-        self._is_loaded = True
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -167,9 +152,8 @@
 
     @property
     def orders(self) -> tuple[RolloutOrder, ...]:
-        """Return all orders that aren't missing."""
-        trials = self._trials.values()
-        return tuple(trial.order for trial in trials if trial.missing_since is None)
+        """Return all orders."""
+        return tuple(trial.order for trial in self._trials.values())
 
     def choose_version(
         self, *, service: str, session: str, request: str
@@ -183,44 +167,12 @@
             return VersionChoice(never=version, is_strict=True)
         if trial.state is RolloutState.DONE:
             return VersionChoice(only=version)
-        allowance = self._find_own_allowance(trial)
-        if not allowance.has_room():
-            return VersionChoice(never=version, is_strict=True)
-        is_new = self._is_new(trial, session, request)
-        if is_new and self._has_room(trial, allowance, session):
+        if self._is_new(trial, session, request):
             return VersionChoice(
                 only=version, share=trial.share, slot=self._find_slot(trial)
             )
         return VersionChoice(never=version)
 
-    def _find_own_allowance(self, trial: Trial) -> Allowance:
-        """Return this gateway's own requests, and its part of what is allowed."""
-        slack = self._settings.exposure_slack if trial.has_slack else 0.0
-        return Allowance(
-            sent=trial.counts.sent,
-            sent_new=trial.counts.sent_new,
-            share=self._settings.exposure_share,
-            slack=share_slack(slack, gateways=trial.gateways),
-        )
-
-    def _has_room(self, trial: Trial, allowance: Allowance, session: str) -> bool:
-        """Return whether a request may use the new version.
-
-        What is kept back is for sessions, whose callers may have seen its answers at
-        any gateway.
-        """
-        return bool(session) or self._has_room_for_more(trial, allowance)
-
-    def _has_room_for_more(self, trial: Trial, allowance: Allowance) -> bool:
-        if trial.moved_at is None:
-            return True
-        now = self._loop.time()
-        kept = allowance.find_kept(
-            rate=trial.counts.find_rate(now),
-            remaining=trial.since + trial.order.seconds - now,
-        )
-        return allowance.has_room(kept=kept)
-
     def _find_slot(self, trial: Trial) -> int:
         if trial.share >= 1.0:
             return 0
@@ -232,11 +184,7 @@
         self._running[id(attempt)] = attempt
         trial = self._trials.get(attempt.service)
         if trial is not None:
-            trial.counts.count(
-                is_new=attempt.version == trial.order.version,
-                is_repeat=attempt.is_repeat,
-                now=self._loop.time(),
-            )
+            trial.count_sent(is_new=attempt.version == trial.order.version)
 
     def end(self, attempt: VersionAttempt, outcome: Outcome | None) -> None:
         """Count the answer of an attempt; `outcome` is None if it was cancelled."""
@@ -244,7 +192,7 @@
         self._count_since_end(attempt, outcome)
         match outcome:
             case NotRun():
-                self._take_back(attempt, outcome)
+                self._note_not_run(attempt)
             case Lost(is_blameless=True):
                 return
             case Delivered() | Unsure():
@@ -260,14 +208,10 @@
                 if attempt.slowness.whole is not None:
                     self._count(attempt, is_bad=attempt.slowness.is_overdue)
 
-    def _take_back(self, attempt: VersionAttempt, outcome: NotRun) -> None:
-        trial = self._trials.get(attempt.service)
-        if trial is not None and attempt.times.sent_at >= trial.received_at:
-            trial.counts.take_back(
-                is_new=attempt.version == trial.order.version,
-                is_repeat=attempt.is_repeat,
-                has_reached=not (outcome.is_down or outcome.is_unreachable),
-            )
+    def _note_not_run(self, attempt: VersionAttempt) -> None:
+        trial = self._find_running_trial(attempt.service)
+        if trial is not None:
+            trial.not_run += 1
 
     def _count_since_end(
         self, attempt: VersionAttempt, outcome: Outcome | None
@@ -356,7 +300,10 @@
             if not trial.is_bad:
                 self._receive_share(trial, report)
             source = f"{update.name}.{update.lifetime}"
-            trial.receive_counts(source, report, now)
+            before = trial.peers.get(source, PeerTrial())
+            trial.peers[source] = PeerTrial(
+                report.tallies or before.tallies, report.sent, report.sent_new
+            )
             for pin in update.pins:
                 trial.pins[pin.session] = PinnedSession(now, pin.is_new, float("-inf"))
 
@@ -376,11 +323,10 @@
                 trial.is_bad,
                 self._list_tallies(trial) if has_tallies else (),
                 trial.is_witnessed,
-                trial.counts.sent,
-                trial.counts.sent_new,
+                trial.sent,
+                trial.sent_new,
                 trial.share,
                 -1.0 if trial.moved_at is None else now - trial.moved_at,
-                trial.counts.find_mean_rate(now),
             )
             for trial in running
         )
@@ -395,8 +341,7 @@
     async def run(self) -> None:
         """Judge trials and write statuses until cancelled."""
         while True:
-            await asyncio.sleep(self._find_pause())
-            self._forget_missing()
+            await asyncio.sleep(TICK_SECONDS)
             for trial in tuple(self._trials.values()):
                 self._log_progress(trial)
                 if not trial.has_ended:
@@ -415,18 +360,6 @@
             trial.ended_at = None
             log_since_end(trial)
 
-    def _find_pause(self) -> float:
-        """Return the seconds to the next tick, less around the end of a trial."""
-        now = self._loop.time()
-        ends = [
-            trial.since + find_end(trial.order.seconds) - now
-            for trial in self._trials.values()
-            if not trial.has_ended and trial.moved_at is not None
-        ]
-        if any(-END_SECONDS <= end <= 0.0 for end in ends):
-            return END_TICK_SECONDS
-        return min([TICK_SECONDS, *(end for end in ends if end > 0.0)])
-
     def _receive_share(self, trial: Trial, report: TrialReport) -> None:
         """Use as much of the new version as a peer, so that sessions may go there."""
         trial.raise_share(report.share)
@@ -437,11 +370,8 @@
     async def _advance(self, trial: Trial) -> None:
         now = self._loop.time()
         trial.apply_estimate(now)
-        trial.note_gateways(self._count_gateways())
         self._judge(trial)
         self._change_share(trial)
-        if trial.missing_since is not None:
-            return
         wanted = self._find_state(trial)
         status = trial.order.status
         is_written = status is not None and status.version == trial.order.version
@@ -502,13 +432,11 @@
 
     def _find_progress(self, trial: Trial) -> Progress:
         sent, sent_new = trial.find_sent()
-        now = self._loop.time()
         return Progress(
-            elapsed=now - trial.since,
+            elapsed=self._loop.time() - trial.since,
             limit=trial.order.seconds,
             sent=sent,
             sent_new=sent_new,
-            rate=trial.find_rate(now),
             allowed_share=self._settings.exposure_share,
             slack=self._settings.exposure_slack,
         )
@@ -551,23 +479,15 @@
         if trial.sound_since is None:
             trial.sound_since = now
         is_over = may_end(
-            progress,
+            part=progress.part,
             moved_for=now - trial.moved_at,
             sound_for=now - trial.sound_since,
-            is_covered=self._is_covered(trial, progress),
+            old_running=self._count_old(trial),
         )
         return RolloutState.DONE if is_over else RolloutState.RUNNING
 
-    def _is_covered(self, trial: Trial, progress: Progress) -> bool:
-        """Return whether all requests until the limit may use the new version."""
-        now = self._loop.time()
-        allowance = trial.find_allowance(
-            share=progress.allowed_share, slack=progress.slack, now=now
-        )
-        counts = trial.counts
-        growth = counts.find_rate(now) / max(counts.find_mean_rate(now), 0.001)
-        rate = progress.rate * growth
-        return allowance.covers(rate=rate, remaining=progress.remaining)
+    def _count_old(self, trial: Trial) -> int:
+        return sum(state.running for state in self._list_old(trial))
 
     def _list_old(self, trial: Trial) -> list[EndpointState]:
         """Return the endpoints of other versions."""
@@ -625,7 +545,6 @@
         trial = self._trials.get(order.service)
         known = trial.key if trial else None
         if known == (order.service, order.version, order.created):
-            trial.missing_since = None
             if order.revision >= trial.order.revision:
                 self._note_state(trial, order)
                 trial.order = order
@@ -633,12 +552,8 @@
         now = self._loop.time()
         estimated_since = _estimate_since(order, now)
         self._trials[order.service] = Trial(
-            order=order,
-            now=now,
-            estimated_since=estimated_since,
-            has_slack=self._is_loaded,
+            order=order, now=now, estimated_since=estimated_since
         )
-        self._trials[order.service].note_gateways(self._count_gateways())
         log.info(
             "rollout: {} to {} within {:.1f} s, seen after {:.1f} s by the clock",
             order.service,
@@ -657,18 +572,9 @@
             )
 
     def _drop(self, service: str) -> None:
-        trial = self._trials.get(service)
-        if trial is not None and trial.missing_since is None:
-            log.info("rollout: order for {} is missing", service)
-            trial.missing_since = self._loop.time()
-
-    def _forget_missing(self) -> None:
-        """Forget the roll-outs whose orders have been missing for long enough."""
-        latest = self._loop.time() - MISSING_SECONDS
-        for service, trial in tuple(self._trials.items()):
-            if trial.missing_since is not None and trial.missing_since <= latest:
-                log.info("rollout: order for {} was removed", service)
-                del self._trials[service]
+        trial = self._trials.pop(service, None)
+        if trial is not None:
+            log.info("rollout: order for {} was removed", service)
 
 
 def find_key(trial: Trial, attempt: VersionAttempt) -> TallyKey:
@@ -733,9 +639,9 @@
         sent=progress.sent,
         sent_new=progress.sent_new,
         allowed=allowed,
-        own_sent=trial.counts.sent,
-        own_sent_new=trial.counts.sent_new,
-        not_run=trial.counts.not_run,
+        own_sent=trial.sent,
+        own_sent_new=trial.sent_new,
+        not_run=trial.not_run,
         verdict=trial.evidence.verdict.value,
         full_load=trial.full_load.verdict.value,
         is_bad=trial.is_bad,
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from ...decisions.answertimes import Slowness
-from ...decisions.exposure import Allowance
 from ...decisions.versionevidence import (
     NO_TIMES,
     Evidence,
@@ -15,9 +14,7 @@
     Verdict,
 )
 from ...decisions.versiontrial import Progress
-from ..peers.updatemessages import TrialReport
 from ..store.storeobjects import RolloutOrder, RolloutState
-from .requestcounts import RequestCounts
 
 # A gateway that joins a running roll-out waits this long for a peer that saw it begin;
 # peers of other failure domains report once a second.  Only then it relies on the
@@ -33,9 +30,6 @@
 RECENT_SECONDS = 8.0
 TOTALS_SECONDS = 1.0
 
-# A peer that hasn't reported for this long sends no more requests.
-PEER_SECONDS = 3.0
-
 TallyKey = tuple[str, str, str]
 
 NO_EVIDENCE = Evidence(verdict=Verdict.OPEN)
@@ -55,17 +49,11 @@
 
 
 class PeerTrial(msgspec.Struct, frozen=True):
-    """What a peer has counted in a trial, heard at the loop time `at`."""
+    """What a peer has counted in a trial."""
 
     tallies: tuple[Tally, ...] = ()
     sent: int = 0
     sent_new: int = 0
-    rate: float = 0.0
-    at: float = float("-inf")
-
-    def find_rate(self, now: float) -> float:
-        """Return its requests per second, 0 if it is silent."""
-        return self.rate if now < self.at + PEER_SECONDS else 0.0
 
 
 class Trial:
@@ -76,11 +64,9 @@
     `estimated_since` is its start by the clocks of this gateway and of the one that
     wrote its status.
 
-    `tallies` holds this gateway's counts of answers, `counts` those of requests, and
-    `peers` the counts of each peer.  `has_slack` says that no process before this one
-    used its part of the constant that operators allow, and `gateways` is the largest
-    number of gateways that share it, None while it isn't known.  `settled` holds the
-    hashes of sessions that use the version.  `share` is the share of sessions
+    `tallies` holds this gateway's counts of answers, `sent` and `sent_new` its counts
+    of requests, `not_run` that of attempts that never ran, and `peers` the counts of
+    each peer.  `share` is the share of sessions
     that use the new version.  `moved_at` is the loop time at which all requests moved
     to it, `moved` the progress then and `old_endpoints` the number of the old ones,
     None and 0 before.  `evidence` is the latest judgement, `full_load` that of the
@@ -88,8 +74,7 @@
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
     hash.  `write_after` is the loop time from which this gateway writes the status,
     None if nothing needs to be written, and `is_overdue` says that the time limit has
-    passed.  `missing_since` is the loop time since which the order is missing.
-    `answers_since_end` and `bad_since_end` are the version's answers here
+    passed.  `answers_since_end` and `bad_since_end` are the version's answers here
     since the roll-out ended, `ended_at` the loop time of that, None before and once
     they are logged.
     """
@@ -101,24 +86,22 @@
         "answers_since_end",
         "bad_since_end",
         "ended_at",
-        "counts",
         "estimated_since",
         "evidence",
         "full_load",
-        "gateways",
-        "has_slack",
         "is_bad",
         "is_overdue",
         "is_witnessed",
-        "missing_since",
         "moved",
         "moved_at",
+        "not_run",
         "old_endpoints",
         "order",
         "peers",
         "pins",
         "received_at",
-        "settled",
+        "sent",
+        "sent_new",
         "share",
         "since",
         "sound_since",
@@ -127,12 +110,7 @@
     )
 
     def __init__(
-        self,
-        *,
-        order: RolloutOrder,
-        now: float,
-        estimated_since: float | None = None,
-        has_slack: bool = True,
+        self, *, order: RolloutOrder, now: float, estimated_since: float | None = None
     ) -> None:
         self.order = order
         self.since = now
@@ -144,13 +122,11 @@
         self.evidence = NO_EVIDENCE
         self.full_load = NO_EVIDENCE
         self.tallies: dict[TallyKey, Tally] = {}
-        self.counts = RequestCounts(began_at=now)
-        self.has_slack = has_slack
-        self.gateways: int | None = None
-        self.settled: set[int] = set()
+        self.sent = 0
+        self.sent_new = 0
+        self.not_run = 0
         self.answers_since_end = 0
         self.bad_since_end = 0
-        self.missing_since: float | None = None
         self.ended_at: float | None = None
         self.share = 0.0
         self.moved: Progress | None = None
@@ -204,50 +180,17 @@
         """Return whether the roll-out has ended."""
         return self.state is not RolloutState.RUNNING
 
-    def receive_counts(self, source: str, report: TrialReport, now: float) -> None:
-        """Apply the counts that a peer reports."""
-        before = self.peers.get(source, PeerTrial())
-        rate = report.rate
-        if rate < 0.0:
-            rate = report.sent / max(report.elapsed, TOTALS_SECONDS)
-        self.peers[source] = PeerTrial(
-            report.tallies or before.tallies, report.sent, report.sent_new, rate, now
-        )
-
-    def note_gateways(self, count: int | None) -> None:
-        """Note how many gateways there are."""
-        if count is not None:
-            self.gateways = max(self.gateways or 0, count)
+    def count_sent(self, *, is_new: bool) -> None:
+        """Count a request that was sent to the service."""
+        self.sent += 1
+        self.sent_new += is_new
 
     def find_sent(self) -> tuple[int, int]:
         """Return the requests of all gateways, and those to the new version."""
         reports = self.peers.values()
         return (
-            self.counts.sent + sum(report.sent for report in reports),
-            self.counts.sent_new + sum(report.sent_new for report in reports),
-        )
-
-    def find_rate(self, now: float) -> float:
-        """Return the mean requests per second of all gateways."""
-        peers = sum(report.find_rate(now) for report in self.peers.values())
-        return self.counts.find_mean_rate(now) + peers
-
-    def find_allowance(self, *, share: float, slack: float, now: float) -> Allowance:
-        """Return the requests of all gateways, with those of peers since their reports.
-
-        Since the move all of these use the new version.
-        """
-        sent, sent_new = self.find_sent()
-        unheard = sum(
-            report.find_rate(now) * (now - report.at)
-            for report in self.peers.values()
-            if report.find_rate(now)
-        )
-        return Allowance(
-            sent=sent + int(unheard),
-            sent_new=sent_new + (int(unheard) if self.moved_at is not None else 0),
-            share=share,
-            slack=slack,
+            self.sent + sum(report.sent for report in reports),
+            self.sent_new + sum(report.sent_new for report in reports),
         )
 
     def count(self, tally: Tally) -> None:
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -118,7 +118,6 @@
             store=play,
             settings=GatewaySettings(name=self.name, domain="north", **SETTINGS),
             find_write_rank=lambda: number,
-            count_gateways=lambda: play.gateway_count,
             contact=self.contact,
         )
         self.task = asyncio.create_task(self.rollouts.run())
