Let the plays of roll-outs draw as before, and note an end in one place

The model of callers drew a version also where only one was allowed, and sent requests to the new version before its order, which starts it.

The end of a roll-out is noted where its order is replaced, instead of in two places, and the counts of ended roll-outs aren't summed at each tick any more. The plays name the clock's module instead of importing it, and share one fault.

--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -349,17 +349,22 @@
 
     def _log_progress(self, trial: Trial) -> None:
         """Log the counts at the time limit, and the answers after the end."""
-        progress = self._find_progress(trial)
-        if progress.part >= 1.0 and not trial.is_overdue:
-            trial.is_overdue = True
-            log_counts(trial, progress)
-            if not trial.has_ended:
-                log_evidence(trial, progress)
+        if not trial.is_overdue:
+            self._log_at_limit(trial)
         now = self._loop.time()
         if trial.ended_at is not None and now >= trial.ended_at + AFTER_SECONDS:
             trial.ended_at = None
             log_since_end(trial)
 
+    def _log_at_limit(self, trial: Trial) -> None:
+        progress = self._find_progress(trial)
+        if progress.part < 1.0:
+            return
+        trial.is_overdue = True
+        log_counts(trial, progress)
+        if not trial.has_ended:
+            log_evidence(trial, progress)
+
     def _receive_share(self, trial: Trial, report: TrialReport) -> None:
         """Use as much of the new version as a peer, so that sessions may go there."""
         trial.raise_share(report.share)
@@ -517,9 +522,8 @@
         )
         trial.write_after = None
         if written and self._trials.get(order.service) is trial:
-            if state is not RolloutState.RUNNING:
-                trial.ended_at = self._loop.time()
-            trial.order = msgspec.structs.replace(trial.order, status=status)
+            order = msgspec.structs.replace(trial.order, status=status)
+            trial.replace_order(order, now=self._loop.time())
 
     def _is_new(self, trial: Trial, session: str, request: str) -> bool:
         now = self._loop.time()
@@ -547,7 +551,7 @@
         if known == (order.service, order.version, order.created):
             if order.revision >= trial.order.revision:
                 self._note_state(trial, order)
-                trial.order = order
+                trial.replace_order(order, now=self._loop.time())
             return
         now = self._loop.time()
         estimated_since = _estimate_since(order, now)
@@ -566,7 +570,6 @@
         before = trial.state
         after = Trial(order=order, now=0.0).state
         if before is not after:
-            trial.ended_at = self._loop.time()
             log.info(
                 "rollout: {} of {} is {}", order.version, order.service, after.value
             )
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -66,9 +66,9 @@
 
     `tallies` holds this gateway's counts of answers, `sent` and `sent_new` its counts
     of requests, `not_run` that of attempts that never ran, and `peers` the counts of
-    each peer.  `share` is the share of sessions
-    that use the new version.  `moved_at` is the loop time at which all requests moved
-    to it, `moved` the progress then and `old_endpoints` the number of the old ones,
+    each peer.  `share` is the share of sessions that use the new version.  `moved_at`
+    is the loop time at which all requests moved to it, `moved` the progress then and
+    `old_endpoints` the number of the old ones,
     None and 0 before.  `evidence` is the latest judgement, `full_load` that of the
     answers since the move, and `sound_since` the loop time since which both suffice to
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
@@ -180,6 +180,13 @@
         """Return whether the roll-out has ended."""
         return self.state is not RolloutState.RUNNING
 
+    def replace_order(self, order: RolloutOrder, *, now: float) -> None:
+        """Use a later revision of the order, whose status may say that it has ended."""
+        had_ended = self.has_ended
+        self.order = order
+        if self.has_ended and not had_ended:
+            self.ended_at = now
+
     def count_sent(self, *, is_new: bool) -> None:
         """Count a request that was sent to the service."""
         self.sent += 1
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -21,7 +21,6 @@
 from eelgrassrack.gateway.settings import GatewaySettings
 from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.gateway.store.storeobjects import RolloutOrder
-from eelgrassrack.gateway.versions import rollouts
 from eelgrassrack.gateway.versions.attempt import VersionAttempt
 from eelgrassrack.gateway.versions.rollouts import Rollouts
 
@@ -40,6 +39,9 @@
 BEFORE_SECONDS = 3.0
 AFTER_SECONDS = 8.0
 
+# The module that reads the time of day.
+WALL_CLOCK = "eelgrassrack.gateway.versions.rollouts.time"
+
 CALLER_SECONDS = 15.0
 BAD_ANSWERS = 50
 
@@ -197,7 +199,7 @@
         clock = types.SimpleNamespace(time=lambda: self.now)
         with (
             asyncio.Runner(loop_factory=TimeLoop) as runner,
-            unittest.mock.patch.object(rollouts, "time", clock),
+            unittest.mock.patch(WALL_CLOCK, clock),
         ):
             runner.run(self._play())
         return self
@@ -302,8 +304,7 @@
         choice = gateway.rollouts.choose_version(
             service=SERVICE, session="", request=f"{self.rng.random()}"
         )
-        allowed = [version for version in (OLD, NEW) if choice.allows(version)]
-        version = self.rng.choice(allowed)
+        version = self._draw_version(choice)
         names = self.names[version]
         if version == NEW and choice.share < 1.0:
             count = count_on_trial(len(names), share=choice.share)
@@ -314,6 +315,15 @@
         name = self.rng.choice([n for n in names if self.running[n] == least])
         await self._answer(gateway.rollouts, route, version, name)
 
+    def _draw_version(self, choice):
+        """Return a version that may get a request; only an order starts the new one.
+
+        A draw without a choice would change what the seeds play.
+        """
+        known = (OLD, NEW) if self.order else (OLD,)
+        allowed = [version for version in known if choice.allows(version)]
+        return self.rng.choice(allowed) if len(allowed) > 1 else allowed[0]
+
     async def _find_open(self, rollouts, route, version, names):
         """Return the endpoints that take connections, after one attempt at another."""
         if not self.refusing.intersection(names):
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -69,6 +69,9 @@
 }
 
 
+UNDER_LOAD = Fault(fails=True, above=50)
+
+
 def make_id(name):
     """Return an id without spaces, as KNOWN-RED.txt needs."""
     return re.sub(r"\W+", "_", name)
@@ -95,14 +98,11 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_fault_that_nobody_can_see_stays_within_the_allowance(seed):
     """The version fails only under more load than there is before its time limit."""
-    play = RolloutPlay(seed=seed, fault=Fault(fails=True, above=50)).run()
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD).run()
     got, allowed = play.exposure
     assert got <= allowed
 
 
-UNDER_LOAD = Fault(fails=True, above=50)
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("begin", [12.0, 13.2, 14.0])
 def test_a_burst_after_the_move_stays_within_the_allowance(seed, begin):
