--- a/eelgrassrack/agent/transfer.py
+++ b/eelgrassrack/agent/transfer.py
@@ -6,6 +6,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlError
 
+from ..curl import HeadEnd
 from .answers import ChatAnswer, PlainAnswer
 from .errors import AnswerError
 from .headers import drop_hop_by_hop
@@ -68,7 +69,7 @@
         "_error",
         "_exchange",
         "_error_body",
-        "_has_head",
+        "_head_end",
         "_headers",
         "_on_begun",
         "_on_head",
@@ -90,7 +91,7 @@
         self._begun = False
         self._error: AnswerError | None = None
         self._error_body = bytearray()
-        self._has_head = False
+        self._head_end = HeadEnd()
         self._headers: list[tuple[str, str]] = []
         self._status = 0
 
@@ -127,8 +128,7 @@
         """Return the outcome of a transfer that ended without a curl error."""
         if self._error is not None:
             return AnswerFailed(reason=self._error.reason, cut=self._error.cut)
-        if not self._has_head:
-            # Curl takes a head that breaks off for a complete one without a body.
+        if not self._head_end.is_seen:
             return ConnectionBroken(reason="the response's head broke off")
         if not self._answer.accepts(status):
             text = self._error_body[:MAX_REASON_BYTES].decode(errors="replace")
@@ -156,15 +156,14 @@
         return pycurl.PREREQFUNC_OK
 
     def _read_header(self, line: bytes) -> None:
+        self._head_end.note_line(line)
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             # Interim (1xx) responses may come first; the last status counts.
             self._status = int(text.split()[1])
             self._headers.clear()
-            self._has_head = False
             return
         if not text:
-            self._has_head = self._status >= 200
             self._on_head(self._status, tuple(self._headers))
             return
         name, colon, value = text.partition(":")
