Keep the bound on a version's requests at each gateway

All requests moved to a version once a forecast said that those to come would be allowed, and nothing counted after that: a burst, chance, or gateways that restarted broke it.

Each gateway now sends the version no more than the share of its own requests that were answered, and its part of the slack, of which a process that starts during the roll-out has none: the bounds add up at any moment. Gateways give each other what they have too much. All requests move when what is left suffices until the end, half a second before the limit, and for 1.5 times the requests after it; the old version alone is used once nothing is left.

--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -5,11 +5,12 @@
 an hour's requests would be bad.
 
 Until nearly the end of its time limit, a small share of the sessions uses the new
-version.  All requests move to it so late that even a version that turns out bad has got
-no more than operators allow by then, and not while the evidence speaks against it (see
-`versionevidence`).  The old endpoints are given up last, which can't be taken back and
-asks for evidence that the version is good.  A version that isn't found good by its time
-limit is rolled back, unless it only had too few requests.
+version.  All requests move to it so late that what operators allow a bad version is
+likely to suffice, and not while the evidence speaks against it (see `versionevidence`);
+if more come, some use the old version again (see `exposure`).  The old endpoints are
+given up last, which can't be taken back and asks for evidence that the version is
+good.  A version that isn't found good by its time limit is rolled back, unless it only
+had too few requests.
 """
 
 import math
@@ -17,6 +18,7 @@
 import msgspec
 import xxhash
 
+from .exposure import KEPT_FACTOR, find_end, find_end_seconds, find_use
 from .versionevidence import Demand
 
 # Share of the allowance for a bad version that its trial may use up: the rest is left
@@ -31,11 +33,10 @@
 WANTED_ANSWERS = 60.0
 MIN_ANSWERS_PER_SECOND = 4.0
 
-# Part of the time limit at which the move to a good version starts at the latest, and
-# from which its old endpoints are given up though requests run on them.  What is left
-# is for writing the status with a store that answers late.
-LATEST_MOVE_PART = 0.92
-LATEST_END_PART = 0.94
+# Time before the limit at which the move to a good version starts at the latest, and
+# that as a part of short limits.
+LATEST_MOVE_SECONDS = 1.8
+LATEST_MOVE_PART = 0.1
 
 # Sessions may change their version from this part of the time limit on.
 FREE_SESSIONS_PART = 0.5
@@ -43,18 +44,19 @@
 # Time between the move and the end, in which faults under the full load show.
 MOVE_SECONDS = 0.6
 
-# How long the evidence must suffice, and the part of the time limit from which it needs
+# How long the evidence must suffice, and the time before the limit from which it needs
 # not: a version on which it changes is held a little longer.
 SOUND_SECONDS = 0.2
-LAST_PART = 0.97
+LAST_SECONDS = 0.2
 
 # Time beyond the limit in which a version may still be found good, or its status
 # written.
 GIVE_UP_SECONDS = 1.0
 
-# Part of the remaining traffic, and of the slack, that is kept for retries and bursts;
-# chance takes up to about the square root of the traffic besides.
-RESERVE_PART = 0.04
+# What is to be left at the move beyond what is needed until the end: a part of that,
+# and so many times the square root of the requests to come.
+RESERVE_PART = 0.1
+CHANCE_ERRORS = 1.0
 
 # The endpoints in use change so often, as a part of the time limit and at most: one
 # that is slow or broken for its own reasons shows as different from the others.
@@ -63,11 +65,11 @@
 
 # Answers that it takes to call a version good, within bounds: in its whole trial, as a
 # part of the requests that come within the time limit, and under the full load, as a
-# part of those that operators allow a bad version.
+# part of those that are left of what operators allow a bad version.
 ANSWERS_PART = 1 / 3
 MIN_ANSWERS = 8
 MAX_ANSWERS = 20
-FULL_LOAD_PART = 0.15
+FULL_LOAD_PART = 0.25
 MIN_FULL_LOAD_ANSWERS = 4
 MAX_FULL_LOAD_ANSWERS = 30
 
@@ -76,16 +78,21 @@
     """How far a roll-out is, and how many requests its versions got.
 
     `elapsed` and `limit` are the seconds since it was ordered and those that it may
-    take.  `sent_new` of `sent` requests went to the new version.  Operators allow a bad
-    version `allowed_share` of the requests, and `slack` more.
+    take.  `sent_new` of `sent` requests went to the new version.  `rate` is the mean
+    number of requests per second, `latest_rate` that of the latest time if it is more.
+    Operators allow a bad version `allowed_share` of the requests, and `slack` more, of
+    which live gateways have `left`.
     """
 
     elapsed: float
     limit: float
     sent: int
     sent_new: int
+    rate: float
+    latest_rate: float
     allowed_share: float
     slack: float
+    left: float
 
     @property
     def part(self) -> float:
@@ -93,9 +100,9 @@
         return self.elapsed / max(self.limit, 0.001)
 
     @property
-    def rate(self) -> float:
-        """Return the requests per second so far."""
-        return self.sent / max(self.elapsed, 0.001)
+    def remaining(self) -> float:
+        """Return the seconds until the time limit, less than 0 after it."""
+        return self.limit - self.elapsed
 
 
 def find_trial_share(progress: Progress, *, settling: float) -> float:
@@ -109,27 +116,35 @@
     if expected <= 0:
         return min(most, MAX_TRIAL_SHARE)
     most += progress.slack * TRIAL_PART / expected
-    seconds = max(progress.limit * LATEST_MOVE_PART - settling, progress.limit / 4)
+    seconds = max(find_latest_move(progress.limit) - settling, progress.limit / 4)
     wanted = max(WANTED_ANSWERS / max(seconds, 0.001), MIN_ANSWERS_PER_SECOND)
     return min(most, wanted / progress.rate, MAX_TRIAL_SHARE)
 
 
 def may_move(progress: Progress) -> bool:
-    """Return whether all requests may move to the new version at no risk.
+    """Return whether all requests are likely to be allowed until the time limit.
 
-    Even if it turns out bad, it has got no more than is allowed at its time limit.
+    Beyond what gateways keep back, some is left for chance.
     """
     if progress.part < FREE_SESSIONS_PART:
         return False
-    coming = progress.rate * (progress.limit - progress.elapsed)
-    allowed = progress.allowed_share * (progress.sent + coming) + progress.slack
-    reserve = RESERVE_PART * (coming + progress.slack) + math.sqrt(coming) / 2
-    return progress.sent_new + coming + reserve <= allowed
+    share = progress.allowed_share
+    rate = progress.latest_rate
+    seconds = find_end_seconds(progress.limit)
+    use = find_use(share=share, rate=rate, seconds=progress.remaining - seconds)
+    kept = KEPT_FACTOR * find_use(share=share, rate=rate, seconds=seconds)
+    chance = CHANCE_ERRORS * math.sqrt(rate * max(progress.remaining, 0.0))
+    return progress.left >= use * (1.0 + RESERVE_PART) + kept + chance
 
 
 def must_move(progress: Progress) -> bool:
     """Return whether it is the time at which a good version gets all requests."""
-    return progress.part >= LATEST_MOVE_PART
+    return progress.elapsed >= find_latest_move(progress.limit)
+
+
+def find_latest_move(limit: float) -> float:
+    """Return the seconds after the order at which all requests move at the latest."""
+    return limit - min(LATEST_MOVE_SECONDS, limit * LATEST_MOVE_PART)
 
 
 def must_give_up(progress: Progress, *, has_moved: bool, is_doubted: bool) -> bool:
@@ -158,8 +173,7 @@
     fewer = max(old_endpoints / max(endpoints, 1), 1.0)
     expected = progress.rate * progress.limit
     answers = min(max(int(expected * ANSWERS_PART), MIN_ANSWERS), MAX_ANSWERS)
-    allowed = expected * progress.allowed_share + progress.slack
-    full_load = int(allowed * FULL_LOAD_PART)
+    full_load = int((progress if moved is None else moved).left * FULL_LOAD_PART)
     return Demand(
         endpoints=endpoints,
         answers=answers,
@@ -182,23 +196,23 @@
 
     Operators allow even a bad version all of them.
     """
-    return progress.rate * progress.limit <= progress.slack
+    expected = progress.sent + progress.rate * max(progress.remaining, 0.0)
+    return expected <= progress.slack
 
 
 def may_end(
-    *, part: float, moved_for: float, sound_for: float, old_running: int
+    progress: Progress, *, moved_for: float, sound_for: float, is_covered: bool
 ) -> bool:
     """Return whether the old endpoints of a good version may be given up.
 
-    `part` is the part of the time limit that is over, `moved_for` the seconds since all
-    requests moved, `sound_for` those since the evidence suffices, and `old_running` the
-    number of requests on the old endpoints.
+    `moved_for` is the seconds since all requests moved, `sound_for` those since the
+    evidence suffices.  `is_covered` says that all requests until the limit are allowed.
     """
-    if moved_for < MOVE_SECONDS:
+    if moved_for < MOVE_SECONDS or not is_covered:
         return False
-    if sound_for < SOUND_SECONDS and part < LAST_PART:
+    if sound_for < SOUND_SECONDS and progress.remaining > LAST_SECONDS:
         return False
-    return part >= LATEST_END_PART or not old_running
+    return progress.elapsed >= find_end(progress.limit)
 
 
 def rank_on_trial(name: str, *, slot: int) -> int:
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -176,7 +176,13 @@
             store=self._store,
             settings=settings,
             find_write_rank=self._find_write_rank,
+            count_gateways=lambda: (
+                self._update_exchange.gateway_count
+                if self._update_exchange.is_listed
+                else None
+            ),
             contact=self._contact,
+            lifetime=self._update_exchange.lifetime,
         )
         self._placer = Placer(
             fleet=self.fleet,
--- a/eelgrassrack/gateway/endpoints/placing.py
+++ b/eelgrassrack/gateway/endpoints/placing.py
@@ -282,6 +282,8 @@
         """
         self.wishes.note_head(endpoint, head)
         is_own = not head.attempt or head.attempt == job.arrival.id
+        if is_own and not head.not_run and job.trial_attempt is not None:
+            self._rollouts.note_reached(job.trial_attempt)
         job.told = head.load if is_own else None
         state = (
             self._fleet.find(head.sender)
@@ -342,6 +344,8 @@
         counted, so the request is never left out.
         """
         self.guard.note_sent(job, endpoint)
+        if job.trial_attempt is not None:
+            job.trial_attempt.is_sent = True
         state = self._fleet.find_state(endpoint)
         if state is None:
             return
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -49,6 +49,16 @@
     age: float
 
 
+class Gift(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests to a version on trial one gateway leaves to a peer.
+
+    `receiver` is the peer's name and lifetime: a restarted one mustn't use it again.
+    """
+
+    receiver: str
+    requests: float
+
+
 class TrialReport(msgspec.Struct, frozen=True, array_like=True):
     """The progress of a roll-out as one gateway sees it.
 
@@ -57,6 +67,9 @@
     `sent` and `sent_new` count the requests that the gateway sent to the service and,
     of them, to the new version.  `share` is the share of sessions that uses it, and
     `moved_for` the seconds since all requests moved to it, less than 0 if they didn't.
+    `mean_rate` and `latest_rate` are the gateway's requests per second, `left` is how
+    many more of them the new version may get, and `gifts` what it gave of that to peers
+    in all.  An earlier version of the gateway sends none of these.
     """
 
     service: str
@@ -70,6 +83,10 @@
     sent_new: int = 0
     share: float = 0.0
     moved_for: float = -1.0
+    mean_rate: float = 0.0
+    latest_rate: float = 0.0
+    left: float = 0.0
+    gifts: tuple[Gift, ...] = ()
 
 
 class SessionPin(msgspec.Struct, frozen=True, array_like=True):
--- a/eelgrassrack/gateway/versions/rolloutlog.py
+++ b/eelgrassrack/gateway/versions/rolloutlog.py
@@ -48,6 +48,8 @@
         part=round(progress.part, 3),
         sent=progress.sent,
         sent_new=progress.sent_new,
+        left=round(progress.left, 1),
+        rate=round(progress.latest_rate, 1),
     )
 
 
@@ -63,9 +65,13 @@
         sent=progress.sent,
         sent_new=progress.sent_new,
         allowed=allowed,
-        own_sent=trial.sent,
-        own_sent_new=trial.sent_new,
-        not_run=trial.not_run,
+        own_sent=trial.account.sent,
+        own_sent_new=trial.account.sent_new,
+        own_reached=trial.account.reached,
+        not_run=trial.account.not_run,
+        given=round(sum(trial.account.given.values()), 1),
+        received=round(sum(trial.account.received.values()), 1),
+        left=round(progress.left, 1),
         verdict=trial.evidence.verdict.value,
         full_load=trial.full_load.verdict.value,
         is_bad=trial.is_bad,
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -20,6 +20,17 @@
     find_slowness,
     find_unfinished_slowness,
 )
+from ...decisions.exposure import (
+    END_SECONDS,
+    Allowance,
+    Holder,
+    covers,
+    find_end,
+    find_end_seconds,
+    find_gifts,
+    find_moved_share,
+    limit_share,
+)
 from ...decisions.versionevidence import Demand, Tally, Verdict, confirm, judge
 from ...decisions.versiontrial import (
     FREE_SESSIONS_PART,
@@ -36,7 +47,13 @@
 )
 from ..endpoints.endpointstate import EndpointState
 from ..endpoints.fleet import ANY_VERSION, Fleet, VersionChoice
-from ..peers.updatemessages import Audience, PeerUpdate, SessionPin, TrialReport
+from ..peers.updatemessages import (
+    Audience,
+    Gift,
+    PeerUpdate,
+    SessionPin,
+    TrialReport,
+)
 from ..requests.job import Delivered, Failed, Lost, NotRun, Outcome, Unsure
 from ..settings import GatewaySettings
 from ..store.storecontact import StoreContact
@@ -44,7 +61,6 @@
 from .attempt import VersionAttempt
 from .rolloutlog import log_counts, log_evidence, log_since_end
 from .trial import (
-    PeerTrial,
     PinnedSession,
     TallyKey,
     Trial,
@@ -57,6 +73,13 @@
 # Interval at which trials are judged and statuses written.
 TICK_SECONDS = 0.25
 
+# The same while a version with all requests waits for its end.
+END_TICK_SECONDS = 0.05
+
+# Interval at which a gateway gives what it has too much of a version's allowance: its
+# peers have reported what they got by then.
+GIFT_SECONDS = 0.6
+
 # Time after an order in which the rate of requests is counted, before some of them use
 # the new version.
 RATE_SECONDS = 1.0
@@ -93,17 +116,21 @@
     """All roll-outs, at most one per service.
 
     `find_write_rank` returns this gateway's turn in writing statuses, 0 for the
-    first.
+    first, and `count_gateways` how many there are, None while it isn't known.
+    `lifetime` tells this process from earlier ones of the same name.
     """
 
     __slots__ = (
         "_contact",
+        "_count_gateways",
         "_fleet",
+        "_is_loaded",
         "_loop",
         "_find_write_rank",
         "_pace",
         "_running",
         "_settings",
+        "_source",
         "_store",
         "_tallied_at",
         "_trials",
@@ -116,10 +143,15 @@
         store: StatusWriter,
         settings: GatewaySettings,
         find_write_rank: Callable[[], int],
+        count_gateways: Callable[[], int | None],
         contact: StoreContact,
+        lifetime: str,
     ) -> None:
         self._contact = contact
+        self._count_gateways = count_gateways
         self._fleet = fleet
+        self._is_loaded = False
+        self._source = name_source(settings.name, lifetime)
         self._store = store
         self._settings = settings
         self._find_write_rank = find_write_rank
@@ -145,6 +177,7 @@
                     self._drop(name)
                 case _:
                     log.warning("rollout: order {} can't be read: {}", name, found)
+        self._is_loaded = True
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -167,12 +200,42 @@
             return VersionChoice(never=version, is_strict=True)
         if trial.state is RolloutState.DONE:
             return VersionChoice(only=version)
-        if self._is_new(trial, session, request):
+        allowance = self._find_allowance(trial)
+        if not allowance.has_room:
+            return VersionChoice(never=version, is_strict=True)
+        share = self._find_share(trial, allowance)
+        if self._is_new(trial, session, request, share=share):
             return VersionChoice(
                 only=version, share=trial.share, slot=self._find_slot(trial)
             )
         return VersionChoice(never=version)
 
+    def _find_allowance(self, trial: Trial) -> Allowance:
+        """Return what this gateway may send to a version on trial."""
+        return trial.account.find_allowance(
+            share=self._settings.exposure_share, slack=self._settings.exposure_slack
+        )
+
+    def _find_share(self, trial: Trial, allowance: Allowance) -> float:
+        """Return the share of sessions that use the new version at this gateway."""
+        if trial.moved_at is None:
+            return trial.share
+        own = self._find_moved_share(
+            trial, allowance.left, rate=trial.account.find_rate(self._loop.time())
+        )
+        return max(limit_share(trial.common_share, own), trial.trial_share)
+
+    def _find_moved_share(self, trial: Trial, left: float, *, rate: float) -> float:
+        limit = trial.order.seconds
+        return find_moved_share(
+            left=left,
+            share=self._settings.exposure_share,
+            rate=rate,
+            remaining=trial.since + limit - self._loop.time(),
+            end_seconds=find_end_seconds(limit),
+            kept_factor=trial.kept_factor,
+        )
+
     def _find_slot(self, trial: Trial) -> int:
         if trial.share >= 1.0:
             return 0
@@ -184,16 +247,25 @@
         self._running[id(attempt)] = attempt
         trial = self._trials.get(attempt.service)
         if trial is not None:
-            trial.count_sent(is_new=attempt.version == trial.order.version)
+            trial.account.count_sent(
+                is_new=attempt.version == trial.order.version, now=self._loop.time()
+            )
+
+    def note_reached(self, attempt: VersionAttempt) -> None:
+        """Note that an endpoint begins to answer an attempt."""
+        trial = self._trials.get(attempt.service)
+        if trial is None or attempt.has_reached or not is_counted(trial, attempt):
+            return
+        attempt.has_reached = True
+        trial.account.count_reached()
 
     def end(self, attempt: VersionAttempt, outcome: Outcome | None) -> None:
         """Count the answer of an attempt; `outcome` is None if it was cancelled."""
         self._running.pop(id(attempt), None)
         self._count_since_end(attempt, outcome)
+        self._count_reach(attempt, outcome)
         match outcome:
-            case NotRun():
-                self._note_not_run(attempt)
-            case Lost(is_blameless=True):
+            case NotRun() | Lost(is_blameless=True):
                 return
             case Delivered() | Unsure():
                 attempt.slowness = self._measure(attempt)
@@ -208,10 +280,17 @@
                 if attempt.slowness.whole is not None:
                     self._count(attempt, is_bad=attempt.slowness.is_overdue)
 
-    def _note_not_run(self, attempt: VersionAttempt) -> None:
-        trial = self._find_running_trial(attempt.service)
-        if trial is not None:
-            trial.not_run += 1
+    def _count_reach(self, attempt: VersionAttempt, outcome: Outcome | None) -> None:
+        """Count whether an attempt reached its endpoint, or wasn't even sent."""
+        if isinstance(outcome, Delivered | Unsure | Failed):
+            self.note_reached(attempt)
+        trial = self._trials.get(attempt.service)
+        if trial is None or not is_counted(trial, attempt):
+            return
+        if isinstance(outcome, NotRun) or not attempt.is_sent:
+            trial.account.count_not_run(
+                is_new=attempt.version == trial.order.version, is_sent=attempt.is_sent
+            )
 
     def _count_since_end(
         self, attempt: VersionAttempt, outcome: Outcome | None
@@ -299,14 +378,19 @@
                 trial.is_bad = True
             if not trial.is_bad:
                 self._receive_share(trial, report)
-            source = f"{update.name}.{update.lifetime}"
-            before = trial.peers.get(source, PeerTrial())
-            trial.peers[source] = PeerTrial(
-                report.tallies or before.tallies, report.sent, report.sent_new
-            )
+            source = name_source(update.name, update.lifetime)
+            trial.receive_counts(source, report, now)
+            self._receive_gifts(trial, source, report.gifts)
             for pin in update.pins:
                 trial.pins[pin.session] = PinnedSession(now, pin.is_new, float("-inf"))
 
+    def _receive_gifts(
+        self, trial: Trial, source: str, gifts: tuple[Gift, ...]
+    ) -> None:
+        for gift in gifts:
+            if gift.receiver == self._source:
+                trial.account.receive(source, gift.requests)
+
     def report(
         self, audience: Audience
     ) -> tuple[tuple[TrialReport, ...], tuple[SessionPin, ...]]:
@@ -317,18 +401,7 @@
         if has_tallies:
             self._tallied_at[audience] = now
         trials = tuple(
-            TrialReport(
-                *trial.key,
-                now - trial.since,
-                trial.is_bad,
-                self._list_tallies(trial) if has_tallies else (),
-                trial.is_witnessed,
-                trial.sent,
-                trial.sent_new,
-                trial.share,
-                -1.0 if trial.moved_at is None else now - trial.moved_at,
-            )
-            for trial in running
+            self._report_trial(trial, has_tallies=has_tallies) for trial in running
         )
         pins = [
             SessionPin(session, seen.is_new)
@@ -338,15 +411,45 @@
         ]
         return trials, tuple(pins[-MOST_REPORTED_PINS:])
 
+    def _report_trial(self, trial: Trial, *, has_tallies: bool) -> TrialReport:
+        now = self._loop.time()
+        account = trial.account
+        return TrialReport(
+            *trial.key,
+            now - trial.since,
+            trial.is_bad,
+            self._list_tallies(trial) if has_tallies else (),
+            trial.is_witnessed,
+            account.sent,
+            account.sent_new,
+            trial.share,
+            -1.0 if trial.moved_at is None else now - trial.moved_at,
+            account.find_mean_rate(now),
+            account.find_latest_rate(now),
+            self._find_allowance(trial).left,
+            tuple(itertools.starmap(Gift, account.given.items())),
+        )
+
     async def run(self) -> None:
         """Judge trials and write statuses until cancelled."""
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            await asyncio.sleep(self._find_pause())
             for trial in tuple(self._trials.values()):
                 self._log_progress(trial)
                 if not trial.has_ended:
                     await self._advance(trial)
 
+    def _find_pause(self) -> float:
+        """Return the seconds to the next tick, less around the end of a trial."""
+        now = self._loop.time()
+        ends = (
+            trial.since + find_end(trial.order.seconds) - now
+            for trial in self._trials.values()
+            if not trial.has_ended and trial.moved_at is not None
+        )
+        is_near = any(-END_SECONDS <= end <= TICK_SECONDS for end in ends)
+        return END_TICK_SECONDS if is_near else TICK_SECONDS
+
     def _log_progress(self, trial: Trial) -> None:
         """Log the counts at the time limit, and the answers after the end."""
         if not trial.is_overdue:
@@ -375,8 +478,10 @@
     async def _advance(self, trial: Trial) -> None:
         now = self._loop.time()
         trial.apply_estimate(now)
+        trial.account.note_gateways(self._count_gateways())
         self._judge(trial)
         self._change_share(trial)
+        self._give(trial)
         wanted = self._find_state(trial)
         status = trial.order.status
         is_written = status is not None and status.version == trial.order.version
@@ -437,20 +542,46 @@
 
     def _find_progress(self, trial: Trial) -> Progress:
         sent, sent_new = trial.find_sent()
+        now = self._loop.time()
         return Progress(
-            elapsed=self._loop.time() - trial.since,
+            elapsed=now - trial.since,
             limit=trial.order.seconds,
             sent=sent,
             sent_new=sent_new,
+            rate=trial.find_mean_rate(now),
+            latest_rate=trial.find_rate(now),
+            left=sum(max(holder.left, 0.0) for holder in self._list_holders(trial)),
             allowed_share=self._settings.exposure_share,
             slack=self._settings.exposure_slack,
         )
 
+    def _list_holders(self, trial: Trial) -> list[Holder]:
+        """Return what all live gateways have left, this one first."""
+        now = self._loop.time()
+        left = self._find_allowance(trial).left
+        own = Holder(self._source, left, trial.account.find_rate(now))
+        return [own, *trial.list_peers(now)]
+
+    def _give(self, trial: Trial) -> None:
+        """Give peers what this gateway has too much for the requests that it gets."""
+        now = self._loop.time()
+        if trial.is_bad or now < trial.given_at + GIFT_SECONDS:
+            return
+        trial.given_at = now
+        own, *others = self._list_holders(trial)
+        gifts = find_gifts(own=own, others=others)
+        trial.account.give(gifts)
+
     def _change_share(self, trial: Trial) -> None:
         """Raise the new version's share as far as its evidence and the time allow."""
-        if trial.is_bad or trial.moved_at is not None:
+        if trial.is_bad:
             return
         progress = self._find_progress(trial)
+        trial.common_share = self._find_moved_share(
+            trial, progress.left, rate=progress.latest_rate
+        )
+        if trial.moved_at is not None:
+            return
         settling = self._settings.session_seconds
         if progress.sent and progress.elapsed >= RATE_SECONDS:
             trial.raise_share(find_trial_share(progress, settling=settling))
@@ -477,22 +608,30 @@
         if trial.is_bad:
             return RolloutState.ROLLED_BACK
         progress = self._find_progress(trial)
+        now = self._loop.time()
         if trial.moved_at is None or not self._is_sound(trial, progress):
             trial.sound_since = None
             return RolloutState.RUNNING
-        now = self._loop.time()
         if trial.sound_since is None:
             trial.sound_since = now
         is_over = may_end(
-            part=progress.part,
+            progress,
             moved_for=now - trial.moved_at,
             sound_for=now - trial.sound_since,
-            old_running=self._count_old(trial),
+            is_covered=self._is_covered(trial, progress),
         )
         return RolloutState.DONE if is_over else RolloutState.RUNNING
 
-    def _count_old(self, trial: Trial) -> int:
-        return sum(state.running for state in self._list_old(trial))
+    def _is_covered(self, trial: Trial, progress: Progress) -> bool:
+        """Return whether all requests until the limit may use the new version."""
+        return covers(
+            self._list_holders(trial),
+            share=progress.allowed_share,
+            rate=progress.latest_rate,
+            remaining=progress.remaining,
+            end_seconds=find_end_seconds(progress.limit),
+            kept_factor=trial.kept_factor,
+        )
 
     def _list_old(self, trial: Trial) -> list[EndpointState]:
         """Return the endpoints of other versions."""
@@ -525,11 +664,13 @@
             order = msgspec.structs.replace(trial.order, status=status)
             trial.replace_order(order, now=self._loop.time())
 
-    def _is_new(self, trial: Trial, session: str, request: str) -> bool:
+    def _is_new(
+        self, trial: Trial, session: str, request: str, *, share: float
+    ) -> bool:
         now = self._loop.time()
         elapsed = now - trial.since
         point = xxhash.xxh3_64_intdigest((session or request).encode()) / 2**64
-        is_new = point < trial.share
+        is_new = point < share
         if not session or elapsed >= trial.order.seconds * FREE_SESSIONS_PART:
             return is_new
         # In the first half a session that used the old version a moment ago stays
@@ -556,8 +697,12 @@
         now = self._loop.time()
         estimated_since = _estimate_since(order, now)
         self._trials[order.service] = Trial(
-            order=order, now=now, estimated_since=estimated_since
+            order=order,
+            now=now,
+            estimated_since=estimated_since,
+            has_slack=self._is_loaded,
         )
+        self._trials[order.service].account.note_gateways(self._count_gateways())
         log.info(
             "rollout: {} to {} within {:.1f} s, seen after {:.1f} s by the clock",
             order.service,
@@ -580,6 +725,16 @@
             log.info("rollout: order for {} was removed", service)
 
 
+def name_source(name: str, lifetime: str) -> str:
+    """Return what names a gateway's process."""
+    return f"{name}.{lifetime}"
+
+
+def is_counted(trial: Trial, attempt: VersionAttempt) -> bool:
+    """Return whether an attempt was sent since its roll-out was seen."""
+    return attempt.times.sent_at >= trial.received_at
+
+
 def find_key(trial: Trial, attempt: VersionAttempt) -> TallyKey:
     """Return the key of the tally that an attempt counts in.
 
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -6,6 +6,12 @@
 import msgspec
 
 from ...decisions.answertimes import Slowness
+from ...decisions.exposure import (
+    KEPT_FACTOR,
+    Holder,
+    find_end_seconds,
+    find_kept_factor,
+)
 from ...decisions.versionevidence import (
     NO_TIMES,
     Evidence,
@@ -14,7 +20,9 @@
     Verdict,
 )
 from ...decisions.versiontrial import Progress
+from ..peers.updatemessages import TrialReport
 from ..store.storeobjects import RolloutOrder, RolloutState
+from .requestaccount import RequestAccount
 
 # A gateway that joins a running roll-out waits this long for a peer that saw it begin;
 # peers of other failure domains report once a second.  Only then it relies on the
@@ -30,6 +38,9 @@
 RECENT_SECONDS = 8.0
 TOTALS_SECONDS = 1.0
 
+# A peer that hasn't reported for this long sends no more requests.
+PEER_SECONDS = 3.0
+
 TallyKey = tuple[str, str, str]
 
 NO_EVIDENCE = Evidence(verdict=Verdict.OPEN)
@@ -49,11 +60,23 @@
 
 
 class PeerTrial(msgspec.Struct, frozen=True):
-    """What a peer has counted in a trial."""
+    """What a peer has counted in a trial, heard at the loop time `at`.
+
+    `mean_rate` and `latest_rate` are its requests per second, `left` is how many more
+    of them the version may get.
+    """
 
     tallies: tuple[Tally, ...] = ()
     sent: int = 0
     sent_new: int = 0
+    mean_rate: float = 0.0
+    latest_rate: float = 0.0
+    left: float = 0.0
+    at: float = float("-inf")
+
+    def is_live(self, now: float) -> bool:
+        """Return whether the peer still sends requests."""
+        return now < self.at + PEER_SECONDS
 
 
 class Trial:
@@ -64,9 +87,12 @@
     `estimated_since` is its start by the clocks of this gateway and of the one that
     wrote its status.
 
-    `tallies` holds this gateway's counts of answers, `sent` and `sent_new` its counts
-    of requests, `not_run` that of attempts that never ran, and `peers` the counts of
-    each peer.  `share` is the share of sessions that use the new version.  `moved_at`
+    `tallies` holds this gateway's counts of answers, `account` its requests, `given_at`
+    is the loop time at which it last considered to give some of what it has left, and
+    `peers` the counts of each peer, by its name and lifetime.  `share` is the share of
+    sessions that use the new version, `trial_share` that before the move, and
+    `common_share` the share since then for which all gateways have enough, besides
+    `kept_factor` of the requests after the end.  `moved_at`
     is the loop time at which all requests moved to it, `moved` the progress then and
     `old_endpoints` the number of the old ones,
     None and 0 before.  `evidence` is the latest judgement, `full_load` that of the
@@ -83,34 +109,41 @@
         "_before_move",
         "_lost_at",
         "_totals",
+        "account",
         "answers_since_end",
         "bad_since_end",
+        "common_share",
         "ended_at",
         "estimated_since",
         "evidence",
         "full_load",
+        "given_at",
         "is_bad",
         "is_overdue",
         "is_witnessed",
+        "kept_factor",
         "moved",
         "moved_at",
-        "not_run",
         "old_endpoints",
         "order",
         "peers",
         "pins",
         "received_at",
-        "sent",
-        "sent_new",
         "share",
         "since",
         "sound_since",
         "tallies",
+        "trial_share",
         "write_after",
     )
 
     def __init__(
-        self, *, order: RolloutOrder, now: float, estimated_since: float | None = None
+        self,
+        *,
+        order: RolloutOrder,
+        now: float,
+        estimated_since: float | None = None,
+        has_slack: bool = False,
     ) -> None:
         self.order = order
         self.since = now
@@ -122,13 +155,15 @@
         self.evidence = NO_EVIDENCE
         self.full_load = NO_EVIDENCE
         self.tallies: dict[TallyKey, Tally] = {}
-        self.sent = 0
-        self.sent_new = 0
-        self.not_run = 0
+        self.given_at = now
+        self.account = RequestAccount(began_at=now, has_slack=has_slack)
         self.answers_since_end = 0
         self.bad_since_end = 0
         self.ended_at: float | None = None
         self.share = 0.0
+        self.trial_share = 0.0
+        self.common_share = 1.0
+        self.kept_factor = KEPT_FACTOR
         self.moved: Progress | None = None
         self.old_endpoints = 0
         self.moved_at: float | None = None
@@ -153,12 +188,20 @@
     def raise_share(self, share: float) -> None:
         """Raise the share; it never falls, as sessions stay on the new version."""
         self.share = max(self.share, share)
+        if self.moved_at is None:
+            self.trial_share = self.share
 
     def move(self, at: float, *, progress: Progress) -> None:
         """Let all requests use the new version since the loop time `at`."""
         self.share = 1.0
         if self.moved_at is None:
             self.moved = progress
+            self.kept_factor = find_kept_factor(
+                left=progress.left,
+                share=progress.allowed_share,
+                rate=progress.latest_rate,
+                seconds=find_end_seconds(progress.limit),
+            )
             self._before_move = self._totals[-1][1] if self._totals else {}
         self.moved_at = at if self.moved_at is None else min(self.moved_at, at)
 
@@ -187,19 +230,54 @@
         if self.has_ended and not had_ended:
             self.ended_at = now
 
-    def count_sent(self, *, is_new: bool) -> None:
-        """Count a request that was sent to the service."""
-        self.sent += 1
-        self.sent_new += is_new
+    def receive_counts(self, source: str, report: TrialReport, now: float) -> None:
+        """Apply the counts that a peer, given by name and lifetime, reports."""
+        before = self.peers.get(source, PeerTrial())
+        self.peers[source] = PeerTrial(
+            report.tallies or before.tallies,
+            report.sent,
+            report.sent_new,
+            report.mean_rate,
+            report.latest_rate,
+            report.left,
+            now,
+        )
 
     def find_sent(self) -> tuple[int, int]:
         """Return the requests of all gateways, and those to the new version."""
         reports = self.peers.values()
         return (
-            self.sent + sum(report.sent for report in reports),
-            self.sent_new + sum(report.sent_new for report in reports),
+            self.account.sent + sum(report.sent for report in reports),
+            self.account.sent_new + sum(report.sent_new for report in reports),
         )
 
+    def find_mean_rate(self, now: float) -> float:
+        """Return the mean requests per second of all gateways."""
+        peers = (peer.mean_rate for peer in self._list_live(now))
+        return self.account.find_mean_rate(now) + sum(peers)
+
+    def find_rate(self, now: float) -> float:
+        """Return the latest requests per second, or the mean if that is more."""
+        peers = (peer.latest_rate for peer in self._list_live(now))
+        latest = self.account.find_latest_rate(now) + sum(peers)
+        return max(latest, self.find_mean_rate(now))
+
+    def _list_live(self, now: float) -> list[PeerTrial]:
+        return [peer for peer in self.peers.values() if peer.is_live(now)]
+
+    def list_peers(self, now: float) -> list[Holder]:
+        """Return what live peers have left for the version."""
+        return [
+            Holder(
+                source,
+                peer.left,
+                max(peer.mean_rate, peer.latest_rate),
+                now - peer.at,
+            )
+            for source, peer in self.peers.items()
+            if peer.is_live(now)
+        ]
+
     def count(self, tally: Tally) -> None:
         """Count an answer."""
         before = self.tallies.get(tally.key)
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -21,19 +21,26 @@
 
 
 def make_progress(part, *, rate=70.0, limit=15.0, allowed=0.15, slack=30.0, new=0):
+    sent = round(rate * part * limit)
     return Progress(
         elapsed=part * limit,
         limit=limit,
-        sent=round(rate * part * limit),
+        sent=sent,
         sent_new=new,
+        rate=rate,
+        latest_rate=rate,
+        left=allowed * sent + slack - new,
         allowed_share=allowed,
         slack=slack,
     )
 
 
-def is_end(part, *, moved_for=10.0, sound_for=10.0, old_running=0):
+def is_end(part, *, moved_for=10.0, sound_for=10.0, is_covered=True):
     return may_end(
-        part=part, moved_for=moved_for, sound_for=sound_for, old_running=old_running
+        make_progress(part),
+        moved_for=moved_for,
+        sound_for=sound_for,
+        is_covered=is_covered,
     )
 
 
@@ -90,14 +97,19 @@
 
 
 def test_a_good_version_moves_in_time_whatever_the_allowance():
-    assert not must_move(make_progress(0.9))
+    assert not must_move(make_progress(0.89))
     assert must_move(make_progress(0.93, allowed=0.0, slack=0.0))
 
 
-def test_old_endpoints_are_kept_while_they_work():
-    assert not is_end(0.85, old_running=2)
-    assert is_end(0.85, old_running=0)
-    assert is_end(0.95, old_running=2)
+def test_old_endpoints_are_kept_until_shortly_before_the_limit():
+    """A version that turns bad before that is taken back."""
+    assert not is_end(0.85)
+    assert not is_end(0.96)
+    assert is_end(0.97)
+
+
+def test_old_endpoints_are_kept_while_more_requests_may_come_than_are_allowed():
+    assert not is_end(0.97, is_covered=False)
 
 
 def test_old_endpoints_are_kept_until_the_full_load_shows():
@@ -106,8 +118,8 @@
 
 
 def test_old_endpoints_are_kept_while_the_evidence_changes():
-    assert not is_end(0.95, sound_for=0.0)
-    assert is_end(0.98, sound_for=0.0)
+    assert not is_end(0.98, sound_for=0.0)
+    assert is_end(0.99, sound_for=0.0)
 
 
 @pytest.mark.parametrize(
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -120,7 +120,9 @@
             store=play,
             settings=GatewaySettings(name=self.name, domain="north", **SETTINGS),
             find_write_rank=lambda: number,
+            count_gateways=lambda: play.gateway_count,
             contact=self.contact,
+            lifetime=self.lifetime,
         )
         self.task = asyncio.create_task(self.rollouts.run())
 
@@ -330,13 +332,15 @@
             return names
         name = self.rng.choice(names)
         if name in self.refusing:
-            attempt = self._make_attempt(route, version, name, expected=0.0)
+            attempt = self._make_attempt(
+                route, version, name, expected=0.0, is_sent=False
+            )
             rollouts.begin(attempt)
             await asyncio.sleep(0.001)
             rollouts.end(attempt, NotRun(reason="refused", is_down=True))
         return [name for name in names if name not in self.refusing]
 
-    def _make_attempt(self, route, version, name, *, expected):
+    def _make_attempt(self, route, version, name, *, expected, is_sent=True):
         return VersionAttempt(
             service=SERVICE,
             version=version,
@@ -344,6 +348,7 @@
             model="",
             endpoint=name,
             times=AnswerTimes(sent_at=self.now, expected=expected),
+            is_sent=is_sent,
         )
 
     async def _answer(self, rollouts, route, version, name):
