Hold up the end of a roll-out while a version's latest answers are bad

The evidence is of the whole trial, its last 8 s, or all answers since the move, in which a few bad ones don't show, and tallies reach the gateway that writes the status 0.4 s late or more.

A gateway of whose own answers in the last half second two and a quarter are bad says so at once, and doubts of a tenth of the gateways hold the end up.

--- a/eelgrassrack/decisions/versionevidence.py
+++ b/eelgrassrack/decisions/versionevidence.py
@@ -69,6 +69,11 @@
 MIN_ROUTE_ANSWERS = 5
 MIN_ROUTE_BAD_ANSWERS = 3
 
+# A gateway doubts a version that has all requests if so many of its own latest answers,
+# and this share of them, are bad.
+MIN_LATEST_BAD = 2
+LATEST_BAD_SHARE = 0.25
+
 # Number of timed answers from which an endpoint's mean counts, and of endpoints from
 # which the one with most bad answers is left out in favour of the version.
 MIN_ENDPOINT_ANSWERS = 3
@@ -309,6 +314,14 @@
     return msgspec.structs.replace(overall, verdict=Verdict.GOOD)
 
 
+def is_failing(*, answers: int, bad: int, usual: float) -> bool:
+    """Return whether the few latest answers of a version speak against it.
+
+    `usual` is the share of other versions' answers that are bad.
+    """
+    return bad >= MIN_LATEST_BAD and bad >= answers * (usual + LATEST_BAD_SHARE)
+
+
 def _doubt(evidence: Evidence) -> Evidence:
     return msgspec.structs.replace(evidence, verdict=Verdict.OPEN, is_doubted=True)
 
--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -58,6 +58,9 @@
 RESERVE_PART = 0.1
 CHANCE_ERRORS = 1.0
 
+# Doubts of so many of the gateways hold a version's end up.
+DOUBTING_PART = 0.1
+
 # The endpoints in use change so often, as a part of the time limit and at most: one
 # that is slow or broken for its own reasons shows as different from the others.
 SLOT_PART = 1 / 16
@@ -215,6 +218,11 @@
     return progress.elapsed >= find_end(progress.limit)
 
 
+def is_held_up(*, doubting: int, gateways: int) -> bool:
+    """Return whether so many gateways doubt a version that its trial doesn't end."""
+    return doubting > 0 and doubting >= gateways * DOUBTING_PART
+
+
 def rank_on_trial(name: str, *, slot: int) -> int:
     """Return the rank of an endpoint among those of a version on trial."""
     return xxhash.xxh32_intdigest(f"{slot} {name}".encode())
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -183,6 +183,7 @@
             ),
             contact=self._contact,
             lifetime=self._update_exchange.lifetime,
+            tell_peers=self._update_exchange.hurry,
         )
         self._placer = Placer(
             fleet=self.fleet,
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -69,7 +69,8 @@
     `moved_for` the seconds since all requests moved to it, less than 0 if they didn't.
     `mean_rate` and `latest_rate` are the gateway's requests per second, `left` is how
     many more of them the new version may get, and `gifts` what it gave of that to peers
-    in all.  An earlier version of the gateway sends none of these.
+    in all.  `is_doubting` says that its latest answers speak against the version.  An
+    earlier version of the gateway sends none of these.
     """
 
     service: str
@@ -87,6 +88,7 @@
     latest_rate: float = 0.0
     left: float = 0.0
     gifts: tuple[Gift, ...] = ()
+    is_doubting: bool = False
 
 
 class SessionPin(msgspec.Struct, frozen=True, array_like=True):
@@ -141,7 +143,9 @@
     @property
     def urgent_state(self) -> tuple[object, ...]:
         """Return the state whose changes all peers need to know soon."""
-        bad = tuple(trial.version for trial in self.trials if trial.is_bad)
+        bad = tuple(
+            (trial.version, trial.is_bad, trial.is_doubting) for trial in self.trials
+        )
         known = (self.configuration, self.knows_store, self.revisions)
         flags = (self.is_ready, self.has_lost_store)
         limits = tuple((report.lifetime, report.rate) for report in self.limits)
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -117,7 +117,8 @@
 
     `find_write_rank` returns this gateway's turn in writing statuses, 0 for the
     first, and `count_gateways` how many there are, None while it isn't known.
-    `lifetime` tells this process from earlier ones of the same name.
+    `lifetime` tells this process from earlier ones of the same name, and `tell_peers`
+    sends them an update soon.
     """
 
     __slots__ = (
@@ -133,6 +134,7 @@
         "_source",
         "_store",
         "_tallied_at",
+        "_tell_peers",
         "_trials",
     )
 
@@ -146,12 +148,14 @@
         count_gateways: Callable[[], int | None],
         contact: StoreContact,
         lifetime: str,
+        tell_peers: Callable[[], None],
     ) -> None:
         self._contact = contact
         self._count_gateways = count_gateways
         self._fleet = fleet
         self._is_loaded = False
         self._source = name_source(settings.name, lifetime)
+        self._tell_peers = tell_peers
         self._store = store
         self._settings = settings
         self._find_write_rank = find_write_rank
@@ -331,12 +335,26 @@
     def _count(self, attempt: VersionAttempt, *, is_bad: bool) -> None:
         trial = self._find_running_trial(attempt.service)
         if trial is not None:
+            self._note_latest(trial, attempt, is_bad=is_bad)
             key = find_key(trial, attempt)
             trial.count(make_tally(key, is_bad=is_bad, slowness=attempt.slowness))
 
+    def _note_latest(
+        self, trial: Trial, attempt: VersionAttempt, *, is_bad: bool
+    ) -> None:
+        """Note an answer since the move; peers hear of doubts soon."""
+        if trial.moved_at is None or attempt.version != trial.order.version:
+            return
+        now = self._loop.time()
+        was_doubting = trial.is_doubting(now)
+        trial.note_latest(is_bad=is_bad, now=now)
+        if trial.is_doubting(now) and not was_doubting:
+            self._tell_peers()
+
     def _count_loss(self, attempt: VersionAttempt) -> None:
         trial = self._find_running_trial(attempt.service)
         if trial is not None:
+            self._note_latest(trial, attempt, is_bad=True)
             key = find_key(trial, attempt)
             tally = make_tally(key, is_bad=True, slowness=attempt.slowness)
             trial.count_loss(tally, endpoint=attempt.endpoint, now=self._loop.time())
@@ -428,6 +446,7 @@
             account.find_latest_rate(now),
             self._find_allowance(trial).left,
             tuple(itertools.starmap(Gift, account.given.items())),
+            trial.is_doubting(now),
         )
 
     async def run(self) -> None:
@@ -609,7 +628,8 @@
             return RolloutState.ROLLED_BACK
         progress = self._find_progress(trial)
         now = self._loop.time()
-        if trial.moved_at is None or not self._is_sound(trial, progress):
+        is_held_up = trial.is_held_up(now) or not self._is_sound(trial, progress)
+        if trial.moved_at is None or is_held_up:
             trial.sound_since = None
             return RolloutState.RUNNING
         if trial.sound_since is None:
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -18,8 +18,9 @@
     Tally,
     TimeSums,
     Verdict,
+    is_failing,
 )
-from ...decisions.versiontrial import Progress
+from ...decisions.versiontrial import Progress, is_held_up
 from ..peers.updatemessages import TrialReport
 from ..store.storeobjects import RolloutOrder, RolloutState
 from .requestaccount import RequestAccount
@@ -41,6 +42,11 @@
 # A peer that hasn't reported for this long sends no more requests.
 PEER_SECONDS = 3.0
 
+# How far back the latest answers go that hold up the end of a version's trial, and how
+# many of them are kept at most.
+LATEST_SECONDS = 0.5
+MOST_LATEST = 256
+
 TallyKey = tuple[str, str, str]
 
 NO_EVIDENCE = Evidence(verdict=Verdict.OPEN)
@@ -72,6 +78,7 @@
     mean_rate: float = 0.0
     latest_rate: float = 0.0
     left: float = 0.0
+    is_doubting: bool = False
     at: float = float("-inf")
 
     def is_live(self, now: float) -> bool:
@@ -107,6 +114,7 @@
 
     __slots__ = (
         "_before_move",
+        "_latest",
         "_lost_at",
         "_totals",
         "account",
@@ -172,6 +180,7 @@
         self.pins: dict[int, PinnedSession] = {}
         self.write_after: float | None = None
         self._before_move: dict[TallyKey, Tally] = {}
+        self._latest: deque[tuple[float, bool]] = deque(maxlen=MOST_LATEST)
         self._lost_at: dict[str, float] = {}
         self._totals: deque[tuple[float, dict[TallyKey, Tally]]] = deque()
 
@@ -240,6 +249,7 @@
             report.mean_rate,
             report.latest_rate,
             report.left,
+            report.is_doubting,
             now,
         )
 
@@ -283,6 +293,27 @@
         before = self.tallies.get(tally.key)
         self.tallies[tally.key] = tally if before is None else before + tally
 
+    def note_latest(self, *, is_bad: bool, now: float) -> None:
+        """Note an answer of the new version since the move."""
+        self._latest.append((now, is_bad))
+
+    def is_doubting(self, now: float) -> bool:
+        """Return whether this gateway's latest answers speak against the version."""
+        while self._latest and self._latest[0][0] <= now - LATEST_SECONDS:
+            self._latest.popleft()
+        evidence = self.evidence
+        return is_failing(
+            answers=len(self._latest),
+            bad=sum(is_bad for _, is_bad in self._latest),
+            usual=evidence.other_bad / max(evidence.other_answers, 1),
+        )
+
+    def is_held_up(self, now: float) -> bool:
+        """Return whether gateways doubt the version so that its trial doesn't end."""
+        peers = self._list_live(now)
+        doubting = self.is_doubting(now) + sum(peer.is_doubting for peer in peers)
+        return is_held_up(doubting=doubting, gateways=1 + len(peers))
+
     def count_loss(self, tally: Tally, *, endpoint: str, now: float) -> None:
         """Count a lost answer, unless it was lost together with others."""
         if now < self._lost_at.get(endpoint, float("-inf")) + LOSS_SECONDS:
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -39,6 +39,9 @@
 BEFORE_SECONDS = 3.0
 AFTER_SECONDS = 8.0
 
+# Time until an urgent update of a gateway arrives at its peers.
+HURRY_SECONDS = 0.02
+
 # The module that reads the time of day.
 WALL_CLOCK = "eelgrassrack.gateway.versions.rollouts.time"
 
@@ -123,9 +126,13 @@
             count_gateways=lambda: play.gateway_count,
             contact=self.contact,
             lifetime=self.lifetime,
+            tell_peers=self._tell_soon,
         )
         self.task = asyncio.create_task(self.rollouts.run())
 
+    def _tell_soon(self):
+        asyncio.get_running_loop().call_later(HURRY_SECONDS, self.tell, Audience.NEAR)
+
     def tell(self, audience):
         trials, pins = self.rollouts.report(audience)
         update = PeerUpdate(
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -140,6 +140,16 @@
     assert play.count_late() == 0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("begin", [14.2, 14.3, 14.4])
+def test_a_version_that_fails_from_just_before_its_end_isnt_taken_over(seed, begin):
+    """A few bad answers at each gateway are the only sign of it."""
+    fault = Fault(fails=True, begins=begin)
+    play = RolloutPlay(seed=seed, fault=fault).run()
+    assert "done" not in play.statuses
+    assert play.count_late() == 0
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("at", [6.0, 9.0, 13.0])
 def test_an_order_that_is_missing_for_a_moment_keeps_its_counts(seed, at):
