Keep a roll-out's counts and verdict while its order is missing

The order is now obeyed for 5 s more, in which no status is written, and its counts and verdict stay for as long as no other order of the service comes: one that returns later finds them again.

--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -80,6 +80,10 @@
 # peers have reported what they got by then.
 GIFT_SECONDS = 0.6
 
+# How long a roll-out goes on while its order is missing.  A list that lacks an order
+# for a moment would otherwise take the counts and the verdict with it.
+MISSING_SECONDS = 5.0
+
 # Time after an order in which the rate of requests is counted, before some of them use
 # the new version.
 RATE_SECONDS = 1.0
@@ -189,15 +193,16 @@
 
     @property
     def orders(self) -> tuple[RolloutOrder, ...]:
-        """Return all orders."""
-        return tuple(trial.order for trial in self._trials.values())
+        """Return all orders that aren't missing."""
+        trials = self._trials.values()
+        return tuple(trial.order for trial in trials if trial.missing_since is None)
 
     def choose_version(
         self, *, service: str, session: str, request: str
     ) -> VersionChoice:
         """Return the versions that a request may go to."""
         trial = self._trials.get(service)
-        if trial is None:
+        if trial is None or self._is_gone(trial):
             return ANY_VERSION
         version = trial.order.version
         if trial.is_bad or trial.state is RolloutState.ROLLED_BACK:
@@ -414,7 +419,11 @@
     ) -> tuple[tuple[TrialReport, ...], tuple[SessionPin, ...]]:
         """Return the trials and pins to report to peers."""
         now = self._loop.time()
-        running = [trial for trial in self._trials.values() if not trial.has_ended]
+        running = [
+            trial
+            for trial in self._trials.values()
+            if not (trial.has_ended or self._is_gone(trial))
+        ]
         has_tallies = now >= self._tallied_at[audience] + TALLY_SECONDS
         if has_tallies:
             self._tallied_at[audience] = now
@@ -455,7 +464,7 @@
             await asyncio.sleep(self._find_pause())
             for trial in tuple(self._trials.values()):
                 self._log_progress(trial)
-                if not trial.has_ended:
+                if not (trial.has_ended or self._is_gone(trial)):
                     await self._advance(trial)
 
     def _find_pause(self) -> float:
@@ -501,6 +510,8 @@
         self._judge(trial)
         self._change_share(trial)
         self._give(trial)
+        if trial.missing_since is not None:
+            return
         wanted = self._find_state(trial)
         status = trial.order.status
         is_written = status is not None and status.version == trial.order.version
@@ -710,6 +721,7 @@
         trial = self._trials.get(order.service)
         known = trial.key if trial else None
         if known == (order.service, order.version, order.created):
+            trial.missing_since = None
             if order.revision >= trial.order.revision:
                 self._note_state(trial, order)
                 trial.replace_order(order, now=self._loop.time())
@@ -740,9 +752,16 @@
             )
 
     def _drop(self, service: str) -> None:
-        trial = self._trials.pop(service, None)
-        if trial is not None:
+        """Note that an order is missing; its counts stay, as it may return."""
+        trial = self._trials.get(service)
+        if trial is not None and trial.missing_since is None:
             log.info("rollout: order for {} was removed", service)
+            trial.missing_since = self._loop.time()
+
+    def _is_gone(self, trial: Trial) -> bool:
+        """Return whether an order has been missing for so long that it is withdrawn."""
+        since = trial.missing_since
+        return since is not None and self._loop.time() >= since + MISSING_SECONDS
 
 
 def name_source(name: str, lifetime: str) -> str:
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -107,7 +107,8 @@
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
     hash.  `write_after` is the loop time from which this gateway writes the status,
     None if nothing needs to be written, and `is_overdue` says that the time limit has
-    passed.  `answers_since_end` and `bad_since_end` are the version's answers here
+    passed.  `missing_since` is the loop time since which the order is missing, None if
+    it isn't.  `answers_since_end` and `bad_since_end` are the version's answers here
     since the roll-out ended, `ended_at` the loop time of that, None before and once
     they are logged.
     """
@@ -130,6 +131,7 @@
         "is_overdue",
         "is_witnessed",
         "kept_factor",
+        "missing_since",
         "moved",
         "moved_at",
         "old_endpoints",
@@ -168,6 +170,7 @@
         self.answers_since_end = 0
         self.bad_since_end = 0
         self.ended_at: float | None = None
+        self.missing_since: float | None = None
         self.share = 0.0
         self.trial_share = 0.0
         self.common_share = 1.0
