--- a/test/gateway/test_rollouts.py
+++ b/test/gateway/test_rollouts.py
@@ -34,13 +34,20 @@
 async def call_until(world, *, until, number=0, session=None):
     """Send requests until a condition holds; return how many were sent."""
     count = 0
-    async with asyncio.timeout(15):
-        while not until():
-            count += 1
-            headers = [("Session", session)] if session else []
-            await world.call(
-                "/issue/1", number=number, attempt=f"a{number}-{count}", headers=headers
-            )
+    try:
+        async with asyncio.timeout(15):
+            while not until():
+                count += 1
+                headers = [("Session", session)] if session else []
+                await world.call(
+                    "/issue/1",
+                    number=number,
+                    attempt=f"a{number}-{count}",
+                    headers=headers,
+                )
+    except TimeoutError as error:
+        status = world.status_of("plain")
+        raise AssertionError(f"{status} after {count} requests") from error
     return count
 
 
