Report a gift of a version's allowance for three seconds only

Each update listed all gifts of the roll-out, some 40 bytes for each peer that ever got one: with hundreds of gateways more than ten kilobytes in each update to each peer (worked out, not measured). A gift that isn't heard of in time is lost, which leaves the version with less.

--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -68,9 +68,9 @@
     of them, to the new version.  `share` is the share of sessions that uses it, and
     `moved_for` the seconds since all requests moved to it, less than 0 if they didn't.
     `mean_rate` and `latest_rate` are the gateway's requests per second, `left` is how
-    many more of them the new version may get, and `gifts` what it gave of that to peers
-    in all.  `is_doubting` says that its latest answers speak against the version.  An
-    earlier version of the gateway sends none of these.
+    many more of them the new version may get, and `gifts` what it gave of that in all
+    to each peer that got something lately.  `is_doubting` says that its latest answers
+    speak against the version.  An earlier version of the gateway sends none of these.
     """
 
     service: str
--- a/eelgrassrack/gateway/versions/requestaccount.py
+++ b/eelgrassrack/gateway/versions/requestaccount.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from ...decisions.exposure import Allowance, share_slack
+from ..peers.updatemessages import Gift
 
 # Time over which the latest rate of requests is measured, the least number of requests
 # for that, and the time between the counts kept for it.
@@ -13,6 +14,10 @@
 # Time over which the mean rate is measured at least.
 MEAN_SECONDS = 1.0
 
+# How long a gift is reported.  One that isn't heard of by then is lost, which leaves
+# the version with less.
+GIFT_REPORT_SECONDS = 3.0
+
 
 class RequestAccount:
     """The requests that this gateway sent since the loop time `began_at`.
@@ -22,10 +27,11 @@
     is a share of them.  `has_slack` says that no process before this one used its
     part of the slack that operators allow, and `gateways` is the largest number of
     gateways that share it, None while it isn't known.  `given` holds what this gateway
-    gave to each peer, `received` what each peer gave to it.
+    gave to each peer in all, `received` what each peer gave to it.
     """
 
     __slots__ = (
+        "_given_at",
         "_marks",
         "began_at",
         "gateways",
@@ -48,6 +54,7 @@
         self.not_run = 0
         self.given: dict[str, float] = {}
         self.received: dict[str, float] = {}
+        self._given_at: dict[str, float] = {}
         self._marks: deque[tuple[float, int]] = deque([(began_at, 0)])
 
     def count_sent(self, *, is_new: bool, now: float) -> None:
@@ -73,10 +80,19 @@
         if count is not None:
             self.gateways = max(self.gateways or 0, count)
 
-    def give(self, gifts: dict[str, float]) -> None:
+    def give(self, gifts: dict[str, float], *, now: float) -> None:
         """Give parts of what is left to peers."""
         for name, gift in gifts.items():
             self.given[name] = self.given.get(name, 0.0) + gift
+            self._given_at[name] = now
+
+    def list_gifts(self, now: float) -> tuple[Gift, ...]:
+        """Return what was given in all to each peer that got something lately."""
+        return tuple(
+            Gift(name, self.given[name])
+            for name, at in self._given_at.items()
+            if now < at + GIFT_REPORT_SECONDS
+        )
 
     def receive(self, name: str, gift: float) -> None:
         """Apply all that a peer has given so far."""
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -454,7 +454,7 @@
             account.find_mean_rate(now),
             account.find_latest_rate(now),
             self._find_allowance(trial).left,
-            tuple(itertools.starmap(Gift, account.given.items())),
+            account.list_gifts(now),
             trial.is_doubting(now),
         )
 
@@ -600,7 +600,7 @@
         trial.given_at = now
         own, *others = self._list_holders(trial)
         gifts = find_gifts(own=own, others=others)
-        trial.account.give(gifts)
+        trial.account.give(gifts, now=now)
 
     def _change_share(self, trial: Trial) -> None:
         """Raise the new version's share as far as its evidence and the time allow."""
