Let a gateway that stops leave its part of a version's allowance to others

A good version was `done` too late beside gateways that restart in turn: what a process had left of the allowance ended with it, the parts that others had given it included, and its last report counted for 3 s more.

A gateway that stops gives all that it has left to the others at once and until it ends, and reports no requests; of each name only the latest process counts as live. What a killed process had left is still lost.

All of them now report once more 0.1 s before the end.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -183,6 +183,7 @@
             ),
             contact=self._contact,
             lifetime=self._update_exchange.lifetime,
+            is_stopping=lambda: self._is_closing,
             tell_peers=self._update_exchange.hurry,
         )
         self._placer = Placer(
@@ -356,6 +357,7 @@
         period counts; None means now.
         """
         self._is_closing = True
+        self.rollouts.stop()
         await stop_gracefully(
             handler=self._handler,
             ingress=self.ingress,
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -70,7 +70,8 @@
     `mean_rate` and `latest_rate` are the gateway's requests per second, `left` is how
     many more of them the new version may get, and `gifts` what it gave of that in all
     to each peer that got something lately.  `is_doubting` says that its latest answers
-    speak against the version.  An earlier version of the gateway sends none of these.
+    speak against the version, `is_ending` that the end of its trial is near.  An
+    earlier version of the gateway sends none of these.
     """
 
     service: str
@@ -89,6 +90,7 @@
     left: float = 0.0
     gifts: tuple[Gift, ...] = ()
     is_doubting: bool = False
+    is_ending: bool = False
 
 
 class SessionPin(msgspec.Struct, frozen=True, array_like=True):
@@ -143,8 +145,9 @@
     @property
     def urgent_state(self) -> tuple[object, ...]:
         """Return the state whose changes all peers need to know soon."""
-        bad = tuple(
-            (trial.version, trial.is_bad, trial.is_doubting) for trial in self.trials
+        trials = tuple(
+            (trial.version, trial.is_bad, trial.is_doubting, trial.is_ending)
+            for trial in self.trials
         )
         known = (self.configuration, self.knows_store, self.revisions)
         flags = (self.is_ready, self.has_lost_store)
@@ -153,7 +156,7 @@
             (report.trait, {crash.lifetime for crash in report.crashes})
             for report in self.traits
         )
-        return (known, bad, crashes, self.suspected, flags, limits)
+        return (known, trials, crashes, self.suspected, flags, limits)
 
 
 class Audience(enum.Enum):
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -65,6 +65,7 @@
     TallyKey,
     Trial,
     make_tally,
+    name_source,
     sum_tallies,
 )
 
@@ -76,6 +77,10 @@
 # The same while a version with all requests waits for its end.
 END_TICK_SECONDS = 0.05
 
+# How long before the end of a trial gateways tell each other what they have counted:
+# those of other failure domains report once a second otherwise.
+LAST_REPORT_SECONDS = 0.1
+
 # Interval at which a gateway gives what it has too much of a version's allowance: its
 # peers have reported what they got by then.
 GIFT_SECONDS = 0.6
@@ -121,8 +126,9 @@
 
     `find_write_rank` returns this gateway's turn in writing statuses, 0 for the
     first, and `count_gateways` how many there are, None while it isn't known.
-    `lifetime` tells this process from earlier ones of the same name, and `tell_peers`
-    sends them an update soon.
+    `lifetime` tells this process from earlier ones of the same name, `is_stopping`
+    returns whether it takes no more requests, and `tell_peers` sends them an update
+    soon.
     """
 
     __slots__ = (
@@ -130,6 +136,7 @@
         "_count_gateways",
         "_fleet",
         "_is_loaded",
+        "_is_stopping",
         "_loop",
         "_find_write_rank",
         "_pace",
@@ -152,12 +159,14 @@
         count_gateways: Callable[[], int | None],
         contact: StoreContact,
         lifetime: str,
+        is_stopping: Callable[[], bool],
         tell_peers: Callable[[], None],
     ) -> None:
         self._contact = contact
         self._count_gateways = count_gateways
         self._fleet = fleet
         self._is_loaded = False
+        self._is_stopping = is_stopping
         self._source = name_source(settings.name, lifetime)
         self._tell_peers = tell_peers
         self._store = store
@@ -451,13 +460,22 @@
             account.sent_new,
             trial.share,
             -1.0 if trial.moved_at is None else now - trial.moved_at,
-            account.find_mean_rate(now),
-            account.find_latest_rate(now),
+            0.0 if self._is_stopping() else account.find_mean_rate(now),
+            0.0 if self._is_stopping() else account.find_latest_rate(now),
             self._find_allowance(trial).left,
             account.list_gifts(now),
             trial.is_doubting(now),
+            trial.is_ending,
         )
 
+    def stop(self) -> None:
+        """Give peers all that is left for versions on trial; they get the requests."""
+        for trial in self._trials.values():
+            trial.given_at = float("-inf")
+            if not trial.has_ended:
+                self._give(trial)
+        self._tell_peers()
+
     async def run(self) -> None:
         """Judge trials and write statuses until cancelled."""
         while True:
@@ -510,6 +528,7 @@
         self._judge(trial)
         self._change_share(trial)
         self._give(trial)
+        self._report_last(trial)
         if trial.missing_since is not None:
             return
         wanted = self._find_state(trial)
@@ -586,10 +605,14 @@
         )
 
     def _list_holders(self, trial: Trial) -> list[Holder]:
-        """Return what all live gateways have left, this one first."""
+        """Return what all live gateways have left, this one first.
+
+        One that stops needs nothing any more, and gives all that it has left.
+        """
         now = self._loop.time()
         left = self._find_allowance(trial).left
-        own = Holder(self._source, left, trial.account.find_rate(now))
+        rate = 0.0 if self._is_stopping() else trial.account.find_rate(now)
+        own = Holder(self._source, left, rate)
         return [own, *trial.list_peers(now)]
 
     def _give(self, trial: Trial) -> None:
@@ -602,6 +625,14 @@
         gifts = find_gifts(own=own, others=others)
         trial.account.give(gifts, now=now)
 
+    def _report_last(self, trial: Trial) -> None:
+        """Tell peers shortly before the end what has been counted so far."""
+        ends_at = trial.since + find_end(trial.order.seconds)
+        is_due = self._loop.time() >= ends_at - LAST_REPORT_SECONDS
+        if is_due and trial.moved_at is not None and not trial.is_ending:
+            trial.is_ending = True
+            self._tell_peers()
+
     def _change_share(self, trial: Trial) -> None:
         """Raise the new version's share as far as its evidence and the time allow."""
         if trial.is_bad:
@@ -764,11 +795,6 @@
         return since is not None and self._loop.time() >= since + MISSING_SECONDS
 
 
-def name_source(name: str, lifetime: str) -> str:
-    """Return what names a gateway's process."""
-    return f"{name}.{lifetime}"
-
-
 def is_counted(trial: Trial, attempt: VersionAttempt) -> bool:
     """Return whether an attempt was sent since its roll-out was seen."""
     return attempt.times.sent_at >= trial.received_at
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -106,9 +106,10 @@
     answers since the move, and `sound_since` the loop time since which both suffice to
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
     hash.  `write_after` is the loop time from which this gateway writes the status,
-    None if nothing needs to be written, and `is_overdue` says that the time limit has
-    passed.  `missing_since` is the loop time since which the order is missing, None if
-    it isn't.  `answers_since_end` and `bad_since_end` are the version's answers here
+    None if nothing needs to be written.  `is_ending` says that the end of the trial is
+    near, and `is_overdue` that the time limit has passed.  `missing_since` is the loop
+    time since which the order is missing, None if it isn't.
+    `answers_since_end` and `bad_since_end` are the version's answers here
     since the roll-out ended, `ended_at` the loop time of that, None before and once
     they are logged.
     """
@@ -128,6 +129,7 @@
         "full_load",
         "given_at",
         "is_bad",
+        "is_ending",
         "is_overdue",
         "is_witnessed",
         "kept_factor",
@@ -161,6 +163,7 @@
         self.estimated_since = estimated_since
         self.is_witnessed = estimated_since is None
         self.is_bad = False
+        self.is_ending = False
         self.is_overdue = self.has_ended
         self.evidence = NO_EVIDENCE
         self.full_load = NO_EVIDENCE
@@ -276,10 +279,17 @@
         return max(latest, self.find_mean_rate(now))
 
     def _list_live(self, now: float) -> list[PeerTrial]:
-        return [peer for peer in self.peers.values() if peer.is_live(now)]
+        return [self.peers[source] for source in self._list_sources(now)]
+
+    def _list_sources(self, now: float) -> list[str]:
+        """Return the live peers, of each name only the latest process."""
+        live = [source for source, peer in self.peers.items() if peer.is_live(now)]
+        latest = {find_name(source): source for source in live}
+        return list(latest.values())
 
     def list_peers(self, now: float) -> list[Holder]:
         """Return what live peers have left for the version."""
+        live = ((source, self.peers[source]) for source in self._list_sources(now))
         return [
             Holder(
                 source,
@@ -287,8 +297,7 @@
                 max(peer.mean_rate, peer.latest_rate),
                 now - peer.at,
             )
-            for source, peer in self.peers.items()
-            if peer.is_live(now)
+            for source, peer in live
         ]
 
     def count(self, tally: Tally) -> None:
@@ -349,6 +358,16 @@
         return subtract_tallies(totals, before)
 
 
+def name_source(name: str, lifetime: str) -> str:
+    """Return what names a gateway's process."""
+    return f"{name}.{lifetime}"
+
+
+def find_name(source: str) -> str:
+    """Return the name of the gateway of a process."""
+    return source.rpartition(".")[0]
+
+
 def make_tally(key: TallyKey, *, is_bad: bool, slowness: Slowness) -> Tally:
     """Return the tally of one answer."""
     return Tally(
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -39,6 +39,9 @@
 BEFORE_SECONDS = 3.0
 AFTER_SECONDS = 8.0
 
+# How long a gateway that stops has requests to end.
+STOP_SECONDS = 0.5
+
 # Time until an urgent update of a gateway arrives at its peers.
 HURRY_SECONDS = 0.02
 
@@ -118,6 +121,7 @@
         self.name = f"entry-{number}"
         self.lifetime = f"{number}-{play.now}"
         self.contact = StoreContact()
+        self.is_stopping = False
         self.rollouts = Rollouts(
             fleet=play,
             store=play,
@@ -126,6 +130,7 @@
             count_gateways=lambda: play.gateway_count,
             contact=self.contact,
             lifetime=self.lifetime,
+            is_stopping=lambda: self.is_stopping,
             tell_peers=self._tell_soon,
         )
         self.task = asyncio.create_task(self.rollouts.run())
@@ -154,7 +159,8 @@
     """One roll-out: `fault` is the new version's, `broken` some endpoints' own.
 
     `bursts` are (begin, end, factor) in seconds after the order.  `kills` are times at
-    which a gateway is replaced by a new process.  `absent` is a span without the store,
+    which a gateway is replaced by a new process, `stops` those at which it stops
+    first.  `absent` is a span without the store,
     `missing` a time at which the order is missing from lists, and for how long.
     `refusing_share` of the old version's endpoints refuse connections.
     """
@@ -172,6 +178,7 @@
         broken_share=0.0,
         bursts=(),
         kills=(),
+        stops=(),
         absent=(0.0, 0.0),
         missing=None,
         refusing_share=0.0,
@@ -184,6 +191,7 @@
         self.broken = broken
         self.bursts = bursts
         self.kills = kills
+        self.stops = stops
         self.absent = absent
         self.missing = missing
         self.order = None
@@ -259,6 +267,7 @@
             for job in (
                 self._tell(0.3, Audience.NEAR),
                 self._kill(),
+                self._stop(),
                 self._order(),
                 self._hide_order(),
             )
@@ -301,14 +310,27 @@
 
     async def _kill(self):
         for number, at in enumerate(self.kills):
+            await asyncio.sleep(at + BEFORE_SECONDS - self.now)
+            self._replace(number % self.gateway_count)
+
+    def _replace(self, index):
+        self.gateways[index].task.cancel()
+        self.gateways[index] = gateway = PlayedGateway(self, index)
+        gateway.rollouts.replace_all({SERVICE: self.order})
+
+    async def _stop(self):
+        """Stop gateways in turn; callers go to the others meanwhile."""
+        for number, at in enumerate(self.stops):
             await asyncio.sleep(at + BEFORE_SECONDS - self.now)
             index = number % self.gateway_count
-            self.gateways[index].task.cancel()
-            self.gateways[index] = gateway = PlayedGateway(self, index)
-            gateway.rollouts.replace_all({SERVICE: self.order})
+            self.gateways[index].is_stopping = True
+            self.gateways[index].rollouts.stop()
+            await asyncio.sleep(STOP_SECONDS)
+            self._replace(index)
 
     async def _call(self):
-        gateway = self.rng.choice(self.gateways)
+        taking = [gateway for gateway in self.gateways if not gateway.is_stopping]
+        gateway = self.rng.choice(taking)
         route = self.rng.choice(ROUTES)
         choice = gateway.rollouts.choose_version(
             service=SERVICE, session="", request=f"{self.rng.random()}"
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -123,6 +123,31 @@
     assert got <= allowed
 
 
+STOPS = {
+    "before its end": (10.0, 11.0, 12.0, 13.0),
+    "close together": (11.0, 11.6, 12.2, 12.8),
+    "in the middle": (6.0, 7.0, 8.0, 9.0),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", STOPS, ids=make_id)
+def test_a_good_version_is_taken_over_though_all_gateways_restart_in_turn(name, seed):
+    """Each leaves the others what it has not used of what operators allow."""
+    play = RolloutPlay(seed=seed, stops=STOPS[name]).run()
+    assert "rolled back" not in play.statuses
+    assert play.statuses["done"] <= play.limit
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", STOPS, ids=make_id)
+def test_gateways_that_restart_in_turn_stay_within_the_allowance(name, seed):
+    """What one of them leaves to the others it doesn't use itself."""
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD, stops=STOPS[name]).run()
+    got, allowed = play.exposure
+    assert got <= allowed
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_attempts_that_never_run_dont_raise_the_allowance(seed):
     """Half of the old version's endpoints refuse connections at once."""
