End the trial of a good version earlier where its limit is longer

Before the bound was kept, `done` came at 0.94 to 0.96 of the limit.

It now comes 0.85 s before a limit of 20 s or more, 0.65 s before one of 15, and all requests move 2.2 s before it at the latest.

--- a/eelgrassrack/decisions/exposure.py
+++ b/eelgrassrack/decisions/exposure.py
@@ -20,9 +20,10 @@
 import msgspec
 
 # Time before the limit at which the trial of a good version ends, and that as a part of
-# short limits.  Until then a version that turns bad is taken back.
-END_SECONDS = 0.5
-END_PART = 0.06
+# short limits.  Until then a version that turns bad is taken back.  An order may be
+# seen 0.3 s late while the store cuts watches, and writing the status takes time.
+END_SECONDS = 0.85
+END_PART = 0.0433
 
 # What is kept back for the requests after the end, as a multiple of those at the latest
 # rate: from then on all requests use the version.
@@ -33,7 +34,7 @@
 KEPT_PART = 0.6
 
 # A trial ends only if so many times the requests at the latest rate may still come.
-COVERED_FACTOR = 1.2
+COVERED_FACTOR = 1.25
 
 # How far a gateway exceeds the share that what it has left is enough for.
 OWN_FACTOR = 2.0
