Count what gateways use since their reports against what is left

Since the move each gateway takes for its share of sessions what all have left by their latest reports, up to a second old where they are of other failure domains.

What a gateway may have used since its report, and since the move, is taken off.

--- a/eelgrassrack/decisions/exposure.py
+++ b/eelgrassrack/decisions/exposure.py
@@ -130,6 +130,24 @@
     return min(max((left - kept) / use, 0.0), 1.0)
 
 
+def sum_left(holders: Iterable[Holder], *, share: float, moved_for: float) -> float:
+    """Return what all gateways have left, `moved_for` seconds after the move.
+
+    Since a gateway's report, and since the move, all of its requests may have used the
+    version.
+    """
+    return sum(
+        max(
+            holder.left
+            - find_use(
+                share=share, rate=holder.rate, seconds=min(holder.age, moved_for)
+            ),
+            0.0,
+        )
+        for holder in holders
+    )
+
+
 def limit_share(common: float, own: float) -> float:
     """Return the share of sessions that use the version at one gateway.
 
