--- a/eelgrassrack/decisions/exposure.py
+++ b/eelgrassrack/decisions/exposure.py
@@ -20,10 +20,9 @@
 import msgspec
 
 # Time before the limit at which the trial of a good version ends, and that as a part of
-# short limits.  Until then a version that turns bad is taken back.  An order may be
-# seen 0.3 s late while the store cuts watches, and writing the status takes time.
-END_SECONDS = 0.85
-END_PART = 0.0433
+# short limits.  Until then a version that turns bad is taken back.
+END_SECONDS = 0.5
+END_PART = 0.06
 
 # What is kept back for the requests after the end, as a multiple of those at the latest
 # rate: from then on all requests use the version.
@@ -34,7 +33,7 @@
 KEPT_PART = 0.6
 
 # A trial ends only if so many times the requests at the latest rate may still come.
-COVERED_FACTOR = 1.25
+COVERED_FACTOR = 1.2
 
 # How far a gateway exceeds the share that what it has left is enough for.
 OWN_FACTOR = 2.0
@@ -130,24 +129,6 @@
     return min(max((left - kept) / use, 0.0), 1.0)
 
 
-def sum_left(holders: Iterable[Holder], *, share: float, moved_for: float) -> float:
-    """Return what all gateways have left, `moved_for` seconds after the move.
-
-    Since a gateway's report, and since the move, all of its requests may have used the
-    version.
-    """
-    return sum(
-        max(
-            holder.left
-            - find_use(
-                share=share, rate=holder.rate, seconds=min(holder.age, moved_for)
-            ),
-            0.0,
-        )
-        for holder in holders
-    )
-
-
 def limit_share(common: float, own: float) -> float:
     """Return the share of sessions that use the version at one gateway.
 
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -30,7 +30,6 @@
     find_gifts,
     find_moved_share,
     limit_share,
-    sum_left,
 )
 from ...decisions.versionevidence import Demand, Tally, Verdict, confirm, judge
 from ...decisions.versiontrial import (
@@ -244,15 +243,6 @@
         )
         return max(limit_share(trial.common_share, own), trial.trial_share)
 
-    def _find_common_share(self, trial: Trial, progress: Progress) -> float:
-        """Return the share for which all gateways have enough since the move."""
-        left = sum_left(
-            self._list_holders(trial),
-            share=progress.allowed_share,
-            moved_for=self._loop.time() - trial.moved_at,
-        )
-        return self._find_moved_share(trial, left, rate=progress.latest_rate)
-
     def _find_moved_share(self, trial: Trial, left: float, *, rate: float) -> float:
         limit = trial.order.seconds
         return find_moved_share(
@@ -648,8 +638,10 @@
         if trial.is_bad:
             return
         progress = self._find_progress(trial)
+        trial.common_share = self._find_moved_share(
+            trial, progress.left, rate=progress.latest_rate
+        )
         if trial.moved_at is not None:
-            trial.common_share = self._find_common_share(trial, progress)
             return
         settling = self._settings.session_seconds
         if progress.sent and progress.elapsed >= RATE_SECONDS:
