Forget the counts of a rate as requests come, and ask the placer for gateways

Found by reading the change. A gateway kept a count for each tenth of a second of a roll-out and forgot them only when it was asked for the rate. Nobody asks once a version is taken over, but its requests go on to be counted for as long as the order stays in the store: some kilobytes a minute without end. They are forgotten as requests come now; the rate is the same.

How many gateways there are is asked of the placer, as the retry budget does, instead of written out once more.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -176,11 +176,7 @@
             store=self._store,
             settings=settings,
             find_write_rank=self._find_write_rank,
-            count_gateways=lambda: (
-                self._update_exchange.gateway_count
-                if self._update_exchange.is_listed
-                else None
-            ),
+            count_gateways=lambda: self._placer.gateway_count,
             contact=self._contact,
             lifetime=self._update_exchange.lifetime,
             is_stopping=lambda: self._is_closing,
--- a/eelgrassrack/gateway/versions/requestaccount.py
+++ b/eelgrassrack/gateway/versions/requestaccount.py
@@ -63,6 +63,7 @@
         self.sent_new += is_new
         if now >= self._marks[-1][0] + MARK_SECONDS:
             self._marks.append((now, self.sent))
+            self._forget_marks(now)
 
     def count_reached(self) -> None:
         """Count an attempt that its endpoint begins to answer."""
@@ -115,8 +116,7 @@
 
     def find_latest_rate(self, now: float) -> float:
         """Return the requests per second of the latest time."""
-        while len(self._marks) > 1 and self._is_enough(self._marks[1], now):
-            self._marks.popleft()
+        self._forget_marks(now)
         at, sent = self._marks[0]
         return (self.sent - sent) / max(now - at, RATE_SECONDS)
 
@@ -124,6 +124,11 @@
         """Return the latest requests per second, or the mean if that is more."""
         return max(self.find_latest_rate(now), self.find_mean_rate(now))
 
+    def _forget_marks(self, now: float) -> None:
+        """Forget the counts that a later one makes needless."""
+        while len(self._marks) > 1 and self._is_enough(self._marks[1], now):
+            self._marks.popleft()
+
     def _is_enough(self, mark: tuple[float, int], now: float) -> bool:
         """Return whether the rate can be measured from a mark on."""
         at, sent = mark
--- a/test/gateway/test_request_account.py
+++ b/test/gateway/test_request_account.py
@@ -63,6 +63,14 @@
     assert len(account.list_gifts(100.0)) <= GIFT_REPORT_SECONDS + 1
 
 
+def test_an_order_that_stays_after_its_end_fills_no_memory():
+    """Nothing asks for the rate of a version that has been taken over."""
+    account = make_account()
+    for number in range(10_000):
+        account.count_sent(is_new=True, now=number / 10)
+    assert len(account._marks) < 50
+
+
 @pytest.mark.parametrize("rate", [20.0, 200.0])
 def test_the_latest_rate_follows_a_burst(rate):
     """A mean since the order would hide it."""
