End a good version's trial earlier by the time for which its order was unseen

A follower now knows the last moment at which its view was complete without a change; a watch that has waited counts as told at once. The time since then is how long the order may have been there, peers tell each other, and the trial ends and all requests move earlier by that, as far as what is left covers the requests after the end: the bound on them still runs to the later limit.

The ids of guards have no spaces now, as a listed test must have none.

--- a/eelgrassrack/decisions/exposure.py
+++ b/eelgrassrack/decisions/exposure.py
@@ -77,14 +77,27 @@
     age: float = 0.0
 
 
-def find_end(limit: float) -> float:
-    """Return the seconds after the order from which old endpoints may be given up."""
-    return limit - find_end_seconds(limit)
+def find_end_seconds(limit: float, *, unseen: float = 0.0) -> float:
+    """Return the seconds between the end of a good version's trial and its limit.
 
+    The time limit may pass up to `unseen` seconds before it seems to.
+    """
+    return min(END_SECONDS, limit * END_PART) + unseen
+
+
+def limit_unseen(
+    unseen: float, *, left: float, share: float, rate: float, limit: float
+) -> float:
+    """Return how many seconds earlier a trial ends as its order was seen late.
 
-def find_end_seconds(limit: float) -> float:
-    """Return the seconds between the end of a good version's trial and its limit."""
-    return min(END_SECONDS, limit * END_PART)
+    Those are at most `unseen`, and so many that `left` suffices for the requests that
+    may come after the end.
+    """
+    use = KEPT_FACTOR * find_use(share=share, rate=rate, seconds=1.0)
+    if use <= 0.0:
+        return unseen
+    affordable = KEPT_PART * left / use - find_end_seconds(limit)
+    return min(max(affordable, 0.0), unseen)
 
 
 def find_use(*, share: float, rate: float, seconds: float) -> float:
--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -18,7 +18,7 @@
 import msgspec
 import xxhash
 
-from .exposure import KEPT_FACTOR, find_end, find_end_seconds, find_use
+from .exposure import KEPT_FACTOR, find_end_seconds, find_use, limit_unseen
 from .versionevidence import Demand
 
 # Share of the allowance for a bad version that its trial may use up: the rest is left
@@ -84,7 +84,8 @@
     take.  `sent_new` of `sent` requests went to the new version.  `rate` is the mean
     number of requests per second, `latest_rate` that of the latest time if it is more.
     Operators allow a bad version `allowed_share` of the requests, and `slack` more, of
-    which live gateways have `left`.
+    which live gateways have `left`.  The order may have been made up to `unseen`
+    seconds before it was seen.
     """
 
     elapsed: float
@@ -96,6 +97,7 @@
     allowed_share: float
     slack: float
     left: float
+    unseen: float
 
     @property
     def part(self) -> float:
@@ -107,6 +109,22 @@
         """Return the seconds until the time limit, less than 0 after it."""
         return self.limit - self.elapsed
 
+    @property
+    def end_seconds(self) -> float:
+        """Return the seconds between the end of a good trial and the time limit."""
+        return find_end_seconds(self.limit, unseen=self.unseen)
+
+    @property
+    def affordable_unseen(self) -> float:
+        """Return how many seconds earlier the trial may end as it was seen late."""
+        return limit_unseen(
+            self.unseen,
+            left=self.left,
+            share=self.allowed_share,
+            rate=self.latest_rate,
+            limit=self.limit,
+        )
+
 
 def find_trial_share(progress: Progress, *, settling: float) -> float:
     """Return the share of sessions that use the new version during its trial.
@@ -133,7 +151,7 @@
         return False
     share = progress.allowed_share
     rate = progress.latest_rate
-    seconds = find_end_seconds(progress.limit)
+    seconds = find_end_seconds(progress.limit, unseen=progress.affordable_unseen)
     use = find_use(share=share, rate=rate, seconds=progress.remaining - seconds)
     kept = KEPT_FACTOR * find_use(share=share, rate=rate, seconds=seconds)
     chance = CHANCE_ERRORS * math.sqrt(rate * max(progress.remaining, 0.0))
@@ -142,7 +160,8 @@
 
 def must_move(progress: Progress) -> bool:
     """Return whether it is the time at which a good version gets all requests."""
-    return progress.elapsed >= find_latest_move(progress.limit)
+    latest = find_latest_move(progress.limit) - progress.affordable_unseen
+    return progress.elapsed >= latest
 
 
 def find_latest_move(limit: float) -> float:
@@ -213,9 +232,10 @@
     """
     if moved_for < MOVE_SECONDS or not is_covered:
         return False
-    if sound_for < SOUND_SECONDS and progress.remaining > LAST_SECONDS:
+    last = LAST_SECONDS + progress.unseen
+    if sound_for < SOUND_SECONDS and progress.remaining > last:
         return False
-    return progress.elapsed >= find_end(progress.limit)
+    return progress.remaining <= progress.end_seconds
 
 
 def is_held_up(*, doubting: int, gateways: int) -> bool:
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -70,8 +70,10 @@
     `mean_rate` and `latest_rate` are the gateway's requests per second, `left` is how
     many more of them the new version may get, and `gifts` what it gave of that in all
     to each peer that got something lately.  `is_doubting` says that its latest answers
-    speak against the version, `is_ending` that the end of its trial is near.  An
-    earlier version of the gateway sends none of these.
+    speak against the version, `last_reports` counts those made as the end of its trial
+    is near.  `unseen` is for how many seconds the order may have been in the store
+    before the gateways saw it, less than 0 if that isn't known.  An earlier version of
+    the gateway sends none of these.
     """
 
     service: str
@@ -90,7 +92,8 @@
     left: float = 0.0
     gifts: tuple[Gift, ...] = ()
     is_doubting: bool = False
-    is_ending: bool = False
+    last_reports: int = 0
+    unseen: float = -1.0
 
 
 class SessionPin(msgspec.Struct, frozen=True, array_like=True):
@@ -146,7 +149,7 @@
     def urgent_state(self) -> tuple[object, ...]:
         """Return the state whose changes all peers need to know soon."""
         trials = tuple(
-            (trial.version, trial.is_bad, trial.is_doubting, trial.is_ending)
+            (trial.version, trial.is_bad, trial.is_doubting, trial.last_reports)
             for trial in self.trials
         )
         known = (self.configuration, self.knows_store, self.revisions)
--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -43,6 +43,10 @@
 INACTIVE_POLL_SECONDS = 0.25
 STARTING_POLL_SECONDS = 0.05
 
+# A watch that waits at least so long reports a change as soon as it is made.  One that
+# is answered sooner may report a change made before it began.
+WAITING_SECONDS = 0.1
+
 # Exponential backoff after failures.  Jitter keeps gateways that lost the store
 # together from calling it again together.
 FIRST_BACKOFF_SECONDS = 0.1
@@ -100,6 +104,8 @@
     `revision` is the store's revision to watch from, None if a list is due.
     `event_revision` is the store's revision at the last change seen, and `has_listed`
     is set once a list was read since this gateway began to watch.
+    `changed_after` is the loop time before which the changes that are being applied
+    weren't made, None if it isn't known.
     `on_gap` is called when this follower may have missed changes.  Set `wake` to check
     immediately whether this gateway watches.
     """
@@ -117,9 +123,11 @@
         "_may_watch",
         "_store",
         "_apply_changes",
+        "_complete_at",
         "_replace_all",
         "_listed_for",
         "_watching",
+        "changed_after",
         "event_revision",
         "has_listed",
         "kind",
@@ -152,6 +160,8 @@
         self._heard_revision = 0
         self._has_gap = True
         self._has_changed = False
+        self._complete_at: float | None = None
+        self.changed_after: float | None = None
         self.event_revision = 0
         self.has_listed = False
         self.on_gap: Callable[[], None] = _ignore
@@ -175,6 +185,7 @@
                 # Changes arrive through peers meanwhile.
                 self.revision = None
                 self._has_gap = True
+                self._complete_at = None
                 self.has_listed = False
                 self._contact.note_unwatched()
                 await self._wait_woken()
@@ -227,10 +238,13 @@
         now = loop.time()
         match result:
             case ListResult():
+                self._note_complete(asked_at)
                 self.has_listed = True
                 self.revision = result.revision
                 self._apply_list(result)
             case WatchResult():
+                has_waited = now >= asked_at + WAITING_SECONDS
+                self._note_complete(now, is_prompt=has_waited)
                 # After `relist` the revision is None and stays so: this result may
                 # lack changes.
                 self.revision = self.revision and result.revision
@@ -254,6 +268,15 @@
         self._contact.note_answer(asked_at=asked_at, now=now)
         return True
 
+    def _note_complete(self, at: float, *, is_prompt: bool = False) -> None:
+        """Note that no change before the loop time `at` is unknown here any more.
+
+        Those that are new here were made after the view before was complete, or just
+        now if the store told of them promptly.
+        """
+        self.changed_after = at if is_prompt else self._complete_at
+        self._complete_at = at
+
     def _note_gap(self) -> None:
         self.revision = None
         self._has_gap = True
--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -183,7 +183,7 @@
     def drop_missing(self) -> None:
         """Drop endpoints that are still missing after an outage, and let peers know."""
         if self._fleet.sweep():
-            self._endpoint_follower.claim_list()
+            self._find_follower(self._kinds.ENDPOINTS).claim_list()
 
     def list_newer(self, update: PeerUpdate) -> None:
         """List each kind again for which a peer reports a newer change."""
@@ -344,7 +344,6 @@
     def _make_followers(self) -> tuple[Follower, ...]:
         kinds = self._kinds
         fleet = self._fleet
-        rollouts = self._rollouts
         return (
             self._follow(
                 kind=kinds.CONFIGURATION,
@@ -361,10 +360,10 @@
             ),
             self._follow(
                 kind=kinds.ROLLOUTS,
-                replace_all=rollouts.replace_all,
-                apply_changes=rollouts.apply_changes,
+                replace_all=self._replace_orders,
+                apply_changes=self._apply_order_changes,
                 find_bound_ms=lambda: self._settings.rollback_ms,
-                list_known=lambda: [order.service for order in rollouts.orders],
+                list_known=lambda: [order.service for order in self._rollouts.orders],
             ),
             self._follow(
                 kind=kinds.EVACUATIONS,
@@ -408,23 +407,27 @@
 
     def _replace_endpoints(self, objects: dict[str, object]) -> None:
         self._fleet.replace_all(objects)
-        follower = self._endpoint_follower
+        follower = self._find_follower(self._kinds.ENDPOINTS)
         revision = max(follower.revision or 0, follower.event_revision)
         self._endpoint_changes.restart(revision)
 
     def _apply_endpoint_changes(self, objects: dict[str, object | None]) -> None:
         self._fleet.apply_changes(objects)
         self._endpoint_changes.note(
-            objects, revision=self._endpoint_follower.event_revision
+            objects,
+            revision=self._find_follower(self._kinds.ENDPOINTS).event_revision,
         )
 
-    @property
-    def _endpoint_follower(self) -> Follower:
-        return next(
-            follower
-            for follower in self.followers
-            if follower.kind == self._kinds.ENDPOINTS
-        )
+    def _replace_orders(self, objects: dict[str, object]) -> None:
+        follower = self._find_follower(self._kinds.ROLLOUTS)
+        self._rollouts.replace_all(objects, made_after=follower.changed_after)
+
+    def _apply_order_changes(self, objects: dict[str, object | None]) -> None:
+        follower = self._find_follower(self._kinds.ROLLOUTS)
+        self._rollouts.apply_changes(objects, made_after=follower.changed_after)
+
+    def _find_follower(self, kind: str) -> Follower:
+        return next(found for found in self.followers if found.kind == kind)
 
     def _apply_configurations(self, objects: dict[str, object | None]) -> None:
         for found in objects.values():
--- a/eelgrassrack/gateway/versions/rolloutlog.py
+++ b/eelgrassrack/gateway/versions/rolloutlog.py
@@ -72,6 +72,7 @@
         given=round(sum(trial.account.given.values()), 1),
         received=round(sum(trial.account.received.values()), 1),
         left=round(progress.left, 1),
+        unseen=round(progress.unseen, 2),
         verdict=trial.evidence.verdict.value,
         full_load=trial.full_load.verdict.value,
         is_bad=trial.is_bad,
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -21,12 +21,9 @@
     find_unfinished_slowness,
 )
 from ...decisions.exposure import (
-    END_SECONDS,
     Allowance,
     Holder,
     covers,
-    find_end,
-    find_end_seconds,
     find_gifts,
     find_moved_share,
     limit_share,
@@ -78,8 +75,10 @@
 END_TICK_SECONDS = 0.05
 
 # How long before the end of a trial gateways tell each other what they have counted:
-# those of other failure domains report once a second otherwise.
-LAST_REPORT_SECONDS = 0.1
+# those of other failure domains report once a second otherwise.  A trial whose order
+# was seen late has less time for its evidence.
+LAST_REPORTS_SECONDS = (0.1,)
+LATE_REPORTS_SECONDS = (0.6, 0.35, 0.1)
 
 # Interval at which a gateway gives what it has too much of a version's allowance: its
 # peers have reported what they got by then.
@@ -178,18 +177,28 @@
         self._running: dict[int, VersionAttempt] = {}
         self._tallied_at = dict.fromkeys(Audience, float("-inf"))
 
-    def replace_all(self, objects: dict[str, object]) -> None:
-        """Replace all orders by the store's list."""
+    def replace_all(
+        self, objects: dict[str, object], *, made_after: float | None = None
+    ) -> None:
+        """Replace all orders by the store's list.
+
+        New ones were made after the loop time `made_after`, None if it isn't known.
+        """
         for service in self._trials.keys() - objects.keys():
             self._drop(service)
-        self.apply_changes(objects)
+        self.apply_changes(objects, made_after=made_after)
 
-    def apply_changes(self, objects: dict[str, object | None]) -> None:
-        """Apply changed orders; None stands for a removed one."""
+    def apply_changes(
+        self, objects: dict[str, object | None], *, made_after: float | None = None
+    ) -> None:
+        """Apply changed orders; None stands for a removed one.
+
+        New ones were made after the loop time `made_after`, None if it isn't known.
+        """
         for name, found in objects.items():
             match found:
                 case RolloutOrder():
-                    self._apply(found)
+                    self._apply(found, made_after=made_after)
                 case None:
                     self._drop(name)
                 case _:
@@ -244,13 +253,12 @@
         return max(limit_share(trial.common_share, own), trial.trial_share)
 
     def _find_moved_share(self, trial: Trial, left: float, *, rate: float) -> float:
-        limit = trial.order.seconds
         return find_moved_share(
             left=left,
             share=self._settings.exposure_share,
             rate=rate,
-            remaining=trial.since + limit - self._loop.time(),
-            end_seconds=find_end_seconds(limit),
+            remaining=trial.since + trial.order.seconds - self._loop.time(),
+            end_seconds=trial.end_seconds,
             kept_factor=trial.kept_factor,
         )
 
@@ -405,6 +413,8 @@
                 continue
             if report.is_witnessed:
                 trial.receive_since(now - report.elapsed)
+            if report.unseen >= 0.0:
+                trial.receive_made_after(now - report.elapsed - report.unseen)
             if report.is_bad and not trial.is_bad:
                 log.notice("rollout: {} says {} is bad", update.name, report.version)
                 trial.is_bad = True
@@ -437,7 +447,12 @@
         if has_tallies:
             self._tallied_at[audience] = now
         trials = tuple(
-            self._report_trial(trial, has_tallies=has_tallies) for trial in running
+            self._report_trial(
+                trial,
+                has_tallies=has_tallies
+                or (trial.last_reports > 0 and trial.counted_unseen > 0.0),
+            )
+            for trial in running
         )
         pins = [
             SessionPin(session, seen.is_new)
@@ -465,7 +480,8 @@
             self._find_allowance(trial).left,
             account.list_gifts(now),
             trial.is_doubting(now),
-            trial.is_ending,
+            trial.last_reports,
+            -1.0 if trial.unseen is None else trial.unseen,
         )
 
     def stop(self) -> None:
@@ -487,14 +503,22 @@
 
     def _find_pause(self) -> float:
         """Return the seconds to the next tick, less around the end of a trial."""
+        running = (trial for trial in self._trials.values() if not trial.has_ended)
+        is_near = any(map(self._is_step_near, running))
+        return END_TICK_SECONDS if is_near else TICK_SECONDS
+
+    def _is_step_near(self, trial: Trial) -> bool:
+        """Return whether a trial moves all requests soon, or is about to end."""
         now = self._loop.time()
-        ends = (
-            trial.since + find_end(trial.order.seconds) - now
-            for trial in self._trials.values()
-            if not trial.has_ended and trial.moved_at is not None
+        if trial.moved_at is not None:
+            return -trial.end_seconds <= trial.ends_at - now <= TICK_SECONDS
+        progress = self._find_progress(trial)
+        if progress.affordable_unseen <= 0.0:
+            return False
+        soon = msgspec.structs.replace(
+            progress, elapsed=progress.elapsed + TICK_SECONDS
         )
-        is_near = any(-END_SECONDS <= end <= TICK_SECONDS for end in ends)
-        return END_TICK_SECONDS if is_near else TICK_SECONDS
+        return must_move(soon) and progress.remaining > 0.0
 
     def _log_progress(self, trial: Trial) -> None:
         """Log the counts at the time limit, and the answers after the end."""
@@ -602,6 +626,7 @@
             left=sum(max(holder.left, 0.0) for holder in self._list_holders(trial)),
             allowed_share=self._settings.exposure_share,
             slack=self._settings.exposure_slack,
+            unseen=trial.counted_unseen,
         )
 
     def _list_holders(self, trial: Trial) -> list[Holder]:
@@ -627,10 +652,14 @@
 
     def _report_last(self, trial: Trial) -> None:
         """Tell peers shortly before the end what has been counted so far."""
-        ends_at = trial.since + find_end(trial.order.seconds)
-        is_due = self._loop.time() >= ends_at - LAST_REPORT_SECONDS
-        if is_due and trial.moved_at is not None and not trial.is_ending:
-            trial.is_ending = True
+        if trial.moved_at is None:
+            return
+        remaining = trial.ends_at - self._loop.time()
+        is_late = trial.counted_unseen > 0.0
+        reports = LATE_REPORTS_SECONDS if is_late else LAST_REPORTS_SECONDS
+        due = sum(remaining <= seconds for seconds in reports)
+        if due > trial.last_reports:
+            trial.last_reports = due
             self._tell_peers()
 
     def _change_share(self, trial: Trial) -> None:
@@ -638,9 +667,7 @@
         if trial.is_bad:
             return
         progress = self._find_progress(trial)
-        trial.common_share = self._find_moved_share(
-            trial, progress.left, rate=progress.latest_rate
-        )
+        self._update_common_share(trial, progress)
         if trial.moved_at is not None:
             return
         settling = self._settings.session_seconds
@@ -652,6 +679,11 @@
             self._move(trial, self._loop.time())
             log_evidence(trial, progress)
 
+    def _update_common_share(self, trial: Trial, progress: Progress) -> None:
+        trial.common_share = self._find_moved_share(
+            trial, progress.left, rate=progress.latest_rate
+        )
+
     def _is_sound(self, trial: Trial, progress: Progress) -> bool:
         """Return whether the evidence suffices to give up the old endpoints."""
         found = (trial.evidence, trial.full_load)
@@ -663,7 +695,9 @@
         """Let all requests use the new version since the loop time `at`."""
         if trial.moved is None:
             trial.old_endpoints = len(self._list_old(trial))
-        trial.move(at, progress=self._find_progress(trial))
+        progress = self._find_progress(trial)
+        trial.move(at, progress=progress)
+        self._update_common_share(trial, progress)
 
     def _find_state(self, trial: Trial) -> RolloutState:
         if trial.is_bad:
@@ -691,7 +725,7 @@
             share=progress.allowed_share,
             rate=progress.latest_rate,
             remaining=progress.remaining,
-            end_seconds=find_end_seconds(progress.limit),
+            end_seconds=progress.end_seconds,
             kept_factor=trial.kept_factor,
         )
 
@@ -748,7 +782,7 @@
         trial.pins[key] = PinnedSession(now, is_new, now)
         return is_new
 
-    def _apply(self, order: RolloutOrder) -> None:
+    def _apply(self, order: RolloutOrder, *, made_after: float | None) -> None:
         trial = self._trials.get(order.service)
         known = trial.key if trial else None
         if known == (order.service, order.version, order.created):
@@ -763,6 +797,7 @@
             order=order,
             now=now,
             estimated_since=estimated_since,
+            made_after=made_after,
             has_slack=self._is_loaded,
         )
         self._trials[order.service].account.note_gateways(self._count_gateways())
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -30,6 +30,11 @@
 # clock: clocks may jump by seconds, which would end a version's trial too early.
 WITNESS_WAIT_SECONDS = 2.0
 
+# For how long at most an order counts as made before it was seen, and that as a part of
+# its time limit.
+MOST_UNSEEN_SECONDS = 1.5
+MOST_UNSEEN_PART = 0.1
+
 # Answers that an endpoint loses within this time count once: a broken connection or a
 # crash loses all that are under way there.
 LOSS_SECONDS = 1.0
@@ -92,7 +97,8 @@
     `since` is the loop time at which it began, as far as known.  `is_witnessed` says
     that this gateway, or a peer that reported it, saw it begin.  Otherwise
     `estimated_since` is its start by the clocks of this gateway and of the one that
-    wrote its status.
+    wrote its status.  `made_after` is the loop time of the latest view of the store
+    without the order, None if none is known.
 
     `tallies` holds this gateway's counts of answers, `account` its requests, `given_at`
     is the loop time at which it last considered to give some of what it has left, and
@@ -106,9 +112,9 @@
     answers since the move, and `sound_since` the loop time since which both suffice to
     give up the old endpoints, None while they don't.  `pins` holds sessions by their
     hash.  `write_after` is the loop time from which this gateway writes the status,
-    None if nothing needs to be written.  `is_ending` says that the end of the trial is
-    near, and `is_overdue` that the time limit has passed.  `missing_since` is the loop
-    time since which the order is missing, None if it isn't.
+    None if nothing needs to be written.  `last_reports` counts the reports made as the
+    end of the trial is near, `is_overdue` says that the time limit has passed.
+    `missing_since` is the loop time since which the order is missing, None if it isn't.
     `answers_since_end` and `bad_since_end` are the version's answers here
     since the roll-out ended, `ended_at` the loop time of that, None before and once
     they are logged.
@@ -129,10 +135,11 @@
         "full_load",
         "given_at",
         "is_bad",
-        "is_ending",
         "is_overdue",
         "is_witnessed",
         "kept_factor",
+        "last_reports",
+        "made_after",
         "missing_since",
         "moved",
         "moved_at",
@@ -155,6 +162,7 @@
         order: RolloutOrder,
         now: float,
         estimated_since: float | None = None,
+        made_after: float | None = None,
         has_slack: bool = False,
     ) -> None:
         self.order = order
@@ -162,8 +170,9 @@
         self.received_at = now
         self.estimated_since = estimated_since
         self.is_witnessed = estimated_since is None
+        self.made_after = made_after
         self.is_bad = False
-        self.is_ending = False
+        self.last_reports = 0
         self.is_overdue = self.has_ended
         self.evidence = NO_EVIDENCE
         self.full_load = NO_EVIDENCE
@@ -195,6 +204,35 @@
         self.since = min(self.since, since) if self.is_witnessed else since
         self.is_witnessed = True
 
+    def receive_made_after(self, at: float) -> None:
+        """Apply the loop time at which a peer still had a view without the order."""
+        self.made_after = at if self.made_after is None else max(self.made_after, at)
+
+    @property
+    def unseen(self) -> float | None:
+        """Return for how long the order may have been in the store unseen."""
+        if self.made_after is None:
+            return None
+        return max(self.since - self.made_after, 0.0)
+
+    @property
+    def counted_unseen(self) -> float:
+        """Return how many seconds earlier the trial ends for that."""
+        if self.moved is not None:
+            return self.moved.affordable_unseen
+        most = min(MOST_UNSEEN_SECONDS, self.order.seconds * MOST_UNSEEN_PART)
+        return min(self.unseen or 0.0, most)
+
+    @property
+    def end_seconds(self) -> float:
+        """Return the seconds between the end of the trial and its time limit."""
+        return find_end_seconds(self.order.seconds, unseen=self.counted_unseen)
+
+    @property
+    def ends_at(self) -> float:
+        """Return the loop time at which the trial of a good version ends."""
+        return self.since + self.order.seconds - self.end_seconds
+
     def apply_estimate(self, now: float) -> None:
         """Use the estimated start if no peer has reported the true one in time."""
         if not self.is_witnessed and now >= self.received_at + WITNESS_WAIT_SECONDS:
@@ -215,7 +253,7 @@
                 left=progress.left,
                 share=progress.allowed_share,
                 rate=progress.latest_rate,
-                seconds=find_end_seconds(progress.limit),
+                seconds=self.end_seconds,
             )
             self._before_move = self._totals[-1][1] if self._totals else {}
         self.moved_at = at if self.moved_at is None else min(self.moved_at, at)
--- a/test/decisions/test_exposure.py
+++ b/test/decisions/test_exposure.py
@@ -14,6 +14,7 @@
     find_kept_factor,
     find_moved_share,
     limit_share,
+    limit_unseen,
     share_slack,
 )
 
@@ -156,3 +157,23 @@
     """It may have sent all of its requests to the version since, but not the last."""
     assert is_covered(Holder("a", 60.0, 70.0, 2.0))
     assert not is_covered(Holder("a", 20.0, 70.0, 2.0))
+
+
+def find_unseen(unseen, *, left, rate=70.0):
+    return limit_unseen(unseen, left=left, share=SHARE, rate=rate, limit=24.0)
+
+
+def test_a_trial_whose_order_was_seen_late_ends_earlier_as_far_as_enough_is_left():
+    assert find_unseen(0.0, left=1_000.0) == 0.0
+    assert find_unseen(0.8, left=1_000.0) == 0.8
+    assert 0.0 < find_unseen(0.8, left=130.0) < 0.8
+    assert find_unseen(0.8, left=10.0) == 0.0
+    assert find_unseen(0.8, left=0.0, rate=0.0) == 0.8
+
+
+@pytest.mark.parametrize("left", [80.0, 110.0, 160.0, 500.0])
+def test_what_is_kept_back_covers_the_time_after_an_earlier_end(left):
+    unseen = find_unseen(1.5, left=left)
+    seconds = END_SECONDS + unseen
+    kept = find_kept_factor(left=left, share=SHARE, rate=70.0, seconds=seconds)
+    assert kept == pytest.approx(KEPT_FACTOR)
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -20,7 +20,9 @@
 )
 
 
-def make_progress(part, *, rate=70.0, limit=15.0, allowed=0.15, slack=30.0, new=0):
+def make_progress(
+    part, *, rate=70.0, limit=15.0, allowed=0.15, slack=30.0, new=0, unseen=0.0
+):
     sent = round(rate * part * limit)
     return Progress(
         elapsed=part * limit,
@@ -32,6 +34,7 @@
         left=allowed * sent + slack - new,
         allowed_share=allowed,
         slack=slack,
+        unseen=unseen,
     )
 
 
--- a/test/gateway/rolloutplays.py
+++ b/test/gateway/rolloutplays.py
@@ -160,7 +160,9 @@
 
     `bursts` are (begin, end, factor) in seconds after the order.  `kills` are times at
     which a gateway is replaced by a new process, `stops` those at which it stops
-    first.  `absent` is a span without the store,
+    first.  `unseen` are the seconds between the last view without the order and the
+    order, and between the order and the first view with it.  `absent` is a span without
+    the store,
     `missing` a time at which the order is missing from lists, and for how long.
     `refusing_share` of the old version's endpoints refuse connections.
     """
@@ -179,6 +181,7 @@
         bursts=(),
         kills=(),
         stops=(),
+        unseen=(0.0, 0.0),
         absent=(0.0, 0.0),
         missing=None,
         refusing_share=0.0,
@@ -192,6 +195,7 @@
         self.bursts = bursts
         self.kills = kills
         self.stops = stops
+        self.unseen = unseen
         self.absent = absent
         self.missing = missing
         self.order = None
@@ -287,9 +291,12 @@
 
     async def _order(self):
         await asyncio.sleep(BEFORE_SECONDS)
+        before, after = self.unseen
+        made_after = self.now - before
+        await asyncio.sleep(after)
         self.order = make_order(self.limit)
         for gateway in self.gateways:
-            gateway.rollouts.apply_changes({SERVICE: self.order})
+            gateway.rollouts.apply_changes({SERVICE: self.order}, made_after=made_after)
 
     async def _hide_order(self):
         if self.missing is None:
--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -10,6 +10,12 @@
 from eelgrassrack.gateway.endpoints.fleet import LAPSE_SECONDS, Fleet
 from eelgrassrack.gateway.store.follower import Follower
 from eelgrassrack.gateway.store.storecontact import StoreContact
+from eelgrassrack.gateway.store.storeobjects import (
+    ListResult,
+    StoreUnavailable,
+    WatchOverdue,
+    WatchResult,
+)
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import Fault
 
@@ -518,3 +524,80 @@
             assert thin.calls.count("list") == 1
 
     run(main())
+
+
+class ScriptedStore:
+    """Answers each call with the next of some results, after its delay in seconds."""
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+
+    async def list(self, **_):
+        return await self._answer()
+
+    async def watch(self, **_):
+        return await self._answer()
+
+    async def _answer(self):
+        if not self.steps:
+            await asyncio.sleep(100.0)
+        delay, result = self.steps.pop(0)
+        await asyncio.sleep(delay)
+        return result
+
+    def is_receiving(self, kind):
+        return False
+
+
+EMPTY_LIST = ListResult(revision=1, newest=0, objects={})
+CHANGED_LIST = ListResult(revision=2, newest=2, objects={"models": 1})
+CHANGE = WatchResult(revision=2, newest=2, objects={"models": 1})
+LOST = StoreUnavailable(reason="cut")
+
+# The steps of a store, and whether the change counts as made since the first view.
+UNSEEN = {
+    "a waiting watch tells at once": (((0.0, EMPTY_LIST), (0.3, CHANGE)), False),
+    "a watch is told as it begins": (((0.0, EMPTY_LIST), (0.0, CHANGE)), True),
+    "a list after a watch that was cut": (
+        ((0.0, EMPTY_LIST), (0.5, LOST), (0.0, CHANGED_LIST)),
+        True,
+    ),
+    "a list after a watch that is overdue": (
+        ((0.0, EMPTY_LIST), (0.5, WatchOverdue()), (0.0, CHANGED_LIST)),
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", UNSEEN, ids=lambda name: name.replace(" ", "_"))
+def test_a_change_counts_as_made_after_the_last_view_without_it(name):
+    """Guards against a time limit that passes sooner than a gateway counts it."""
+    steps, is_since_first = UNSEEN[name]
+
+    async def main():
+        views = []
+        store = ScriptedStore(*steps)
+
+        def note(objects):
+            views.append((asyncio.get_running_loop().time(), follower.changed_after))
+
+        follower = Follower(
+            store=store,
+            kind=Kinds.ROLLOUTS,
+            contact=StoreContact(),
+            replace_all=note,
+            apply_changes=note,
+            find_wait=lambda: WAIT_SECONDS,
+            is_active=lambda: True,
+            is_standby=lambda: False,
+        )
+        following = asyncio.ensure_future(follower.run())
+        await wait_for(lambda: len(views) == 2)
+        following.cancel()
+        (first_at, unknown), (last_at, changed_after) = views
+        assert unknown is None
+        assert changed_after == pytest.approx(
+            first_at if is_since_first else last_at, abs=0.05
+        )
+
+    run(main())
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -135,7 +135,12 @@
 }
 
 
-@pytest.mark.parametrize("guard", list(GUARDS))
+def make_id(guard):
+    """Return an id without spaces, as KNOWN-RED.txt needs."""
+    return guard.replace(" ", "_")
+
+
+@pytest.mark.parametrize("guard", list(GUARDS), ids=make_id)
 def test_a_guard_is_needed(monkeypatch, guard):
     patches, run_test = GUARDS[guard]
     for owner, name, without in patches:
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -123,6 +123,39 @@
     assert got <= allowed
 
 
+# The seconds between the last view of the store without the order and the order, and
+# between the order and the first view with it.
+UNSEEN = {
+    "half a second": (0.4, 0.5),
+    "most of a second": (0.3, 0.9),
+    "a second and a half": (0.1, 1.5),
+    "seen at once after a pause": (1.5, 0.05),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", UNSEEN, ids=make_id)
+@pytest.mark.parametrize("limit", [15.0, 24.0])
+def test_a_good_version_is_taken_over_though_its_order_was_seen_late(name, limit, seed):
+    """The time limit runs from the order on, also while no gateway knows it."""
+    play = RolloutPlay(seed=seed, limit=limit, unseen=UNSEEN[name]).run()
+    assert "rolled back" not in play.statuses
+    assert play.statuses["done"] <= play.limit
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", UNSEEN, ids=make_id)
+@pytest.mark.parametrize("limit", [15.0, 24.0])
+def test_a_version_whose_order_was_seen_late_stays_within_the_allowance(
+    name, limit, seed
+):
+    """An earlier end leaves more requests to come after it."""
+    unseen = UNSEEN[name]
+    play = RolloutPlay(seed=seed, fault=UNDER_LOAD, limit=limit, unseen=unseen).run()
+    got, allowed = play.exposure
+    assert got <= allowed
+
+
 STOPS = {
     "before its end": (10.0, 11.0, 12.0, 13.0),
     "close together": (11.0, 11.6, 12.2, 12.8),
