--- a/test/gateway/test_follower.py
+++ b/test/gateway/test_follower.py
@@ -19,6 +19,7 @@
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import Fault
 
+from .testids import make_id
 from .world import KEY, make_world, run, wait_for
 
 # After a disturbance of its connections a gateway is in touch again.
@@ -569,7 +570,7 @@
 }
 
 
-@pytest.mark.parametrize("name", UNSEEN, ids=lambda name: name.replace(" ", "_"))
+@pytest.mark.parametrize("name", UNSEEN, ids=make_id)
 def test_a_change_counts_as_made_after_the_last_view_without_it(name):
     """Guards against a time limit that passes sooner than a gateway counts it."""
     steps, is_since_first = UNSEEN[name]
--- a/test/gateway/test_guards.py
+++ b/test/gateway/test_guards.py
@@ -29,6 +29,7 @@
     test_stop,
     test_streams,
 )
+from .testids import make_id
 
 # How a test ends when its safeguard is missing: a failed assertion, a timeout or a
 # broken connection.
@@ -135,11 +136,6 @@
 }
 
 
-def make_id(guard):
-    """Return an id without spaces, as KNOWN-RED.txt needs."""
-    return guard.replace(" ", "_")
-
-
 @pytest.mark.parametrize("guard", list(GUARDS), ids=make_id)
 def test_a_guard_is_needed(monkeypatch, guard):
     patches, run_test = GUARDS[guard]
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -4,11 +4,10 @@
 good one must be taken over within its time limit.
 """
 
-import re
-
 import pytest
 
 from .rolloutplays import Fault, RolloutPlay
+from .testids import make_id
 
 SEEDS = (1, 2, 3)
 
@@ -72,11 +71,6 @@
 UNDER_LOAD = Fault(fails=True, above=50)
 
 
-def make_id(name):
-    """Return an id without spaces, as KNOWN-RED.txt needs."""
-    return re.sub(r"\W+", "_", name)
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("name", BAD, ids=make_id)
 def test_a_bad_version_is_never_taken_over(name, seed):
