Count an order that is seen within 0.1 s as seen at once

Found by reading: a gateway's trial begins some microseconds after its view of the store, so that each order counted as seen late by that. The three reports before the end and the fine ticks before the move, which let versions that turn bad just before the end be `done`, then held for all orders, but not in plays, whose clock stands still meanwhile.

--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -447,12 +447,7 @@
         if has_tallies:
             self._tallied_at[audience] = now
         trials = tuple(
-            self._report_trial(
-                trial,
-                has_tallies=has_tallies
-                or (trial.last_reports > 0 and trial.counted_unseen > 0.0),
-            )
-            for trial in running
+            self._report_trial(trial, has_tallies=has_tallies) for trial in running
         )
         pins = [
             SessionPin(session, seen.is_new)
@@ -465,6 +460,7 @@
     def _report_trial(self, trial: Trial, *, has_tallies: bool) -> TrialReport:
         now = self._loop.time()
         account = trial.account
+        has_tallies = has_tallies or (trial.is_seen_late and trial.last_reports > 0)
         return TrialReport(
             *trial.key,
             now - trial.since,
@@ -512,9 +508,9 @@
         now = self._loop.time()
         if trial.moved_at is not None:
             return -trial.end_seconds <= trial.ends_at - now <= TICK_SECONDS
-        progress = self._find_progress(trial)
-        if progress.affordable_unseen <= 0.0:
+        if not trial.is_seen_late:
             return False
+        progress = self._find_progress(trial)
         soon = msgspec.structs.replace(
             progress, elapsed=progress.elapsed + TICK_SECONDS
         )
@@ -655,9 +651,8 @@
         if trial.moved_at is None:
             return
         remaining = trial.ends_at - self._loop.time()
-        is_late = trial.counted_unseen > 0.0
-        reports = LATE_REPORTS_SECONDS if is_late else LAST_REPORTS_SECONDS
-        due = sum(remaining <= seconds for seconds in reports)
+        times = LATE_REPORTS_SECONDS if trial.is_seen_late else LAST_REPORTS_SECONDS
+        due = sum(remaining <= seconds for seconds in times)
         if due > trial.last_reports:
             trial.last_reports = due
             self._tell_peers()
--- a/eelgrassrack/gateway/versions/trial.py
+++ b/eelgrassrack/gateway/versions/trial.py
@@ -30,6 +30,9 @@
 # clock: clocks may jump by seconds, which would end a version's trial too early.
 WITNESS_WAIT_SECONDS = 2.0
 
+# An order that was seen sooner counts as seen at once.
+LEAST_UNSEEN_SECONDS = 0.1
+
 # For how long at most an order counts as made before it was seen, and that as a part of
 # its time limit.
 MOST_UNSEEN_SECONDS = 1.5
@@ -215,13 +218,20 @@
             return None
         return max(self.since - self.made_after, 0.0)
 
+    @property
+    def is_seen_late(self) -> bool:
+        """Return whether the trial ends earlier as its order was seen late."""
+        return self.counted_unseen > 0.0
+
     @property
     def counted_unseen(self) -> float:
         """Return how many seconds earlier the trial ends for that."""
         if self.moved is not None:
             return self.moved.affordable_unseen
+        if self.unseen is None or self.unseen < LEAST_UNSEEN_SECONDS:
+            return 0.0
         most = min(MOST_UNSEEN_SECONDS, self.order.seconds * MOST_UNSEEN_PART)
-        return min(self.unseen or 0.0, most)
+        return min(self.unseen, most)
 
     @property
     def end_seconds(self) -> float:
--- a/test/gateway/test_rollout_plays.py
+++ b/test/gateway/test_rollout_plays.py
@@ -150,6 +150,18 @@
     assert got <= allowed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("fault", [Fault(fails=True, begins=14.3), UNDER_LOAD])
+def test_an_order_that_is_seen_at_once_changes_nothing(fault, seed):
+    """The few milliseconds until gateways see an order don't end its trial earlier."""
+    plays = [
+        RolloutPlay(seed=seed, fault=fault, unseen=unseen).run()
+        for unseen in ((0.0, 0.0), (0.005, 0.0))
+    ]
+    at_once, soon = [(play.statuses, play.sent_new_at) for play in plays]
+    assert soon == at_once
+
+
 STOPS = {
     "before its end": (10.0, 11.0, 12.0, 13.0),
     "close together": (11.0, 11.6, 12.2, 12.8),
