--- a/eelgrassrack/decisions/exposure.py
+++ b/eelgrassrack/decisions/exposure.py
@@ -164,7 +164,8 @@
     """Return whether the version may get all requests until the limit.
 
     `rate` is that of all gateways.  Since a gateway's report all of its requests may
-    have used the version, but not what it keeps back.
+    have used the version, but not what it keeps back: its sessions may use a little of
+    that, for which the factor makes up.
     """
     kept_seconds = kept_factor * min(remaining, end_seconds)
     least = sum(
