Bound what callers make a gateway hold, at its true cost

What callers saw: nothing any more, once the process had been killed. Callers that nobody controls sent most of a body and stayed open; the gateway ran out of memory.

Cause: only bodies were counted, and each might grow to 64 KiB whatever the others held. Beside the body stood up to two copies of its latest part in the HTTP library's frames, the read buffer, heads (15 kB in 1,800 lines take 526 kB as objects) and the connections themselves, without any bound.

When it is full, those give way that have held most for longest without progress, so that a request that comes whole displaces a crowd that stopped. What an endpoint has begun never gives way; a whole request that none has got may, and `note_offered` keeps its 503 true: from then on it can't be sent on. Parts of a body aren't kept in frames. What gives way is free only in the next turn of the loop, so a turn reads 1 MB at most. A head four times too long gets 431 instead of a reset, and a long one isn't parsed only to be refused. Each way of making room has a counter and a bounded log line.

Ruled out: a bound for each message (the crowd is many), and letting the one that asks give way (a crowd that holds everything would turn all others away).

--- /dev/null
+++ b/eelgrassrack/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of callers that nobody controls: bounded memory and short turns."""
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -8,11 +8,14 @@
 from collections.abc import Callable, Iterator
 
 import logbook
-from tornado.httpserver import HTTPServer
 
+from ..callers.room import CallerRoom
+from ..callers.server import CallerServer
+from ..callers.turns import ReadTurns
 from ..decisions.heldbytes import HeldBytes, find_bounds
 from ..decisions.witnesses import Candidate, choose_witnesses
 from ..errors import UserError
+from ..lingering import LingeringConnections
 from ..stoptime import StopTime
 from ..supervisor import Supervisor
 from .adminserver import AdminServer
@@ -96,6 +99,7 @@
         "_peers",
         "_placer",
         "_pool",
+        "_room",
         "rollouts",
         "router",
         "_read_settings",
@@ -221,6 +225,10 @@
     def _make_servers(self, translation: Translation) -> None:
         """Create the servers for callers, the balancer, peers and operators."""
         settings = self._settings
+        lingering = LingeringConnections()
+        self._room = CallerRoom(
+            memory_mb=settings.memory_mb, count=self._metrics.count_gave_way
+        )
         self._load = LoadComparison(
             list_peer_updates=lambda: self._update_exchange.latest,
             metrics=self._metrics,
@@ -250,9 +258,15 @@
             decode=translation.decode_arrival,
             is_closing=lambda: self._is_closing or self._admission.sends_away,
             find_limits=self.router.find_limits,
-            held=self._held,
+            lingering=lingering,
+        )
+        self._server = CallerServer(
+            self.ingress,
+            room=self._room,
+            turns=ReadTurns(),
+            lingering=lingering,
+            body_timeout=BODY_TIMEOUT_SECONDS,
         )
-        self._server = HTTPServer(self.ingress, body_timeout=BODY_TIMEOUT_SECONDS)
         self._admin_servers = (
             AdminServer(
                 setting="readiness",
@@ -445,6 +459,7 @@
             self._metrics.version.set(self.router.version)
             self._metrics.store_answers.set(self.has_store)
             self._metrics.held_bytes.set(self.held_bytes)
+            self._metrics.caller_bytes.set(self._room.memory.total)
             self._metrics.gateways.set(self.gateway_count)
             self._metrics.slow.set(self._placer.count_slow())
             self._metrics.reported_slow.set(self._placer.count_reported_slow())
--- a/eelgrassrack/gateway/metrics.py
+++ b/eelgrassrack/gateway/metrics.py
@@ -95,8 +95,10 @@
         "_arrivals",
         "_crossed_bytes",
         "_ends",
+        "_gave_way",
         "_seconds",
         "blocked",
+        "caller_bytes",
         "dropped_lines",
         "endless",
         "full_memory",
@@ -155,6 +157,17 @@
             name="gateway_full_memory",
             meaning="Messages broken off as all of them together took too much memory.",
         )
+        self._gave_way = self._make(
+            Counter,
+            name="gateway_gave_way",
+            meaning="Callers whose connection made room, by what it was used for.",
+            label="phase",
+        )
+        self.caller_bytes = self._make(
+            Gauge,
+            name="gateway_caller_bytes",
+            meaning="Bytes that callers make the process hold, at what they cost.",
+        )
         self.held_bytes = self._make(
             Gauge,
             name="gateway_held_bytes",
@@ -240,6 +253,10 @@
         """Count the end of a request, `end` being its kind."""
         self._ends.inc(label=end)
 
+    def count_gave_way(self, phase: str) -> None:
+        """Count a caller whose connection made room while it was used for `phase`."""
+        self._gave_way.inc(label=phase)
+
     def count_crossed(self, size: int, kind: str) -> None:
         """Count bytes sent to or received from other failure domains.
 
--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -79,6 +79,7 @@
         """
         connection: Connection | None = None
         outcome: Outcome | None = None
+        reply.note_offered()
         job.tried.append(endpoint.name)
         job.excluded.add(endpoint.name)
         job.attempts += 1
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -17,7 +17,7 @@
 )
 from tornado.iostream import IOStream
 
-from ...decisions.heldbytes import Excess, HeldBytes, Holding
+from ...callers.connection import UNLIMITED_BYTES
 from ...dismissal import REQUEST_TIMEOUT_ANSWER
 from ...lingering import LingeringConnections
 from ..endpoints.connection import enable_keepalive
@@ -33,9 +33,6 @@
 # not get the refusal.
 DRAIN_BYTES = 4_194_304
 
-# Keeps the HTTP library from refusing long bodies by itself.
-UNLIMITED_BYTES = 1 << 60
-
 # A new connection usually carries its first request by then, even if a packet is lost
 # and retransmitted.  During a stop, slower callers are sent to another gateway.
 FIRST_REQUEST_SECONDS = 0.3
@@ -55,11 +52,6 @@
 HEADERS_TOO_LONG = Refusal(status=431, reason="headers are too long")
 BODY_TOO_LONG = Refusal(status=413, reason="body is too long")
 
-# Other requests and answers are complete within about this many seconds.
-MEMORY_FULL = Refusal(
-    status=503, reason="too many long messages at once", retry_after=1.0
-)
-
 
 def has_unread(stream: IOStream) -> bool:
     """Return whether a connection holds bytes that no request has consumed yet.
@@ -122,8 +114,7 @@
     """Read callers' requests and pass them to a handler.
 
     `decode` turns a request's headers into an `Arrival`, `is_closing` returns whether
-    the process is stopping, and `find_limits` what callers may send now.  `held` counts
-    what requests hold until they are answered.
+    the process is stopping, and `find_limits` what callers may send now.
     """
 
     def __init__(
@@ -133,17 +124,16 @@
         decode: Decode,
         is_closing: Callable[[], bool],
         find_limits: Callable[[], Limits],
-        held: HeldBytes,
+        lingering: LingeringConnections,
     ) -> None:
         self._handler = handler
-        self._held = held
         self._decode = decode
         self._is_closing = is_closing
         self._find_limits = find_limits
         self._loop = asyncio.get_running_loop()
         self._seen_connections: weakref.WeakSet[object] = weakref.WeakSet()
         self._idle: dict[HTTPConnection, IdlePeriod] = {}
-        self._lingering = LingeringConnections()
+        self._lingering = lingering
         self._reading: set[_Message] = set()
         self._serving: set[asyncio.Task] = set()
 
@@ -160,6 +150,7 @@
         )
         limits = self._find_limits()
         request_conn.params.max_header_size = limits.header_bytes * HEADER_READ_FACTOR
+        request_conn.most_header_bytes = limits.header_bytes
         request_conn.set_max_body_size(UNLIMITED_BYTES)
         return _Message(ingress=self, connection=request_conn)
 
@@ -313,8 +304,6 @@
 
     __slots__ = (
         "_arrival",
-        "_body",
-        "_holding",
         "_ingress",
         "_limits",
         "_early_reply",
@@ -327,8 +316,6 @@
         self._ingress = ingress
         self.connection = connection
         self._arrival: Arrival | None = None
-        self._body = bytearray()
-        self._holding: Holding | None = None
         self._size = 0
         self._early_reply: Reply | None = None
         self._limits: Limits | None = None
@@ -342,19 +329,24 @@
         self._ingress._reading.add(self)
         # The limits may have changed while the connection was idle.
         self._limits = self._ingress._find_limits()
-        self._holding = self._ingress._held.open(most=self._limits.body_bytes)
         self._arrival = self._ingress._decode(
             method=start_line.method,
             target=start_line.path,
             pairs=headers.get_all(),
             now=asyncio.get_running_loop().time(),
         )
-        if _count_header_bytes(headers) > self._limits.header_bytes:
-            self._refuse(HEADERS_TOO_LONG)
-            return
+        refusal = self._find_refusal(headers)
+        if refusal is not None:
+            self._refuse(refusal)
+
+    def _find_refusal(self, headers: HTTPHeaders) -> Refusal | None:
+        """Return the refusal of a request that its head alone decides."""
+        is_too_long = self.connection.is_head_too_long
+        if is_too_long or _count_header_bytes(headers) > self._limits.header_bytes:
+            return HEADERS_TOO_LONG
         declared = headers.get("Content-Length", "")
-        if declared.isdecimal() and int(declared) > self._limits.body_bytes:
-            self._refuse(BODY_TOO_LONG)
+        length = int(declared) if declared.isdecimal() else 0
+        return BODY_TOO_LONG if length > self._limits.body_bytes else None
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, or discard it if the request is already refused."""
@@ -365,13 +357,10 @@
             self.connection.close()
 
     def _keep(self, chunk: bytes) -> None:
-        match self._holding.add(len(chunk)):
-            case Excess.ALONE:
-                self._refuse(BODY_TOO_LONG)
-            case Excess.TOGETHER:
-                self._refuse(MEMORY_FULL)
-            case None:
-                self._body += chunk
+        if self._size > self._limits.body_bytes:
+            self._refuse(BODY_TOO_LONG)
+        else:
+            self.connection.stream.keep(chunk)
 
     def finish(self) -> None:
         """Handle the request after its body has been read."""
@@ -382,8 +371,7 @@
             if self._early_reply.is_finished:
                 self._early_reply.finish()
             return
-        self._arrival.body = bytes(self._body)
-        self._body.clear()
+        self._arrival.body = self.connection.stream.take_body()
         self._start(self._make_reply())
 
     def end(self) -> None:
@@ -393,8 +381,7 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         """Send a refusal before the body is complete, and discard the rest of it."""
-        self._body.clear()
-        self._holding.release()
+        self.connection.stream.note_refused()
         self._early_reply = self._make_reply()
         self._early_reply.is_request_read = False
         self._start(self._early_reply, refusal)
@@ -407,14 +394,11 @@
         self._task = asyncio.ensure_future(serving)
         self._ingress._serving.add(self._task)
         self._task.add_done_callback(self._ingress._serving.discard)
-        self._task.add_done_callback(lambda _: self._holding.release())
 
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that closed its connection."""
         self._ingress._mark_active(self.connection)
         self._ingress._reading.discard(self)
-        if self._task is None and self._holding is not None:
-            self._holding.release()
         self._cancel()
 
     def _cancel(self) -> None:
--- a/eelgrassrack/gateway/requests/reply.py
+++ b/eelgrassrack/gateway/requests/reply.py
@@ -45,6 +45,16 @@
         self.is_finished = False
         self.is_request_read = True
 
+    def note_offered(self) -> None:
+        """Note that an endpoint gets the request; raise `CallerGoneError`.
+
+        From now on the request doesn't give way to others any more.
+        """
+        try:
+            self._connection.stream.note_served()
+        except StreamClosedError as error:
+            raise CallerGoneError("gave way to others") from error
+
     async def begin(
         self,
         *,
--- a/eelgrassrack/gateway/settings.py
+++ b/eelgrassrack/gateway/settings.py
@@ -159,8 +159,9 @@
         _number(
             "memory_mb",
             COUNT,
-            "Memory of the process, of which an eighth may hold requests and answers "
-            "that aren't complete; 0 if unknown.",
+            "Memory of the process.  Callers may take 0.3 of what lies above 48 MB, at "
+            "least 8 MB, or 64 MB if it is 0 for unknown; an eighth may hold answers "
+            "that aren't complete.",
             "MB",
         ),
     ),
--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Coroutine
 
@@ -27,7 +28,17 @@
 POLL_SECONDS = 0.01
 MAX_POLLS = 100
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
+
+# What arrives on lingering connections is discarded.
+_discarded = bytearray(READ_BYTES)
+
+# While so many connections linger, callers that are refused or give way to others are
+# closed at once.
+MAX_CROWDED = 256
+
+# Limits in bytes what is read from a caller that gave way to others.
+MAX_CROWDED_BYTES = 4_194_304
 
 
 class LingeringConnections:
@@ -38,9 +49,12 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task] = set()
 
-    def half_close(self, stream: IOStream, answer: bytes = b"") -> None:
+    def half_close(
+        self, stream: IOStream, answer: bytes = b"", *, most: float = math.inf
+    ) -> None:
         """Send a last answer and close the connection for writing.
 
+        At most `most` bytes are still read from it.
         The stream itself is closed immediately, so that no other code reads
         from it.
         """
@@ -49,14 +63,27 @@
             _send_last(stream, answer)
         stream.close()
         if sock is not None:
-            self._start_task(_linger(sock, answer))
+            self._start_task(_linger(sock, answer, most))
+
+    def close_crowded(self, stream: IOStream, answer: bytes = b"") -> None:
+        """Send a last answer and close the connection of one of many callers.
+
+        It lingers only while few others do: each holds a descriptor and a task.
+        """
+        if len(self._tasks) < MAX_CROWDED:
+            self.half_close(stream, answer, most=MAX_CROWDED_BYTES)
+            return
+        _send_last(stream, answer)
+        stream.close()
 
     def linger_after_close(self, stream: IOStream) -> None:
         """Keep reading from the connection after the stream has been closed.
 
         This serves callers that get an answer before they have sent the whole
-        request.
+        request, unless there are many of them.
         """
+        if len(self._tasks) >= MAX_CROWDED:
+            return
         sock = _copy_socket(stream)
         if sock is not None:
             self._start_task(_linger_after(stream, sock))
@@ -105,19 +132,21 @@
         if stream.closed():
             break
         await asyncio.sleep(POLL_SECONDS)
-    await _linger(sock, b"")
+    await _linger(sock, b"", math.inf)
 
 
-async def _linger(sock: socket.socket, answer: bytes) -> None:
+async def _linger(sock: socket.socket, answer: bytes, most: float) -> None:
     loop = asyncio.get_running_loop()
     with sock, contextlib.suppress(OSError, TimeoutError):
         async with asyncio.timeout(MAX_LINGER_SECONDS):
             await loop.sock_sendall(sock, answer)
             sock.shutdown(socket.SHUT_WR)
-            while await _read(sock):
-                pass
+            received = 0
+            while received < most and (size := await _discard(sock)):
+                received += size
 
 
-async def _read(sock: socket.socket) -> bytes:
+async def _discard(sock: socket.socket) -> int:
+    """Discard what arrives next; return its size, 0 at the end."""
     async with asyncio.timeout(IDLE_SECONDS):
-        return await asyncio.get_running_loop().sock_recv(sock, READ_BYTES)
+        return await asyncio.get_running_loop().sock_recv_into(sock, _discarded)
