Decode all chunks of a read at once, and read callers of tiny pieces in turns

What callers saw: no answer within 10 s while a crowd sent chunks of two bytes, and none for seconds after it had gone.

Cause: the HTTP library reads a chunk's size, data and end by separate reads, some 25 us a chunk, and thousands of readers that are each ready make one turn of the event loop seconds long: its bound is one for each reader.

Change: a decoder handles all chunks of a read at once and is as strict as the library's.

A body of 200,000 chunks of two bytes, and a request in single bytes, are served in calm. Ruled out: a least size that each chunk counts as; one body inside the limits would get 413.

--- a/eelgrassrack/callers/connection.py
+++ b/eelgrassrack/callers/connection.py
@@ -1,7 +1,8 @@
 """The HTTP/1.1 connection of a caller.
 
 The HTTP library keeps up to three copies of a body's latest part while it waits for the
-next one.  Here a part is handed on and forgotten.
+next one, and handles each chunk of a body by several reads.  Here a part is handed on
+and forgotten, and all chunks of a read are decoded at once.
 """
 
 import asyncio
@@ -18,12 +19,16 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 from tornado.log import gen_log
 
+from .chunks import ChunkDecoder
 from .stream import READ_BYTES
 from .turns import ReadQuota, ReadTurns
 
 # Keeps the HTTP library from refusing what the callers' handler judges.
 UNLIMITED_BYTES = 1 << 60
 
+# Chunks may be tiny, so that fewer bytes of them are read at once.
+READ_CHUNKS_BYTES = 1_024
+
 
 class CallerConnection(HTTP1Connection):
     """Reads one request from a caller and writes its response."""
@@ -62,10 +67,6 @@
             self.stream.note_whole()
         return reading
 
-    async def _read_chunked_body(self, delegate: HTTPMessageDelegate) -> None:
-        await super()._read_chunked_body(delegate)
-        self.stream.note_whole()
-
     async def _read_fixed_body(
         self, content_length: int, delegate: HTTPMessageDelegate
     ) -> None:
@@ -80,6 +81,22 @@
             await self._let_others(size=size)
         self.stream.note_whole()
 
+    async def _read_chunked_body(self, delegate: HTTPMessageDelegate) -> None:
+        decoder = ChunkDecoder(most=self._max_body_size)
+        while not decoder.is_done:
+            is_large = decoder.remaining > READ_CHUNKS_BYTES
+            size = READ_BYTES if is_large else READ_CHUNKS_BYTES
+            data = await self.stream.read_bytes(size, partial=True)
+            size = len(data)
+            pieces = decoder.chunks
+            data = decoder.feed(data)
+            if data:
+                await self._deliver_body(delegate, data)
+            data = b""
+            await self._let_others(size=size, pieces=decoder.chunks - pieces)
+        self.stream.put_back(decoder.rest)
+        self.stream.note_whole()
+
     def forget_head(self) -> None:
         """Drop the head of a request whose connection is closed.
 
@@ -89,9 +106,9 @@
             # Unlike `clear`, this frees the tables as well.
             self._request_headers.__init__()
 
-    async def _let_others(self, *, size: int) -> None:
+    async def _let_others(self, *, size: int, pieces: int = 1) -> None:
         """Wait for the next turn if this one is over."""
-        if self._quota.use(size=size):
+        if self._quota.use(size=size, pieces=pieces):
             await self._turns.wait()
 
 
--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -1,4 +1,4 @@
-"""A caller's connection that counts what it holds."""
+"""A caller's connection that counts what it holds and reads tiny pieces in turns."""
 
 import asyncio
 import re
@@ -15,6 +15,9 @@
 # How many bytes are read from a connection at once.
 READ_BYTES = 8_192
 
+# After so many reads for one request they go on in turns.
+FREE_READS = 64
+
 HEAD_TOO_LONG_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -46,12 +49,14 @@
         self._room = room
         self._turns = turns
         self._lingering = lingering
+        self._reads = 0
         self._has_left = False
         self.body = bytearray()
         self.place = room.open(self)
 
     def begin_request(self) -> None:
         """Wait for the connection's next request."""
+        self._reads = 0
         self.body.clear()
         self.place.begin(self._room.time())
         if self._read_buffer_size:
@@ -135,6 +140,13 @@
         self._read_buffer_size = 0
         self.body.clear()
 
+    def put_back(self, data: bytes) -> None:
+        """Return bytes that were read beyond the end of a message."""
+        if data:
+            self._read_buffer[:0] = data
+            self._read_buffer_size += len(data)
+            self.place.note_buffered(self._read_buffer_size, taken=0)
+
     def _signal_closed(self) -> None:
         self._room.close(self.place)
         super()._signal_closed()
@@ -149,6 +161,7 @@
     def _read_to_buffer(self) -> int | None:
         size = super()._read_to_buffer()
         if size:
+            self._reads += 1
             self.place.note_read(
                 size, buffered=self._read_buffer_size, now=self._room.time()
             )
@@ -179,8 +192,9 @@
         return data
 
     def _handle_events(self, fd: int, events: int) -> None:
-        """Handle events of the socket; in a full turn, callers wait for the next."""
-        if self._room.may_read or not events & self.io_loop.READ:
+        """Handle events of the socket; a caller of many pieces waits for its turn."""
+        may_read = self._reads < FREE_READS and self._room.may_read
+        if may_read or not events & self.io_loop.READ:
             super()._handle_events(fd, events)
             return
         # Until then the loop isn't told of more to read.
--- /dev/null
+++ b/test/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what callers may make a process hold."""
--- a/test/gateway/test_callers_in_calm.py
+++ b/test/gateway/test_callers_in_calm.py
@@ -41,6 +41,24 @@
     run(main())
 
 
+def test_a_long_body_in_tiny_chunks_is_served():
+    """Guards against a bound on pieces that a request inside the limits meets."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world)
+            caller = await connect(world.settings[0].listen)
+            caller.writer.write(HEAD.encode() + IN_CHUNKS)
+            caller.writer.write(TINY_CHUNK * TINY_CHUNKS + b"0\r\n\r\n")
+            assert (await caller.read()).status == 200
+            assert engine.runs[0].body == b"ok" * TINY_CHUNKS
+            caller.send("/look/1", attempt="next")
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
+
+
 def test_a_head_of_many_short_lines_is_served():
     """Guards against a bound on lines that a request inside the limits meets."""
 
@@ -52,6 +70,24 @@
     run(main())
 
 
+def test_a_request_in_single_bytes_is_served():
+    """Guards against turns in which a caller of tiny pieces is forgotten."""
+
+    async def main():
+        async with make_world() as world:
+            await start(world)
+            caller = await connect(world.settings[0].listen)
+            data = HEAD.encode() + IN_CHUNKS + TINY_CHUNK * 50 + b"0\r\n\r\n"
+            for place in range(len(data)):
+                caller.writer.write(data[place : place + 1])
+                await caller.writer.drain()
+                await asyncio.sleep(0)
+            assert (await caller.read()).status == 200
+            caller.close()
+
+    run(main())
+
+
 def test_a_waiting_request_that_gives_way_never_runs(monkeypatch):
     """Guards against a refusal that isn't true, as the request is sent on later."""
     place_at_once = Placer.place
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -56,6 +56,10 @@
     "a head of many short lines": (
         make_head("/look/1", fields=SHORT_LINES) + IN_CHUNKS,
     ),
+    "chunks of two bytes": (
+        make_head("/look/1") + IN_CHUNKS,
+        make_chunks(16_000, piece=2),
+    ),
     "a body that waits for an endpoint": (
         make_head("/hang/1") + b"Content-Length: 59990\r\n\r\n",
         BODY,
