Refuse unknown keys and routes before the body is read

What callers saw: as for any crowd, a process that was killed. A caller without a key could make the gateway hold as much as one with a key.

Cause: key and route were judged once the body was complete. Change: if a body is to come, they are judged by the head. Without a body the connection stays open, as before. "No configuration yet" still waits.

The tests of single callers (401 and 404 before the body's end) failed before.

--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -86,6 +86,9 @@
     def make_stopping_refusal(self) -> Refusal:
         """Return the refusal for requests that arrive too late during a stop."""
 
+    def find_early_refusal(self, arrival: Arrival) -> Refusal | None:
+        """Return the refusal of a request that its head alone decides."""
+
 
 class IdlePeriod:
     """How long a connection has had no request in flight.
@@ -346,7 +349,13 @@
             return HEADERS_TOO_LONG
         declared = headers.get("Content-Length", "")
         length = int(declared) if declared.isdecimal() else 0
-        return BODY_TOO_LONG if length > self._limits.body_bytes else None
+        if length > self._limits.body_bytes:
+            return BODY_TOO_LONG
+        if not length and "Transfer-Encoding" not in headers:
+            # A request without a body is refused when it is served, which keeps its
+            # connection open.
+            return None
+        return self._ingress._handler.find_early_refusal(self._arrival)
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, or discard it if the request is already refused."""
--- a/eelgrassrack/gateway/requests/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -208,6 +208,14 @@
             return False
         return self._is_loading() or (bool(arrival.parts) and self._awaits_peers())
 
+    def find_early_refusal(self, arrival: Arrival) -> Refusal | None:
+        """Return the refusal of a request that has no route or no valid key."""
+        verdict = self.router.permit(arrival)
+        is_final = isinstance(verdict, Refusal) and verdict is not NO_CONFIGURATION
+        if is_final:
+            self._metrics.count_arrival()
+        return verdict if is_final else None
+
     def set_end(self, time: float) -> None:
         """Set when this process ends, in the event loop's time.
 
--- a/test/gateway/test_callers_in_calm.py
+++ b/test/gateway/test_callers_in_calm.py
@@ -9,7 +9,7 @@
 from eelgrassrack.standins.directengine import Echo, Hang, Reply
 
 from .test_limits import HEAD
-from .world import connect, make_world, run
+from .world import KEY, connect, make_world, run
 
 TINY_CHUNK = b"2\r\nok\r\n"
 TINY_CHUNKS = 200_000
@@ -88,6 +88,27 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    ("path", "key", "status"), [("/look/1", "unknown", 401), ("/nowhere/1", KEY, 404)]
+)
+def test_what_the_head_decides_is_refused_before_the_body(path, key, status):
+    """Guards against bodies that are read to their ends, only to be refused."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world)
+            caller = await connect(world.settings[0].listen)
+            caller.writer.write(
+                f"POST {path} HTTP/1.1\r\nHost: api.example\r\n"
+                f"Authorization: Bearer {key}\r\nContent-Length: 9\r\n\r\nhalf".encode()
+            )
+            assert (await caller.read()).status == status
+            assert not engine.runs
+            caller.close()
+
+    run(main())
+
+
 def test_a_waiting_request_that_gives_way_never_runs(monkeypatch):
     """Guards against a refusal that isn't true, as the request is sent on later."""
     place_at_once = Placer.place
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -60,6 +60,11 @@
         make_head("/look/1") + IN_CHUNKS,
         make_chunks(16_000, piece=2),
     ),
+    "a body under an unknown key": (
+        make_head("/look/1", key="unknown") + IN_CHUNKS,
+        UNENDED_CHUNK,
+    ),
+    "a body to no route": (make_head("/nowhere/1") + IN_CHUNKS, UNENDED_CHUNK),
     "a body that waits for an endpoint": (
         make_head("/hang/1") + b"Content-Length: 59990\r\n\r\n",
         BODY,
