Give bodies the time limit of their request

What callers saw: nothing, but a caller that sent a byte now and then held its connection and its part of the memory for a minute, whatever time it had named.

Cause: bodies had 60 s of their own. Change: a body that isn't complete at the request's own time limit is refused (503, nothing ran); who goes on to send a refused body is cut off after 10 s.

Its test failed before: no answer came within the 500 ms that the request allows, nor before the test's limit.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -55,10 +55,6 @@
 # processor was busy.
 STALL_SECONDS = 0.25
 
-# Time limit for reading a request body.  It is far above every route's time limit,
-# so the caller of a slower body has already given up.
-BODY_TIMEOUT_SECONDS = 60.0
-
 # Interval between checks of the settings file.
 SETTINGS_POLL_SECONDS = 3.0
 
@@ -261,11 +257,7 @@
             lingering=lingering,
         )
         self._server = CallerServer(
-            self.ingress,
-            room=self._room,
-            turns=ReadTurns(),
-            lingering=lingering,
-            body_timeout=BODY_TIMEOUT_SECONDS,
+            self.ingress, room=self._room, turns=ReadTurns(), lingering=lingering
         )
         self._admin_servers = (
             AdminServer(
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import socket
 import weakref
 from collections.abc import Callable
@@ -52,6 +53,12 @@
 HEADERS_TOO_LONG = Refusal(status=431, reason="headers are too long")
 BODY_TOO_LONG = Refusal(status=413, reason="body is too long")
 
+# The request's own time is over, and nothing ran.
+BODY_TOO_SLOW = Refusal(status=503, reason="body took too long", retry_after=1.0)
+
+# How long a caller may go on to send a body that is refused.
+REFUSED_SECONDS = 10.0
+
 
 def has_unread(stream: IOStream) -> bool:
     """Return whether a connection holds bytes that no request has consumed yet.
@@ -89,6 +96,9 @@
     def find_early_refusal(self, arrival: Arrival) -> Refusal | None:
         """Return the refusal of a request that its head alone decides."""
 
+    def find_deadline(self, arrival: Arrival) -> float:
+        """Return when the request's time is over, in the event loop's time."""
+
 
 class IdlePeriod:
     """How long a connection has had no request in flight.
@@ -265,6 +275,8 @@
                 self._check_header_timeout(connection, period, now, limits)
             elif now > period.since + limits.idle_seconds and not has_unread(stream):
                 self._end_connection(connection)
+        for message in tuple(self._reading):
+            message.check_deadline(now)
 
     def _check_header_timeout(
         self, connection: HTTPConnection, period: IdlePeriod, now: float, limits: Limits
@@ -307,6 +319,7 @@
 
     __slots__ = (
         "_arrival",
+        "_deadline",
         "_ingress",
         "_limits",
         "_early_reply",
@@ -319,6 +332,7 @@
         self._ingress = ingress
         self.connection = connection
         self._arrival: Arrival | None = None
+        self._deadline = math.inf
         self._size = 0
         self._early_reply: Reply | None = None
         self._limits: Limits | None = None
@@ -355,6 +369,7 @@
             # A request without a body is refused when it is served, which keeps its
             # connection open.
             return None
+        self._deadline = self._ingress._handler.find_deadline(self._arrival)
         return self._ingress._handler.find_early_refusal(self._arrival)
 
     def data_received(self, chunk: bytes) -> None:
@@ -371,6 +386,15 @@
         else:
             self.connection.stream.keep(chunk)
 
+    def check_deadline(self, now: float) -> None:
+        """Refuse a request whose time is over, and end one that was refused before."""
+        if now <= self._deadline:
+            return
+        if self._early_reply is None:
+            self._refuse(BODY_TOO_SLOW)
+        else:
+            self.connection.close()
+
     def finish(self) -> None:
         """Handle the request after its body has been read."""
         self._ingress._reading.discard(self)
@@ -391,6 +415,7 @@
     def _refuse(self, refusal: Refusal) -> None:
         """Send a refusal before the body is complete, and discard the rest of it."""
         self.connection.stream.note_refused()
+        self._deadline = asyncio.get_running_loop().time() + REFUSED_SECONDS
         self._early_reply = self._make_reply()
         self._early_reply.is_request_read = False
         self._start(self._early_reply, refusal)
--- a/eelgrassrack/gateway/requests/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -150,7 +150,7 @@
         job = Job(
             arrival=arrival,
             permit=verdict,
-            deadline=_find_deadline(arrival, verdict),
+            deadline=_find_deadline(arrival, verdict.route.timeout),
         )
         self._retry_budget.note_request(verdict.service.name)
         if not self._is_admitted(job):
@@ -216,6 +216,12 @@
             self._metrics.count_arrival()
         return verdict if is_final else None
 
+    def find_deadline(self, arrival: Arrival) -> float:
+        """Return when a request's time is over, in the event loop's time."""
+        verdict = self.router.permit(arrival)
+        limit = 0.0 if isinstance(verdict, Refusal) else verdict.route.timeout
+        return _find_deadline(arrival, limit)
+
     def set_end(self, time: float) -> None:
         """Set when this process ends, in the event loop's time.
 
@@ -467,8 +473,9 @@
         log_end(job, end, reason=reason, now=now)
 
 
-def _find_deadline(arrival: Arrival, permit: Permit) -> float:
-    limit = permit.route.timeout or DEFAULT_TIMEOUT_SECONDS
+def _find_deadline(arrival: Arrival, timeout: float) -> float:
+    """Return a request's deadline; `timeout` is its route's, 0 if there is none."""
+    limit = timeout or DEFAULT_TIMEOUT_SECONDS
     if arrival.timeout is not None:
         limit = min(limit, arrival.timeout)
     return arrival.arrived + limit
--- a/test/gateway/test_callers_in_calm.py
+++ b/test/gateway/test_callers_in_calm.py
@@ -109,6 +109,26 @@
     run(main())
 
 
+def test_a_body_that_outlasts_its_request_s_time_is_refused():
+    """Guards against callers that hold their place with a byte now and then."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world)
+            caller = await connect(world.settings[0].listen)
+            head = HEAD.encode() + b"X-Deadline-Ms: 500\r\n"
+            caller.writer.write(head + b"Content-Length: 9\r\n\r\nhalf")
+            refused = await caller.read()
+            assert refused.status == 503
+            assert float(refused.headers["retry-after"]) > 0
+            caller.writer.write(b" more")
+            assert await caller.reader.read() == b""
+            assert not engine.runs
+            caller.close()
+
+    run(main())
+
+
 def test_a_waiting_request_that_gives_way_never_runs(monkeypatch):
     """Guards against a refusal that isn't true, as the request is sent on later."""
     place_at_once = Placer.place
