Keep a quarter of the descriptors for what is served

What callers saw: new callers weren't accepted while a crowd held all descriptors, and accepted ones got "no descriptor is free".

Cause: nothing bounded callers' connections but the process's limit, which endpoints' connections share. Change: callers may take three quarters of them; beyond, those give way that held most for longest without progress. The limit is read again once a second.

--- a/eelgrassrack/callers/room.py
+++ b/eelgrassrack/callers/room.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import math
+import resource
 from collections.abc import Callable
 from typing import Protocol
 
@@ -14,6 +16,9 @@
 # The least time between two log lines on callers that gave way.
 LOG_SECONDS = 1.0
 
+# How often the number of descriptors that the process may have is read.
+LIMIT_SECONDS = 1.0
+
 # What is read from callers in one turn of the event loop, in bytes at their cost.  What
 # gives way is free only in the next one.
 BYTES_PER_TURN = 1_048_576
@@ -39,6 +44,7 @@
         "_count",
         "_gave_way",
         "_leavers",
+        "_limited_at",
         "_logged_at",
         "_loop",
         "_read",
@@ -54,6 +60,7 @@
         self._leavers: dict[Place, Leaver] = {}
         self._gave_way: collections.Counter[str] = collections.Counter()
         self._logged_at = -LOG_SECONDS
+        self._limited_at = -math.inf
         self._read = 0
 
     def time(self) -> float:
@@ -62,7 +69,11 @@
 
     def open(self, leaver: Leaver) -> Place:
         """Return the place of a new connection, which `leaver` can end."""
-        place = self.memory.open(self.time())
+        now = self.time()
+        if now >= self._limited_at + LIMIT_SECONDS:
+            self._limited_at = now
+            self.memory.set_descriptors(_find_descriptors())
+        place = self.memory.open(now)
         self._leavers[place] = leaver
         self.make_room(place)
         return place
@@ -121,3 +132,9 @@
             phases=dict(self._gave_way),
         )
         self._gave_way.clear()
+
+
+def _find_descriptors() -> float:
+    """Return how many descriptors the process may have."""
+    most, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if most == resource.RLIM_INFINITY else most
--- a/eelgrassrack/decisions/callermemory.py
+++ b/eelgrassrack/decisions/callermemory.py
@@ -6,7 +6,9 @@
 hold counts here, at what it costs rather than at its length, and all of it has one
 bound.
 
-When the bound is reached, those give way that have held most for longest without
+Descriptors have a bound as well: a request that is served takes another one.
+
+When a bound is reached, those give way that have held most for longest without
 progress.  A request that arrives whole, at once, holds little and for no time: it
 displaces callers that have stopped, however many there are.  A request that an endpoint
 has begun never gives way.
@@ -14,6 +16,7 @@
 
 import enum
 import heapq
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -54,6 +57,9 @@
 # looks at all callers.
 FREED_SHARE = 0.05
 
+# Share of the process's descriptors that callers may take.
+DESCRIPTORS_SHARE = 0.75
+
 
 class Phase(enum.Enum):
     """What a caller's connection is used for.
@@ -176,13 +182,17 @@
 
 
 class CallerMemory:
-    """The places of all callers; `total` is what they cost together, in bytes."""
+    """The places of all callers; `total` is what they cost together, in bytes.
 
-    __slots__ = ("_places", "bounds", "total")
+    `most` is how many connections there may be.
+    """
+
+    __slots__ = ("_places", "bounds", "most", "total")
 
     def __init__(self, *, bounds: MemoryBounds) -> None:
         self.bounds = bounds
         self.total = 0
+        self.most = math.inf
         self._places: set[Place] = set()
 
     def open(self, now: float) -> Place:
@@ -201,9 +211,13 @@
     def __len__(self) -> int:
         return len(self._places)
 
+    def set_descriptors(self, count: float) -> None:
+        """Set how many descriptors the process may have."""
+        self.most = count * DESCRIPTORS_SHARE
+
     def exceeds(self, place: Place) -> bool:
         """Return whether there is no room for what a place holds."""
-        return self.total > self._find_bound(place)
+        return self.total > self._find_bound(place) or len(self) > self.most
 
     def choose_leaving(self, asking: Place, now: float) -> list[Place]:
         """Return who gives way to the one that asks, itself among them if need be.
@@ -211,7 +225,10 @@
         They have held most for longest without progress.
         """
         bound = self._find_bound(asking)
-        excess = self.total - bound + int(self.bounds.total * FREED_SHARE)
+        excess = Room(
+            size=self.total - bound + int(self.bounds.total * FREED_SHARE),
+            count=len(self) - self.most + int(len(self) * FREED_SHARE),
+        )
         own = asking.weigh(now)
         weights = (
             (place.weigh(now), place)
@@ -220,7 +237,8 @@
         )
         leaving = _take_heaviest((pair for pair in weights if pair[0] > own), excess)
         freed = sum(place.cost for place in leaving)
-        if self.total - freed > bound and asking.may_give_way:
+        is_full = self.total - freed > bound or len(self) - len(leaving) > self.most
+        if is_full and asking.may_give_way:
             leaving.append(asking)
         return leaving
 
@@ -229,13 +247,21 @@
         return self.bounds.total if is_little else self.bounds.large
 
 
-def _take_heaviest(pairs: Iterable[tuple[float, Place]], size: int) -> list[Place]:
-    """Return the heaviest places that cost at least `size` bytes together."""
+class Room(msgspec.Struct, kw_only=True, frozen=True):
+    """Room that is to be made: bytes, or a number of connections."""
+
+    size: int
+    count: float
+
+
+def _take_heaviest(pairs: Iterable[tuple[float, Place]], room: Room) -> list[Place]:
+    """Return the heaviest places that make the room together."""
     heap = [(-weight, number, place) for number, (weight, place) in enumerate(pairs)]
     heapq.heapify(heap)
     taken = []
-    while heap and size > 0:
+    size = 0
+    while heap and (size < room.size or len(taken) < room.count):
         _, _, place = heapq.heappop(heap)
         taken.append(place)
-        size -= place.cost
+        size += place.cost
     return taken
--- a/test/decisions/test_callermemory.py
+++ b/test/decisions/test_callermemory.py
@@ -91,6 +91,14 @@
     assert make_room(memory, asking, 60.0) == [asking]
 
 
+def test_descriptors_are_left_for_what_is_served():
+    memory = make_memory(MemoryBounds(total=10**9, large=10**9))
+    memory.set_descriptors(100)
+    for number in range(200):
+        make_room(memory, memory.open(number * 0.01), number * 0.01)
+        assert len(memory) <= 75
+
+
 def test_one_request_inside_the_limits_has_room_on_the_smallest_instance():
     for memory_mb in (0.0, SMALLEST_MB):
         memory = make_memory(find_caller_bounds(memory_mb=memory_mb))
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -22,6 +22,7 @@
 # The memory and the descriptors of the gateway's instance.
 MEMORY_MB = 80
 DESCRIPTORS = 1_800
+FEW_DESCRIPTORS = 600
 
 TEST_SECONDS = 120.0
 
@@ -150,3 +151,16 @@
     head = make_head("/look/1", filler=14)
     pieces = [head[place : place + 1] for place in range(200)]
     run(check_crowd(tmp_path, find_callers_port, CALLERS, *pieces))
+
+
+def test_a_crowd_leaves_a_gateway_descriptors_for_others(tmp_path):
+    """Guards against callers that wait in vain for a free descriptor."""
+
+    async def main():
+        async with start_gateway(tmp_path, FEW_DESCRIPTORS) as gateway:
+            head = make_head("/look/1") + IN_CHUNKS
+            async with gather_crowd(gateway.listen, CALLERS, head):
+                await check(gateway, FEW_DESCRIPTORS)
+            await check(gateway, FEW_DESCRIPTORS)
+
+    run(main())
