Count callers of a gateway's inner ports in the same account

What callers saw: the same end of the process, by way of the readiness or metrics port. Cause: these servers had the HTTP library's limits: heads of 64 KiB, without a time limit, on any number of connections. Change: they are servers of the same kind, with the same room and turns.

--- a/eelgrassrack/gateway/adminserver.py
+++ b/eelgrassrack/gateway/adminserver.py
@@ -3,7 +3,6 @@
 import gzip
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -14,9 +13,11 @@
 )
 from tornado.netutil import bind_sockets
 
+from ..callers.server import CallerServer
 from ..listener import CallerListener
 
 AnswerFunction = Callable[[str], tuple[int, bytes]]
+MakeServer = Callable[..., CallerServer]
 
 # Bodies from this size on are compressed.  Smaller ones fit into a few packets.
 MIN_COMPRESSED_BYTES = 4_096
@@ -55,12 +56,19 @@
     for a path.
     """
 
-    def __init__(self, *, setting: str, address: str, answer: AnswerFunction) -> None:
+    def __init__(
+        self,
+        *,
+        setting: str,
+        address: str,
+        make_server: MakeServer,
+        answer: AnswerFunction,
+    ) -> None:
         self.setting = setting
         self.address = address
         self._answer = answer
         self._compressor = Compressor()
-        self._server = HTTPServer(self)
+        self._server = make_server(self)
 
     def open(self) -> None:
         """Start to listen; raise `OSError`."""
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 import socket
 import time
@@ -256,18 +257,21 @@
             find_limits=self.router.find_limits,
             lingering=lingering,
         )
-        self._server = CallerServer(
-            self.ingress, room=self._room, turns=ReadTurns(), lingering=lingering
+        make_server = functools.partial(
+            CallerServer, room=self._room, turns=ReadTurns(), lingering=lingering
         )
+        self._server = make_server(self.ingress)
         self._admin_servers = (
             AdminServer(
                 setting="readiness",
                 address=settings.readiness,
+                make_server=make_server,
                 answer=self._answer_readiness,
             ),
             AdminServer(
                 setting="metrics_port",
                 address=f"{settings.address}:{settings.metrics_port}",
+                make_server=make_server,
                 answer=self._answer_internal,
             ),
         )
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -16,6 +16,7 @@
 from test.ports import find_port
 
 from .crowd import MEGABYTE, ask, gather_crowd, make_chunks, make_head, measure
+from .test_descriptors import find_readiness
 
 pytestmark = pytest.mark.processes
 
@@ -134,6 +135,10 @@
     return gateway.listen
 
 
+def find_readiness_port(folder, gateway):
+    return find_readiness(folder)
+
+
 @pytest.mark.parametrize("name", CROWDS)
 def test_a_crowd_that_stays_open_leaves_a_gateway_its_memory(tmp_path, name):
     """Guards against a process that is killed for the memory that callers take."""
@@ -146,6 +151,12 @@
     run(check_crowd(tmp_path, find_callers_port, FEW_CALLERS, head, LARGE_CHUNKS))
 
 
+@pytest.mark.parametrize("name", ["nothing", "a head that doesn't end"])
+def test_a_crowd_at_the_readiness_port_leaves_a_gateway_its_memory(tmp_path, name):
+    """Guards against a process that is killed for callers of an inner port."""
+    run(check_crowd(tmp_path, find_readiness_port, CALLERS, *CROWDS[name]))
+
+
 def test_heads_in_single_bytes_dont_keep_an_ordinary_request_waiting(tmp_path):
     """Guards against an event loop that only reads tiny pieces."""
     head = make_head("/look/1", filler=14)
