Count answers until they are read, and bound small ones as well

What callers saw: a process that was killed while callers asked for long answers and didn't read them.

Cause: an answer counted until it was whole, not until it was sent. Small answers (up to 64 KiB) might grow whatever the others held, on any number of connections. Change: an answer counts until it is handed on; small ones have as much room again, no more. What a caller doesn't read counts in its own place, and may give way: nothing else drops a request that an endpoint has begun.

--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -28,6 +28,7 @@
     Phase.BODY: UNAVAILABLE_ANSWER,
     Phase.WAITING: UNAVAILABLE_ANSWER,
     Phase.REFUSED: b"",
+    Phase.UNREAD: b"",
 }
 
 
@@ -147,6 +148,24 @@
             self._read_buffer_size += len(data)
             self.place.note_buffered(self._read_buffer_size, taken=0)
 
+    def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
+        """Write bytes of an answer; those that the caller doesn't read count."""
+        written = super().write(data)
+        if self.writing():
+            self._note_unsent(has_sent=False)
+        return written
+
+    def _handle_write(self) -> None:
+        before = self._total_write_done_index
+        super()._handle_write()
+        if not self.closed():
+            self._note_unsent(has_sent=self._total_write_done_index > before)
+
+    def _note_unsent(self, *, has_sent: bool) -> None:
+        self.place.note_unsent(
+            len(self._write_buffer), has_sent=has_sent, now=self._room.time()
+        )
+
     def _signal_closed(self) -> None:
         self._room.close(self.place)
         super()._signal_closed()
--- a/eelgrassrack/decisions/callermemory.py
+++ b/eelgrassrack/decisions/callermemory.py
@@ -73,6 +73,7 @@
     WAITING = "waiting"
     REFUSED = "refused"
     SERVED = "served"
+    UNREAD = "unread"
 
 
 class MemoryBounds(msgspec.Struct, kw_only=True, frozen=True):
@@ -102,6 +103,7 @@
         "_head",
         "_memory",
         "_taken",
+        "_unsent",
         "cost",
         "is_open",
         "phase",
@@ -114,6 +116,7 @@
         self._taken = 0
         self._head = 0
         self._body = 0
+        self._unsent = 0
         self.cost = 0
         self.is_open = True
         self.phase = Phase.IDLE
@@ -122,7 +125,11 @@
 
     @property
     def may_give_way(self) -> bool:
-        """Return whether nothing is lost that an endpoint has begun."""
+        """Return whether the connection may be closed for others.
+
+        A request that an endpoint has begun stays, unless its caller doesn't read the
+        answer.
+        """
         return self.phase is not Phase.SERVED
 
     def begin(self, now: float) -> None:
@@ -168,12 +175,25 @@
         self._body = 0
         self._update()
 
+    def note_unsent(self, size: int, *, has_sent: bool, now: float) -> None:
+        """Note how many bytes of an answer the caller hasn't read."""
+        self._unsent = size
+        if has_sent:
+            self.since = now
+        match self.phase:
+            case Phase.SERVED if size:
+                self.phase = Phase.UNREAD
+                self.since = now
+            case Phase.UNREAD if not size:
+                self.phase = Phase.SERVED
+        self._update()
+
     def weigh(self, now: float) -> float:
         """Return what was held without progress, in bytes times seconds."""
         return self.cost * (now - self.since)
 
     def _update(self) -> None:
-        buffers = self._buffered + self._taken + self._body
+        buffers = self._buffered + self._taken + self._body + self._unsent
         held = self._head + buffers * BUFFER_FACTOR
         cost = CONNECTION_BYTES + int(held)
         if self.is_open:
--- a/eelgrassrack/decisions/heldbytes.py
+++ b/eelgrassrack/decisions/heldbytes.py
@@ -4,8 +4,8 @@
 takes all of the memory, and the process is killed with every request that it serves.
 Bounds on each message alone wouldn't do: dozens of them may come at once.
 
-The bound on all messages together doesn't apply to small ones, so that a few huge
-messages don't keep everybody else from being served.
+Small messages have as much room again for themselves, so that a few huge ones don't
+keep everybody else from being served.
 """
 
 import enum
@@ -25,8 +25,10 @@
 MOST_ANSWER = 8_388_608
 MOST_EVENT = 1_048_576
 
-# Messages up to this size, in bytes, may grow whatever the others hold.
+# Messages up to this size, in bytes, may grow as long as all of them hold less than
+# `ROOM_FOR_SMALL` times the bound on all together.
 SMALL = 65_536
+ROOM_FOR_SMALL = 2
 
 # Against the bound on one message, a piece of it counts as so many bytes at least: one
 # of a single byte takes as long to handle.
@@ -69,6 +71,11 @@
         self.bounds = bounds
         self.total = 0
 
+    def has_room(self, size: int, *, is_small: bool) -> bool:
+        """Return whether a message, which stays small or not, may grow by `size`."""
+        factor = ROOM_FOR_SMALL if is_small else 1
+        return self.total + size <= self.bounds.together * factor
+
     def open(self, *, most: int) -> "Holding":
         """Return the holding of a message of at most so many bytes."""
         return Holding(held=self, most=most)
@@ -93,8 +100,7 @@
         counted = self._counted + max(size, LEAST_PIECE)
         if counted > self._most:
             return Excess.ALONE
-        is_full = self._held.total + size > self._held.bounds.together
-        if is_full and self.size + size > SMALL:
+        if not self._held.has_room(size, is_small=self.size + size <= SMALL):
             return Excess.TOGETHER
         self._counted = counted
         self._set(self.size + size)
--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -1,7 +1,8 @@
 """Send one attempt of a request to an endpoint and relay the response."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable
 
 from ...decisions.heldbytes import HeldBytes, Holding
 from ...decisions.modelchoice import choose_next
@@ -232,7 +233,8 @@
         if head.attempt and head.attempt != job.arrival.id:
             return Lost(reason=f"an answer to {head.attempt}")
         if head.not_run:
-            await self._read_body(connection)
+            async with self._hold_body(connection):
+                pass
             self._return_connection(endpoint, connection, head)
             return NotRun(
                 reason=describe_refusal(head), wants_rest=head.rest is not None
@@ -252,12 +254,12 @@
             )
         if reply.is_started and head.status not in FAILURE_STATUSES:
             return Lost(reason=f"status {head.status}, which resumes no stream")
-        body = await self._read_body(connection)
-        silence.stop()
-        if head.status in FAILURE_STATUSES:
-            self._return_connection(endpoint, connection, head)
-            return Failed(head=head, body=body)
-        await self.deliver(job, reply, head, body)
+        async with self._hold_body(connection) as body:
+            silence.stop()
+            if head.status in FAILURE_STATUSES:
+                self._return_connection(endpoint, connection, head)
+                return Failed(head=head, body=body)
+            await self.deliver(job, reply, head, body)
         # Not earlier: the next request would use the connection while this attempt
         # still holds it and, when it ends, releases it.
         self._return_connection(endpoint, connection, head)
@@ -306,11 +308,15 @@
             return None
         return Unsure(model=model, confidence=head.confidence)
 
-    async def _read_body(self, connection: Connection) -> bytes:
-        """Return a whole body; raise `EndlessError` if it is too long."""
+    @contextlib.asynccontextmanager
+    async def _hold_body(self, connection: Connection) -> AsyncIterator[bytes]:
+        """Yield a whole body, which is held until it is delivered.
+
+        Raise `EndlessError` if it is too long.
+        """
         holding = self._held.open(most=self._held.bounds.answer)
         try:
-            return await self._read_held(connection, holding)
+            yield await self._read_held(connection, holding)
         finally:
             holding.release()
 
--- a/eelgrassrack/gateway/settings.py
+++ b/eelgrassrack/gateway/settings.py
@@ -161,7 +161,7 @@
             COUNT,
             "Memory of the process.  Callers may take 0.3 of what lies above 48 MB, at "
             "least 8 MB, or 64 MB if it is 0 for unknown; an eighth may hold answers "
-            "that aren't complete.",
+            "that aren't complete, and as much again small ones.",
             "MB",
         ),
     ),
--- a/test/decisions/test_callermemory.py
+++ b/test/decisions/test_callermemory.py
@@ -91,6 +91,24 @@
     assert make_room(memory, asking, 60.0) == [asking]
 
 
+def test_an_answer_that_nobody_reads_gives_way():
+    memory = make_memory()
+    place = add(memory, now=0.0)
+    place.phase = Phase.SERVED
+    place.note_unsent(1_500_000, has_sent=True, now=0.0)
+    asking = add(memory, now=2.0, body=400_000)
+    assert make_room(memory, asking, 2.0) == [place]
+
+
+def test_an_answer_that_was_read_is_served_to_its_end():
+    memory = make_memory()
+    place = add(memory, now=0.0)
+    place.phase = Phase.SERVED
+    place.note_unsent(500_000, has_sent=True, now=0.0)
+    place.note_unsent(0, has_sent=True, now=1.0)
+    assert place.phase is Phase.SERVED
+
+
 def test_descriptors_are_left_for_what_is_served():
     memory = make_memory(MemoryBounds(total=10**9, large=10**9))
     memory.set_descriptors(100)
@@ -144,6 +162,8 @@
                 place.hold(size)
             case 4:
                 place.release()
+            case 5:
+                place.note_unsent(size, has_sent=True, now=float(now))
             case 6:
                 memory.close(place)
         held = [place.cost for place in places if place.is_open]
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -151,6 +151,12 @@
     run(check_crowd(tmp_path, find_callers_port, FEW_CALLERS, head, LARGE_CHUNKS))
 
 
+def test_callers_that_dont_read_leave_a_gateway_its_memory(tmp_path):
+    """Guards against a process that is killed for answers that nobody reads."""
+    request = make_head("/large/1") + WHOLE
+    run(check_crowd(tmp_path, find_callers_port, FEW_READERS, request, reads=False))
+
+
 @pytest.mark.parametrize("name", ["nothing", "a head that doesn't end"])
 def test_a_crowd_at_the_readiness_port_leaves_a_gateway_its_memory(tmp_path, name):
     """Guards against a process that is killed for callers of an inner port."""
