Bound what callers make an entry hold

What callers saw: as at a gateway. An entry knew nothing of its memory and bounded nothing over all callers; bodies had no time limit at all.

Change: the same server, account and turns; the setting `memory_mb`. Bodies have the request's own time limit, unknown keys are refused before the body. A request for which work has begun never gives way. Objects of a request that is given up refer to one another, so its head is emptied at once: without that 1,800 lines a head took 154 MB, as the tables of 700 heads waited for the collector.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -26,6 +26,9 @@
 # Limit on the sum of the lengths of all header names and values.
 MAX_HEADER_BYTES = 16_384
 
+# How long a caller may go on to send a body that is refused.
+REFUSED_SECONDS = 10.0
+
 TOO_LARGE = 413
 HEADER_TOO_LARGE = 431
 
@@ -49,7 +52,6 @@
     def initialize(self, *, core: Core) -> None:
         """Prepare for a request; Tornado passes `core` from the routes."""
         self.core = core
-        self.chunks: list[bytes] = []
         self.size = 0
         self.responder = HttpResponder(handler=self)
         self.task: asyncio.Task | None = None
@@ -80,6 +82,29 @@
         length = self.request.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > self._max_body_bytes:
             self._refuse_size()
+        elif length != "0" or "Transfer-Encoding" in self.request.headers:
+            self._check_head()
+
+    def _check_head(self) -> None:
+        """Set the time limit of a body, or refuse it if the head alone decides that."""
+        limits = self.core.snapshot.limits
+        options = read_options(sent=self.request.headers, limits=limits, kind=self.kind)
+        if isinstance(options, RequestOptions):
+            self.deadline = asyncio.get_running_loop().time() + options.remaining
+        if not self.core.configuration.is_confirmed:
+            return
+        caller = self._identify_caller()
+        if isinstance(caller, CallerError):
+            self._refuse(caller)
+
+    def check_deadline(self, now: float) -> None:
+        """Refuse a request whose time is over before it was read to its end."""
+        if now <= self.deadline or self.task is not None or not self.is_prepared:
+            return
+        if self.refused:
+            self.stream.close()
+        elif not self.responder.has_ended:
+            self._refuse(refuse_unavailable(reason="body_too_slow"))
 
     def data_received(self, chunk: bytes) -> None:
         """Buffer a part of the body, or refuse a body that is too large."""
@@ -89,7 +114,7 @@
         if self.size > self._max_body_bytes:
             self._refuse_size()
             return
-        self.chunks.append(chunk)
+        self.stream.keep(chunk)
 
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that has disconnected.
@@ -179,6 +204,7 @@
 
     def _refuse(self, error: CallerError) -> None:
         self.refused = True
+        self.deadline = asyncio.get_running_loop().time() + REFUSED_SECONDS
         self.set_header("Connection", "close")
         # Tornado closes a connection on which only part of a request was read.  If
         # the rest of the request then arrives, the kernel resets the connection and
@@ -215,6 +241,12 @@
 
     async def _run(self, work: Awaitable[None]) -> None:
         """Run the work for a request; it is cancelled if the caller disconnects."""
+        try:
+            self.stream.note_served()
+        except StreamClosedError:
+            # The caller was told that its request didn't run.
+            work.close()
+            return
         self.task = asyncio.ensure_future(work)
         try:
             await self.task
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -38,6 +38,9 @@
     def end(self) -> None:
         """Answer at once, because this entry exits."""
 
+    def check_deadline(self, now: float) -> None:
+        """Refuse the request if its time is over before it was read."""
+
     def end_unread(self) -> None:
         """Refuse the request unless work for it has begun."""
 
@@ -154,6 +157,12 @@
         for caller in tuple(self.callers):
             caller.end()
 
+    def end_slow(self) -> None:
+        """Refuse the requests whose time is over before they were read."""
+        now = asyncio.get_running_loop().time()
+        for caller in tuple(self.callers):
+            caller.check_deadline(now)
+
     def end_unread(self) -> None:
         """Refuse all open requests for which no work has begun."""
         for caller in tuple(self.callers):
--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -7,9 +7,11 @@
 import socket
 
 import logbook
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from ..callers.room import CallerRoom
+from ..callers.server import CallerServer
+from ..callers.turns import ReadTurns
 from ..decisions.hearing import Hearing
 from ..dismissal import REQUEST_TIMEOUT_ANSWER
 from ..document.snapshot import Snapshot
@@ -117,7 +119,7 @@
         self._loop = asyncio.get_running_loop()
         self._metrics = Metrics(settings=settings.metrics)
         self._meter = Meter(metrics=self._metrics)
-        self._server: HTTPServer | None = None
+        self._server: CallerServer | None = None
         self._settings = settings
         self._store = MeteredStore(store=store, metrics=self._metrics)
         self._supervisor = Supervisor(name="entry")
@@ -342,8 +344,13 @@
             raise EntryError(text) from error
         self._listeners = [CallerListener(fileno=one.detach()) for one in bound]
         self.port = self._listeners[0].getsockname()[1]
-        self._server = HTTPServer(
+        self._server = CallerServer(
             build_application(core=self.core),
+            room=CallerRoom(
+                memory_mb=self._settings.memory_mb, count=self._meter.note_gave_way
+            ),
+            turns=ReadTurns(),
+            lingering=self.core.lingering,
             max_body_size=MAX_BODY_BYTES,
             idle_connection_timeout=300,
         )
@@ -358,6 +365,7 @@
         self._configuration.tick()
         self._hearing.note_check(now=now)
         self.channels.check_timeouts(now)
+        self.core.end_slow()
         if now - self._heartbeat_at < HEARTBEAT_SECONDS:
             return
         self.directory.drop_silent(now)
--- a/eelgrassrack/entry/handlers.py
+++ b/eelgrassrack/entry/handlers.py
@@ -23,7 +23,7 @@
             return
         organisation, options = caller.organisation, caller.options
         arrival = read_chat(
-            body=b"".join(self.chunks), options=options, organisation=organisation
+            body=self.stream.take_body(), options=options, organisation=organisation
         )
         if isinstance(arrival, CallerError):
             self._send_error(arrival)
@@ -69,7 +69,7 @@
             method=self.request.method,
             path=f"/{path}{query}",
             sent=dict(self.request.headers.get_all()),
-            body=b"".join(self.chunks),
+            body=self.stream.take_body(),
             options=options,
             organisation=organisation,
         )
--- a/eelgrassrack/entry/meter.py
+++ b/eelgrassrack/entry/meter.py
@@ -13,6 +13,7 @@
     ESCALATIONS,
     FAILED,
     FIRST_TOKEN,
+    GAVE_WAY,
     IN_FLIGHT,
     REFUSED,
     REQUESTS,
@@ -68,6 +69,11 @@
         """Count a caller that disconnected."""
         self.counts["callers_gone"] += 1
 
+    def note_gave_way(self, phase: str) -> None:
+        """Count a caller whose connection made room while it was used for `phase`."""
+        self.counts[f"gave_way_{phase}"] += 1
+        self._metrics.count(GAVE_WAY, label=phase)
+
     def note_retry(self) -> None:
         """Count an attempt after the first."""
         self.counts["retries"] += 1
--- a/eelgrassrack/metrics.py
+++ b/eelgrassrack/metrics.py
@@ -63,6 +63,12 @@
 FAILED = _count(
     "entry.failed", "requests", "Requests that failed after they ran.", "reason"
 )
+GAVE_WAY = _count(
+    "entry.gave_way",
+    "connections",
+    "Callers whose connection made room, by what it was used for.",
+    "phase",
+)
 RETRIES = _count("entry.retries", "attempts", "Attempts after the first.")
 ESCALATIONS = _count("entry.escalations", "rungs", "Cascade rungs climbed for quality.")
 TOKENS = _count("entry.tokens", "tokens", "Tokens relayed to callers.")
--- a/eelgrassrack/settings.py
+++ b/eelgrassrack/settings.py
@@ -45,6 +45,7 @@
     region: str = "default"
     grace_seconds: float = 30.0
     lag_seconds: float = 3.0
+    memory_mb: float = 0.0
     check_invariants: bool = True
     log: LogSettings = LogSettings()
     metrics: MetricSettings = MetricSettings()
@@ -171,6 +172,13 @@
             check=OPTIONAL_URL,
             meaning="URL of the rating service; without it no answer is rated.",
         ),
+        Key(
+            name="memory_mb",
+            check=Number(low=0, high=1_000_000),
+            unit="MB",
+            meaning="Memory of the process.  Callers may take 0.3 of what lies above "
+            "48 MB, at least 8 MB, or 64 MB if it is 0 for unknown.",
+        ),
     ),
 )
 
--- a/test/processes/fleet.py
+++ b/test/processes/fleet.py
@@ -137,7 +137,7 @@
         self.agents[name] = self.start("eelgrassrack", "agent", str(path))
         self.join(name, "endpoint", mailbox, pool)
 
-    def start_entry(self, name, grace=10):
+    def start_entry(self, name, grace=10, **settings):
         """Start an entry and list it; `grace` is its grace period in seconds."""
         port = find_port()
         mailbox = f"tcp://127.0.0.1:{find_port()}"
@@ -150,6 +150,7 @@
             f"instances_url = {urls['instances']}\n"
             f"rating_url = {urls['rating']}\n"
             f"grace_seconds = {grace}\nlag_seconds = 0.5\n"
+            + "".join(f"{key} = {value}\n" for key, value in settings.items())
         )
         self.entries[name] = self.start("eelgrassrack", "entry", str(path))
         self.entry_urls[name] = f"http://127.0.0.1:{port}"
