Read the first kilobyte of a request also in a full turn of the loop

What callers saw: no answer within 20 s beside 3,500 callers that each sent a head of 1,800 short lines, to a gateway of 150 MB; memory was bounded (75 MB).

Cause: such a head takes 12 ms to parse. Once callers had read what may be read in a turn, all others waited in one queue, an ordinary caller behind thousands.

Change: in a full turn the first kilobyte of each request is still read, which is the whole head of most; who has more to send joins the queue.

Ruled out: more of the queue in a turn, which makes turns longer for everybody.

--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -15,6 +15,9 @@
 # How many bytes are read from a connection at once.
 READ_BYTES = 8_192
 
+# What is read for a request in a turn in which others have read all that may be.
+FIRST_READ_BYTES = 1_024
+
 # After so many reads for one request they go on in turns.
 FREE_READS = 64
 
@@ -51,6 +54,7 @@
         self._turns = turns
         self._lingering = lingering
         self._reads = 0
+        self._has_turn = False
         self._has_left = False
         self.body = bytearray()
         self.place = room.open(self)
@@ -171,13 +175,22 @@
         super()._signal_closed()
 
     def _try_inline_read(self) -> None:
-        if self._room.may_read or self._read_buffer_size:
+        if self._may_read or self._read_buffer_size:
             super()._try_inline_read()
             return
         self._check_closed()
         self._add_io_state(self.io_loop.READ)
 
+    @property
+    def _may_read(self) -> bool:
+        """Return whether to read now: in a full turn only the first of a request."""
+        return self._room.may_read or self._has_turn or not self._reads
+
     def _read_to_buffer(self) -> int | None:
+        if not self._may_read:
+            return 0
+        is_full = not (self._room.may_read or self._has_turn)
+        self.read_chunk_size = FIRST_READ_BYTES if is_full else READ_BYTES
         size = super()._read_to_buffer()
         if size:
             self._reads += 1
@@ -212,7 +225,7 @@
 
     def _handle_events(self, fd: int, events: int) -> None:
         """Handle events of the socket; a caller of many pieces waits for its turn."""
-        may_read = self._reads < FREE_READS and self._room.may_read
+        may_read = self._reads < FREE_READS and self._may_read
         if may_read or not events & self.io_loop.READ:
             super()._handle_events(fd, events)
             return
@@ -222,5 +235,8 @@
         self._turns.enter(lambda: self._go_on(fd, events))
 
     def _go_on(self, fd: int, events: int) -> None:
-        if not self.closed():
-            super()._handle_events(fd, events)
+        if self.closed():
+            return
+        self._has_turn = True
+        super()._handle_events(fd, events)
+        self._has_turn = False
--- a/test/processes/test_crowds.py
+++ b/test/processes/test_crowds.py
@@ -25,6 +25,11 @@
 DESCRIPTORS = 1_800
 FEW_DESCRIPTORS = 600
 
+# Those of the users' smaller gateways, and as many callers as they have room for.
+USUAL_MEMORY_MB = 150
+USUAL_DESCRIPTORS = 4_100
+MANY_CALLERS = 3_500
+
 TEST_SECONDS = 120.0
 
 CALLERS = 1_500
@@ -76,7 +81,7 @@
 
 
 @contextlib.asynccontextmanager
-async def start_gateway(folder, descriptors=DESCRIPTORS):
+async def start_gateway(folder, descriptors=DESCRIPTORS, memory_mb=MEMORY_MB):
     """Yield a running gateway process whose endpoints answer, hang or answer much."""
     async with make_world() as world:
         scripts = {"e1": Echo(), "e2": Hang(), "e3": Reply(body=LARGE_ANSWER)}
@@ -90,7 +95,7 @@
             folder=str(folder),
         )
         path = folder / "entry-1.ini"
-        section = f"[gateway]\nmemory_mb = {MEMORY_MB}\n"
+        section = f"[gateway]\nmemory_mb = {memory_mb}\n"
         path.write_text(path.read_text().replace("[gateway]\n", section))
         gateway.start()
         try:
@@ -181,3 +186,19 @@
             await check(gateway, FEW_DESCRIPTORS)
 
     run(main())
+
+
+def test_many_heads_of_short_lines_dont_keep_an_ordinary_request_waiting(tmp_path):
+    """Guards against a queue of readers in which an ordinary caller is the last."""
+
+    async def main():
+        settings = {"descriptors": USUAL_DESCRIPTORS, "memory_mb": USUAL_MEMORY_MB}
+        async with start_gateway(tmp_path, **settings) as gateway:
+            crowd = CROWDS["a head of many short lines"]
+            async with gather_crowd(gateway.listen, MANY_CALLERS, *crowd):
+                assert await ask_ordinary(gateway) == 200
+            usage = measure(gateway.process)
+            assert usage.memory <= USUAL_MEMORY_MB * MEGABYTE
+            assert usage.descriptors <= USUAL_DESCRIPTORS
+
+    run(main())
