Judge a request's head by one look at key and route

Reading the change once more: the route was looked up twice for each request with a body, once for its early refusal and once for its time limit, and a method named after finding counted arrivals. Now one method returns either. ReadTurns had a length that nobody asked for.

--- a/eelgrassrack/callers/turns.py
+++ b/eelgrassrack/callers/turns.py
@@ -27,9 +27,6 @@
         self._loop = asyncio.get_running_loop()
         self._waiting: collections.deque[Callable[[], None]] = collections.deque()
 
-    def __len__(self) -> int:
-        return len(self._waiting)
-
     def enter(self, go_on: Callable[[], None]) -> None:
         """Call `go_on` at the reader's turn."""
         if not self._waiting:
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -93,11 +93,11 @@
     def make_stopping_refusal(self) -> Refusal:
         """Return the refusal for requests that arrive too late during a stop."""
 
-    def find_early_refusal(self, arrival: Arrival) -> Refusal | None:
-        """Return the refusal of a request that its head alone decides."""
+    def judge_head(self, arrival: Arrival) -> Refusal | float:
+        """Return the refusal of a request that its head alone decides.
 
-    def find_deadline(self, arrival: Arrival) -> float:
-        """Return when the request's time is over, in the event loop's time."""
+        Otherwise return when the request's time is over, in the event loop's time.
+        """
 
 
 class IdlePeriod:
@@ -369,8 +369,11 @@
             # A request without a body is refused when it is served, which keeps its
             # connection open.
             return None
-        self._deadline = self._ingress._handler.find_deadline(self._arrival)
-        return self._ingress._handler.find_early_refusal(self._arrival)
+        verdict = self._ingress._handler.judge_head(self._arrival)
+        if isinstance(verdict, Refusal):
+            return verdict
+        self._deadline = verdict
+        return None
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, or discard it if the request is already refused."""
--- a/eelgrassrack/gateway/requests/serving.py
+++ b/eelgrassrack/gateway/requests/serving.py
@@ -208,19 +208,18 @@
             return False
         return self._is_loading() or (bool(arrival.parts) and self._awaits_peers())
 
-    def find_early_refusal(self, arrival: Arrival) -> Refusal | None:
-        """Return the refusal of a request that has no route or no valid key."""
-        verdict = self.router.permit(arrival)
-        is_final = isinstance(verdict, Refusal) and verdict is not NO_CONFIGURATION
-        if is_final:
-            self._metrics.count_arrival()
-        return verdict if is_final else None
+    def judge_head(self, arrival: Arrival) -> Refusal | float:
+        """Return the refusal of a request that has no route or no valid key.
 
-    def find_deadline(self, arrival: Arrival) -> float:
-        """Return when a request's time is over, in the event loop's time."""
+        Otherwise return when its time is over, in the event loop's time.
+        """
         verdict = self.router.permit(arrival)
-        limit = 0.0 if isinstance(verdict, Refusal) else verdict.route.timeout
-        return _find_deadline(arrival, limit)
+        if verdict is NO_CONFIGURATION:
+            return _find_deadline(arrival, 0.0)
+        if isinstance(verdict, Refusal):
+            self._metrics.count_arrival()
+            return verdict
+        return _find_deadline(arrival, verdict.route.timeout)
 
     def set_end(self, time: float) -> None:
         """Set when this process ends, in the event loop's time.
