--- a/eelgrassrack/callers/connection.py
+++ b/eelgrassrack/callers/connection.py
@@ -19,9 +19,10 @@
 from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 from tornado.log import gen_log
 
+from ..turnquota import TurnQuota
 from .chunks import ChunkDecoder
 from .stream import READ_BYTES
-from .turns import ReadQuota, ReadTurns
+from .turns import BYTES_PER_TURN, PIECES_PER_TURN, ReadTurns
 
 # Keeps the HTTP library from refusing what the callers' handler judges.
 UNLIMITED_BYTES = 1 << 60
@@ -36,7 +37,7 @@
     def __init__(self, *, server: "CallerServerConnection") -> None:
         super().__init__(server.stream, False, server.params, server.context)
         self._turns = server.turns
-        self._quota = ReadQuota()
+        self._quota = TurnQuota(most_pieces=PIECES_PER_TURN, most_bytes=BYTES_PER_TURN)
         self.most_header_bytes = UNLIMITED_BYTES
         self.is_head_too_long = False
 
@@ -108,7 +109,7 @@
 
     async def _let_others(self, *, size: int, pieces: int = 1) -> None:
         """Wait for the next turn if this one is over."""
-        if self._quota.use(size=size, pieces=pieces):
+        if self._quota.use(size, pieces=pieces):
             await self._turns.wait()
 
 
--- a/eelgrassrack/callers/turns.py
+++ b/eelgrassrack/callers/turns.py
@@ -44,23 +44,3 @@
             self._waiting.popleft()()
         if self._waiting:
             self._loop.call_soon(self._call_next)
-
-
-class ReadQuota:
-    """Counts what one reader takes in a turn."""
-
-    __slots__ = ("_bytes", "_pieces")
-
-    def __init__(self) -> None:
-        self._bytes = 0
-        self._pieces = 0
-
-    def use(self, *, size: int, pieces: int = 1) -> bool:
-        """Count what was read; return whether the turn is over."""
-        self._pieces += pieces
-        self._bytes += size
-        if self._pieces < PIECES_PER_TURN and self._bytes < BYTES_PER_TURN:
-            return False
-        self._pieces = 0
-        self._bytes = 0
-        return True
--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -14,10 +14,11 @@
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
+from ...turnquota import TurnQuota
 from ..errors import BrokenError, ConnectError, EndlessError, NoDescriptorError
 from ..patience import wait_unless_late
 from ..requests.messages import Data, End
-from ..turns import TurnQuota
+from ..turns import BYTES_PER_TURN, PIECES_PER_TURN
 
 READ_BYTES = 65_536
 
@@ -76,7 +77,7 @@
         )
         self._write_future: asyncio.Future | None = None
         self._interim = 0
-        self._turn = TurnQuota()
+        self._turn = TurnQuota(most_pieces=PIECES_PER_TURN, most_bytes=BYTES_PER_TURN)
         self.idle_until = 0.0
         self.is_kept = False
         self.may_abandon: Callable[[], bool] = refuse_to_abandon
