Leave one odd entry of a list aside instead of the whole list

What callers saw: after a restart of all gateways nearly every request got 503 for as long as one entry of another writer stood among the endpoints, nested thousands of levels deep. Where the entry came while gateways ran, they served on, but no later change of that kind arrived: new endpoints got nothing, and removed ones, orders and domains taken out went unnoticed.

Cause: a page of a list, or the changes of a watch, was decoded as a whole, and the decoder skips what it doesn't read recursively. One item that it can't skip spoiled the page. For deep nesting it raises RecursionError, which is no DecodeError and ended the follower's task; after eight failures the supervisor gave up on it. For bytes that JSON doesn't allow the whole page was taken for an unreadable answer. Catching RecursionError alone would only turn the first into the second.

Change: when a page can't be decoded as a whole, it is split into its items without recursion (jsonparts), values nested deeper than 64 levels are cut, and each item is decoded by itself. An item without readable metadata or with an unreadable spec names nothing to use; an order keeps its spec beside an odd status, and an entry of a domain counts by its name as before. All decoders of the platform's folder raise one typed error, FormatError, now beside the other base errors. Revisions are bounded, since peers can't be told of larger ones.

Each entry left aside gives one log line with kind, name and reason until its reason changes, at most ten for an answer and each cut to some hundred bytes; it replaces the unbounded lines of fleet, rollouts and configuration.

Ruled out: a longer except at the decoding call leaves the sound entries unknown; a limit on the answer's depth alone doesn't find where an item ends.

--- a/eelgrassrack/errors.py
+++ b/eelgrassrack/errors.py
@@ -5,6 +5,10 @@
     """Base class of all errors that this package raises."""
 
 
+class FormatError(EelgrassrackError):
+    """Data from outside this process can't be decoded, or may not be used."""
+
+
 class UserError(EelgrassrackError):
     """An error whose text the command line prints without a traceback.
 
--- a/eelgrassrack/gateway/endpoints/fleet.py
+++ b/eelgrassrack/gateway/endpoints/fleet.py
@@ -107,7 +107,6 @@
                     self._note_missing(name)
                 case _:
                     # An entry in an unknown format names no usable endpoint.
-                    log.warning("fleet: entry {} can't be read: {}", name, found)
                     self._note_missing(name)
         self._log_up()
 
--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -431,10 +431,5 @@
 
     def _apply_configurations(self, objects: dict[str, object | None]) -> None:
         for found in objects.values():
-            match found:
-                case Configuration() if self._router.update(found):
-                    log.info("gateway: configuration {} in force", found.version)
-                case Configuration() | None:
-                    continue
-                case _:
-                    log.warning("gateway: configuration can't be read: {}", found)
+            if isinstance(found, Configuration) and self._router.update(found):
+                log.info("gateway: configuration {} in force", found.version)
--- a/eelgrassrack/gateway/versions/rollouts.py
+++ b/eelgrassrack/gateway/versions/rollouts.py
@@ -201,8 +201,6 @@
                     self._apply(found, made_after=made_after)
                 case None:
                     self._drop(name)
-                case _:
-                    log.warning("rollout: order {} can't be read: {}", name, found)
         self._is_loaded = True
 
     def apply_settings(self, settings: GatewaySettings) -> None:
--- a/eelgrassrack/platform/manifest.py
+++ b/eelgrassrack/platform/manifest.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
 from ..gateway.requests.messages import RouteKind
 from ..gateway.store.configuration import (
     Configuration,
@@ -11,7 +13,6 @@
     Service,
     Target,
 )
-from .errors import FormatError
 
 KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -111,9 +112,9 @@
 def decode_manifest(data: msgspec.Raw | bytes) -> Configuration:
     """Decode a manifest; raise `FormatError` if it is malformed."""
     try:
-        wire = msgspec.json.decode(data, type=WireManifest)
+        wire = decode_json(data, kind=WireManifest)
         routes = tuple(_decode_route(route) for route in wire.routes)
-    except (msgspec.DecodeError, KeyError) as error:
+    except (FormatError, KeyError) as error:
         raise FormatError(f"malformed manifest: {error}") from error
     organisations = wire.tenants or ()
     return Configuration(
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -1,11 +1,14 @@
 """Decoding of the objects in the platform's store into the gateway's types."""
 
+from typing import Annotated
+
 import logbook
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
 from ..gateway.endpoints.endpoint import Endpoint
 from ..gateway.store.storeobjects import Peer, RolloutOrder, RolloutState, RolloutStatus
-from .errors import FormatError
 
 log = logbook.Logger("store")
 
@@ -18,6 +21,9 @@
 }
 STATE_NAMES = {state: name for name, state in STATES.items()}
 
+# A revision of the store.  Peers can't be told of larger ones.
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class WireMeta(msgspec.Struct, frozen=True):
     """Metadata of an object.
@@ -26,8 +32,8 @@
     """
 
     name: str
-    revision: int = 0
-    created: int = 0
+    revision: Revision = 0
+    created: Revision = 0
     deleting: bool = False
 
 
@@ -43,7 +49,7 @@
     """One page of a list."""
 
     items: tuple[WireObject, ...]
-    store_revision: int
+    store_revision: Revision
     has_more: bool = False
 
 
@@ -58,7 +64,7 @@
     """The changes that a watch returned."""
 
     events: tuple[WireEvent, ...]
-    store_revision: int
+    store_revision: Revision
 
 
 class WireEndpoint(msgspec.Struct, frozen=True, rename="camel"):
@@ -155,18 +161,15 @@
 
 def _decode_status(wire: WireObject) -> RolloutStatus | None:
     try:
-        status = msgspec.json.decode(wire.status, type=WireStatus | None)
+        status = decode_json(wire.status, kind=WireStatus | None)
         if status is None:
             return None
         state = STATES[status.state]
-    except (msgspec.DecodeError, KeyError) as error:
+    except (FormatError, KeyError) as error:
         log.warning("store: status of {} can't be read: {}", wire.metadata.name, error)
         return None
     return RolloutStatus(state=state, version=status.to, since=status.since)
 
 
 def _decode(wire: WireObject, kind: type) -> object:
-    try:
-        return msgspec.json.decode(wire.spec, type=kind)
-    except msgspec.DecodeError as error:
-        raise FormatError(f"{wire.metadata.name}: {error}") from error
+    return decode_json(wire.spec, kind=kind)
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 import msgspec
 
+from ..errors import FormatError
 from ..gateway.store.storeobjects import (
     HistoryGone,
     ListResult,
@@ -16,18 +17,19 @@
     WatchResult,
 )
 from ..store.http import Answer, HttpCaller, NoAnswer, Pieces
-from .errors import FormatError
+from .jsonparts import TOO_DEEP
+from .leftaside import LeftAside
 from .manifest import decode_manifest
 from .objects import (
+    WireEvent,
     WireObject,
-    WirePage,
-    WireWatch,
     decode_endpoint,
     decode_order,
     decode_peer,
     encode_status,
     split_address,
 )
+from .pages import Changes, OddItem, Page, read_changes, read_object, read_page
 
 log = logbook.Logger("store")
 
@@ -103,9 +105,10 @@
     A failed call returns `StoreUnavailable` or False and raises nothing.
     """
 
-    __slots__ = ("_arriving", "_http")
+    __slots__ = ("_arriving", "_http", "_left_aside")
 
     def __init__(self, *, url: str) -> None:
+        self._left_aside = LeftAside()
         self._arriving: dict[str, Pieces] = {}
         self._http = HttpCaller(url=url, max_clients=MAX_CONNECTIONS)
 
@@ -136,8 +139,8 @@
             outcome = await self._read(
                 kind, query=query, timeout=MAX_PAGE_SECONDS, stall=timeout
             )
-            page = _decode_answer(outcome, WirePage)
-            if not isinstance(page, WirePage):
+            page = _decode_answer(outcome, read_page)
+            if not isinstance(page, Page):
                 return (
                     page
                     if isinstance(page, StoreUnavailable)
@@ -145,17 +148,17 @@
                 )
             if revision is None:
                 revision = page.store_revision
-            for item in page.items:
-                objects[item.metadata.name] = _decode(kind, item)
-                newest = max(newest, item.metadata.revision)
+            found = [_decode_item(kind, item) for item in page.items]
+            objects.update(self._drop_nameless(kind, found))
+            newest = max([newest, *map(_find_revision, page.items)])
             if not page.has_more:
                 # Later pages may show later changes, but not all of them.
                 return ListResult(
                     revision=revision, newest=min(newest, revision), objects=objects
                 )
-            if not page.items:
-                return StoreUnavailable(reason="an empty page, and more to come")
-            after = page.items[-1].metadata.name
+            after = next((name for name, _ in reversed(found) if name), "")
+            if not after:
+                return StoreUnavailable(reason="a page without names, and more to come")
 
     async def watch(
         self, *, kind: str, revision: int, wait: float, slack: float, stall: float
@@ -179,20 +182,30 @@
         )
         if isinstance(outcome, NoAnswer) and outcome.is_silent:
             return WatchOverdue()
-        changes = _decode_answer(outcome, WireWatch)
-        if not isinstance(changes, WireWatch):
+        changes = _decode_answer(outcome, read_changes)
+        if not isinstance(changes, Changes):
             return changes
+        found = [_decode_event(kind, event) for event in changes.events]
         return WatchResult(
             revision=changes.store_revision,
             newest=_find_newest(changes),
-            objects={
-                event.object.metadata.name: (
-                    None if event.tombstone else _decode(kind, event.object)
-                )
-                for event in changes.events
-            },
+            objects=self._drop_nameless(kind, found),
         )
 
+    def _drop_nameless(
+        self, kind: str, found: Sequence[tuple[str, object]]
+    ) -> dict[str, object]:
+        """Return objects by name, and log those that are left aside."""
+        objects = dict(found)
+        odd = {
+            name: one.reason
+            for name, one in objects.items()
+            if isinstance(one, Malformed)
+        }
+        self._left_aside.note(kind=kind, odd=odd, sound=objects.keys() - odd.keys())
+        objects.pop("", None)
+        return objects
+
     async def write_peer(self, *, name: str, address: str, timeout: float) -> bool:
         """Publish the address where this entry receives peer updates.
 
@@ -291,28 +304,34 @@
 def _find_address(conflict: Answer) -> tuple[str, int] | None:
     """Return the address in the existing object that a conflict response carries."""
     try:
-        wire = msgspec.json.decode(conflict.body, type=WireObject)
-        return decode_peer(wire).address
-    except (msgspec.DecodeError, FormatError) as error:
+        match read_object(conflict.body):
+            case WireObject() as wire:
+                return decode_peer(wire).address
+            case OddItem(reason=reason):
+                raise FormatError(reason)
+    except FormatError as error:
         log.info("store: replacing an entry's object that can't be read: {}", error)
         return None
 
 
-def _find_newest(changes: WireWatch) -> int:
+def _find_revision(item: WireObject | OddItem) -> int:
+    """Return the revision of an object's last change, 0 if it can't be read."""
+    return item.metadata.revision if isinstance(item, WireObject) else 0
+
+
+def _find_newest(changes: Changes) -> int:
     """Return the revision of the last change.
 
     A deleted object only carries the revision of its last change before the
-    deletion, so the store's revision counts for it.
+    deletion, and an odd item none, so the store's revision counts for them.
     """
-    return max(
-        (
-            changes.store_revision
-            if event.tombstone
-            else event.object.metadata.revision
-            for event in changes.events
-        ),
-        default=0,
+    revisions = (
+        event.object.metadata.revision
+        if isinstance(event, WireEvent) and not event.tombstone
+        else changes.store_revision
+        for event in changes.events
     )
+    return min(max(revisions, default=0), changes.store_revision)
 
 
 def _make_path(
@@ -322,14 +341,16 @@
     return f"{path}?{urllib.parse.urlencode(query)}" if query else path
 
 
-def _decode_answer(outcome: Answer | NoAnswer, kind: type) -> object:
+def _decode_answer(
+    outcome: Answer | NoAnswer, read: Callable[[bytes], Page | Changes]
+) -> Page | Changes | HistoryGone | StoreUnavailable:
     match outcome:
         case NoAnswer(reason=reason):
             return StoreUnavailable(reason=reason)
         case Answer(status=200, body=body):
             try:
-                return msgspec.json.decode(body, type=kind)
-            except msgspec.DecodeError as error:
+                return read(body)
+            except FormatError as error:
                 return StoreUnavailable(reason=f"an answer that can't be read: {error}")
         case Answer(status=status) if status == GONE:
             return HistoryGone()
@@ -337,8 +358,25 @@
             return StoreUnavailable(reason=f"status {status}")
 
 
-def _decode(kind: str, wire: WireObject) -> object:
-    try:
-        return DECODERS[kind](wire)
-    except FormatError as error:
-        return Malformed(str(error))
+def _decode_event(kind: str, event: WireEvent | OddItem) -> tuple[str, object | None]:
+    match event:
+        case WireEvent(object=wire, tombstone=True):
+            return wire.metadata.name, None
+        case WireEvent(object=wire):
+            return _decode_item(kind, wire)
+        case OddItem():
+            return _decode_item(kind, event)
+
+
+def _decode_item(kind: str, item: WireObject | OddItem) -> tuple[str, object]:
+    """Return an object's name and what it holds, or why that can't be used."""
+    match item:
+        case OddItem(name=name, reason=reason):
+            return name, Malformed(reason)
+        case WireObject(metadata=metadata, spec=spec):
+            try:
+                return metadata.name, DECODERS[kind](item)
+            except FormatError as error:
+                is_deep = TOO_DEEP in bytes(spec)
+                reason = TOO_DEEP.decode() if is_deep else str(error)
+                return metadata.name, Malformed(reason)
--- a/test/platform/test_formats.py
+++ b/test/platform/test_formats.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 import eelgrassrack
+from eelgrassrack.errors import FormatError
 from eelgrassrack.gateway.endpoints.endpoint import Endpoint
 from eelgrassrack.gateway.requests.messages import EndpointLoad, PromptPart, RouteKind
 from eelgrassrack.gateway.store.storeobjects import RolloutState, RolloutStatus
 from eelgrassrack.platform import headers, objects
-from eelgrassrack.platform.errors import FormatError
 from eelgrassrack.platform.manifest import decode_manifest
 from eelgrassrack.platform.objects import WireMeta, WireObject
 
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import logbook
 import msgspec
 import pytest
 
 from eelgrassrack.gateway.store.storeobjects import StoreUnavailable
+from eelgrassrack.platform.leftaside import MAX_LINES
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import MetadataStore
 
@@ -158,3 +160,46 @@
         assert isinstance(await list_domains(store), StoreUnavailable)
 
     run(scenario, standin=EmptyPages())
+
+
+def put_odd(standin, count, spec=b'"odd"'):
+    for number in range(count):
+        standin.put_raw(kind=Kinds.ENDPOINTS, name=f"odd{number}", spec=spec)
+
+
+async def list_endpoints(store):
+    return await store.list(kind=Kinds.ENDPOINTS, timeout=2.0)
+
+
+def test_an_entry_left_aside_is_logged_once_until_it_changes():
+    """A line for each read of the list would push out other lines."""
+
+    async def scenario(store, standin):
+        with logbook.TestHandler() as handler:
+            put_odd(standin, 2)
+            for _ in range(3):
+                await list_endpoints(store)
+            lines = [record.kwargs for record in handler.records]
+            assert [line["name"] for line in lines] == ["odd0", "odd1"]
+            assert all(line["kind"] == "servers" and line["reason"] for line in lines)
+            put_odd(standin, 1, spec=b"[" * 5_000 + b"]" * 5_000)
+            await list_endpoints(store)
+            assert handler.records[-1].kwargs["reason"] == "nested too deeply"
+            assert len(handler.records) == 3
+
+    run(scenario)
+
+
+def test_lines_of_entries_left_aside_are_bounded():
+    """A writer that leaves thousands of long odd entries would fill the log."""
+
+    async def scenario(store, standin):
+        with logbook.TestHandler() as handler:
+            put_odd(standin, 3_000, spec=b'"' + b"x" * 100 + b'"')
+            long = b'{"state":"%s"}' % (b"y" * 10_000)
+            standin.put_raw(kind=Kinds.ENDPOINTS, name="a" * 1_000, spec=long)
+            await list_endpoints(store)
+            assert len(handler.records) <= MAX_LINES + 1 + 6 * (MAX_LINES + 1)
+            assert max(len(record.message) for record in handler.records) < 400
+
+    run(scenario)
