Follow on after an exception that nobody expected

What callers saw: nothing at first. A gateway served by what it had known, but new endpoints got nothing and changes of configuration, orders and domains taken out were not followed, until the process was restarted.

Cause: an exception out of a follower's turn ended its task. The supervisor started it again with the same watch, which brought the same change, and gave up after eight failures. The gateway doesn't wait for its supervisor, so nothing showed that but a log line.

Change: a follower logs what it didn't expect, lists instead of watching and goes on with its backoff; the gateway's supervisor never gives up a task. The own daemons still end after eight failures, as OPERATIONS.md says.

Ruled out: letting the process end. A restart reads the same entry again.

--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -129,7 +129,8 @@
         self._metrics = GatewayMetrics()
         self._held = HeldBytes(bounds=find_bounds(memory_mb=settings.memory_mb))
         self._contact = StoreContact()
-        self._supervisor = Supervisor(name="gateway")
+        # What one task can't do must not end what the others do for callers.
+        self._supervisor = Supervisor(name="gateway", gives_up=False)
         self.router = Router()
         self._make_placer()
         self._pool = ConnectionPool(
--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -190,7 +190,7 @@
                 self._contact.note_unwatched()
                 await self._wait_woken()
                 continue
-            answered = await self._advance()
+            answered = await self._try_to_advance()
             if answered:
                 if self._has_changed:
                     await asyncio.sleep(BATCH_SECONDS)
@@ -229,6 +229,19 @@
         if self._watching is not None:
             self._watching.cancel()
 
+    async def _try_to_advance(self) -> bool:
+        """Advance, and list after an exception that nobody expected.
+
+        The same watch would bring the same change again.
+        """
+        try:
+            return await self._advance()
+        except Exception as error:
+            log.exception("store: following {} failed, listing: {}", self.kind, error)
+            self.revision = None
+            self._has_gap = True
+            return False
+
     async def _advance(self) -> bool:
         """List or watch once; return whether the next call needs no backoff."""
         self._has_changed = False
--- a/eelgrassrack/supervisor.py
+++ b/eelgrassrack/supervisor.py
@@ -3,7 +3,8 @@
 A supervisor restarts failed tasks with exponential backoff.  If a task fails too often
 in a short time, its supervisor fails too, and the parent sees this as a failed task.
 An error that a restart doesn't fix must end the process visibly, because otherwise it
-would keep serving with a component missing.
+would keep serving with a component missing.  A supervisor that never gives up restarts
+its tasks for as long as they fail.
 """
 
 import asyncio
@@ -34,13 +35,15 @@
 class Supervisor:
     """Runs named tasks until they end or one of them fails too often.
 
-    `failures` counts the failures of each task.
+    `failures` counts the failures of each task.  Unless it `gives_up`, no number of
+    failures is too many.
     """
 
-    __slots__ = ("_failed", "_tasks", "failures", "name")
+    __slots__ = ("_failed", "_gives_up", "_tasks", "failures", "name")
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(self, *, name: str, gives_up: bool = True) -> None:
         self.name = name
+        self._gives_up = gives_up
         self.failures: collections.Counter[str] = collections.Counter()
         self._tasks: dict[str, asyncio.Task] = {}
         self._failed: asyncio.Future[None] | None = None
@@ -87,7 +90,7 @@
                 self.failures[name] += 1
                 log.exception("supervisor: {} failed: {}", name, error)
                 failed_at.append(clock())
-            if self._fails_too_often(failed_at):
+            if self._gives_up and self._fails_too_often(failed_at):
                 self._give_up(name)
                 return
             if clock() - started_at > FAILURE_WINDOW_SECONDS:
--- a/test/test_supervisor.py
+++ b/test/test_supervisor.py
@@ -48,3 +48,25 @@
 
     with pytest.raises(SupervisorError):
         asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_task_that_always_fails_runs_again_if_its_supervisor_never_gives_up(
+    monkeypatch,
+):
+    """A gateway would serve on with a task missing, and nobody would notice."""
+    monkeypatch.setattr(module, "MAX_DELAY_SECONDS", 0.001)
+    monkeypatch.setattr(module, "FIRST_DELAY_SECONDS", 0.001)
+    runs = []
+
+    async def job():
+        runs.append(1)
+        raise RuntimeError("always")
+
+    async def scenario():
+        supervisor = Supervisor(name="top", gives_up=False)
+        supervisor.start(name="job", job=job)
+        while len(runs) < 3 * module.MAX_FAILURES:
+            await asyncio.sleep(0.01)
+        await supervisor.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
