Check an address where it is decoded

What callers saw: while an entry with a port beyond 65535 or a NUL in its address stood among the endpoints of a service, the connection of a request that chose it was closed without an answer. With a port of thousands of digits the whole list was lost. The same in a gateway's own entry closed the others' sockets for updates for good, and they no longer heard each other.

Cause: an address was split at its last colon and taken for one that can be connected to. What connect and sendto raise for others (OverflowError, TypeError, UnicodeError, ValueError) is nobody's to catch, asyncio closes a datagram socket for it, and a name is looked up, which blocks the event loop.

Change: addresses.py makes a checked value of a text: an IPv4 address of one host and a port of 1 to 65535, as the platform's addresses are (there are no name look-ups there). Endpoints and gateways of the store are decoded with it; another text makes a malformed entry. Ports in updates are bounded, and of a peer's view endpoints without a usable address are left out, as a peer of an earlier version takes them from the store. Messages of peers are decoded with the same typed error, and numbers in their paths are bounded.

Ruled out: catching more around connect. The request then fails at an endpoint that never can be one, and one of its attempts is spent.

--- a/eelgrassrack/gateway/peers/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -19,6 +19,8 @@
 
 from ...decisions.precedence import Sharer
 from ...decisions.stopping import Readiness
+from ...decoding import decode_msgpack
+from ...errors import FormatError
 from ..store.storeobjects import Peer
 from .roommessages import RoomMessage, decode_message, is_message
 from .updatemessages import Audience, PeerUpdate
@@ -323,8 +325,8 @@
             if is_message(data):
                 self._receive_message(decode_message(data))
                 return
-            update = msgspec.msgpack.decode(data, type=PeerUpdate)
-        except msgspec.DecodeError as error:
+            update = decode_msgpack(data, kind=PeerUpdate)
+        except FormatError as error:
             log.warning("news: update from {} can't be read: {}", addr[0], error)
             return
         if update.name == self._name:
--- a/eelgrassrack/gateway/peers/roommessages.py
+++ b/eelgrassrack/gateway/peers/roommessages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ...decoding import decode_msgpack
+
 # Parts of a whole limit.
 WHOLE = 10_000
 
@@ -65,5 +67,5 @@
 
 
 def decode_message(data: bytes) -> RoomMessage:
-    """Return the message of a datagram; raise `msgspec.DecodeError`."""
-    return msgspec.msgpack.decode(data, type=RoomMessage)
+    """Return the message of a datagram; raise `FormatError`."""
+    return decode_msgpack(data, kind=RoomMessage)
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ...addresses import MAX_PORT
 from ...decisions.crashrecords import TraitReport
 from ...decisions.fairshare import UsageReport
 from ...decisions.pace import PaceReport
@@ -123,7 +124,7 @@
 
     name: str
     lifetime: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     number: int
     configuration: int
     knows_store: bool
--- a/eelgrassrack/gateway/store/storeviews.py
+++ b/eelgrassrack/gateway/store/storeviews.py
@@ -12,6 +12,10 @@
 import logbook
 import msgspec
 
+from ...addresses import is_usable
+from ...counts import read_count
+from ...decoding import decode_msgpack
+from ...errors import FormatError
 from ...store.http import Answer, HttpCaller
 from ..endpoints.endpoint import Endpoint
 from .configuration import Configuration
@@ -95,6 +99,19 @@
     return msgspec.msgpack.encode(view)
 
 
+def decode_view(data: bytes) -> StoreView:
+    """Decode a peer's store view; raise `FormatError`.
+
+    Endpoints whose address can't be used are left out: a peer of an earlier version
+    takes them from the store.
+    """
+    view = decode_msgpack(data, kind=StoreView)
+    if view.endpoints is None:
+        return view
+    usable = tuple(one for one in view.endpoints if is_usable(one.address))
+    return msgspec.structs.replace(view, endpoints=usable)
+
+
 def make_path(known: KnownRevisions) -> str:
     """Return the path that asks a peer for newer kinds than those known."""
     numbers = [known.configuration, *known.revisions]
@@ -106,10 +123,10 @@
 def parse_path(path: str) -> KnownRevisions | None:
     """Return what the asker has, or None if the path isn't that of a store view."""
     name, _, rest = path[1:].partition("/")
-    numbers = rest.split(SEPARATOR) if rest else []
-    if f"/{name}" != PATH or not all(number.isdecimal() for number in numbers):
+    numbers = [read_count(text) for text in (rest or "0").split(SEPARATOR)]
+    if f"/{name}" != PATH or None in numbers:
         return None
-    configuration, *revisions = map(int, numbers or ["0"])
+    configuration, *revisions = numbers
     return KnownRevisions(
         configuration=configuration,
         revisions=tuple(revisions[:KINDS]),
@@ -220,8 +237,8 @@
         log.info("sharing: store view of {}, {} bytes in {} s", name, size, seconds)
         self._count_bytes(name, size)
         try:
-            view = msgspec.msgpack.decode(answer.body, type=StoreView)
-        except msgspec.DecodeError as error:
+            view = decode_view(answer.body)
+        except FormatError as error:
             log.warning("sharing: store view of {} can't be read: {}", name, error)
             return False
         self._apply_view(view, name)
@@ -230,5 +247,5 @@
 
 def _count_sent(answer: Answer) -> int:
     """Return the bytes of an answer's body as sent, which may be compressed."""
-    length = answer.headers.get("content-length", "")
-    return int(length) if length.isdecimal() else len(answer.body)
+    length = read_count(answer.headers.get("content-length", ""))
+    return len(answer.body) if length is None else length
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 
+from ..addresses import parse_address
 from ..decoding import decode_json
 from ..errors import FormatError
 from ..gateway.endpoints.endpoint import Endpoint
@@ -105,14 +106,6 @@
     address: str
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Split `HOST:PORT`; raise `FormatError` for any other text."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise FormatError(f"not an address: {text[:80]}")
-    return host, int(port)
-
-
 def decode_endpoint(wire: WireObject) -> Endpoint:
     """Decode an endpoint; raise `FormatError` if malformed or in an unknown state."""
     spec = _decode(wire, WireEndpoint)
@@ -122,7 +115,7 @@
         name=wire.metadata.name,
         born=spec.born,
         service=spec.service,
-        address=split_address(spec.address),
+        address=parse_address(spec.address),
         domain=spec.zone,
         version=spec.version,
         slots=max(spec.slots, 1),
@@ -147,7 +140,7 @@
 def decode_peer(wire: WireObject) -> Peer:
     """Decode the address where another entry receives peer updates."""
     spec = _decode(wire, WirePeer)
-    return Peer(name=wire.metadata.name, address=split_address(spec.address))
+    return Peer(name=wire.metadata.name, address=parse_address(spec.address))
 
 
 def encode_status(status: RolloutStatus) -> dict[str, object]:
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -27,7 +27,6 @@
     decode_order,
     decode_peer,
     encode_status,
-    split_address,
 )
 from .pages import Changes, OddItem, Page, read_changes, read_object, read_page
 
@@ -217,7 +216,7 @@
         path = _make_path(Kinds.PEERS)
         outcome = await self._send("POST", path, body, timeout)
         if isinstance(outcome, Answer) and outcome.status == CONFLICT:
-            if _find_address(outcome) == split_address(address):
+            if _find_address(outcome) == address:
                 return True
             path = _make_path(Kinds.PEERS, name=name)
             outcome = await self._send("PUT", path, body, timeout)
@@ -301,12 +300,13 @@
             return received
 
 
-def _find_address(conflict: Answer) -> tuple[str, int] | None:
+def _find_address(conflict: Answer) -> str | None:
     """Return the address in the existing object that a conflict response carries."""
     try:
         match read_object(conflict.body):
             case WireObject() as wire:
-                return decode_peer(wire).address
+                host, port = decode_peer(wire).address
+                return f"{host}:{port}"
             case OddItem(reason=reason):
                 raise FormatError(reason)
     except FormatError as error:
--- a/test/gateway/test_odd_entries.py
+++ b/test/gateway/test_odd_entries.py
@@ -1,11 +1,13 @@
 """Tests of entries that another writer left in the platform's store."""
 
+import asyncio
+
 import msgspec
 import pytest
 
 from eelgrassrack.platform.store import Kinds
 
-from .oddentries import make_endpoint, make_unreadable
+from .oddentries import ODD_ADDRESSES, make_endpoint, make_unreadable
 from .world import make_manifest, make_world, run, wait_for
 
 CALLS = 6
@@ -156,3 +158,42 @@
             await wait_for(lambda: len(gateway.rollouts.orders) == 1)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("when", TIMES)
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_an_odd_address_is_no_endpoint(odd, when):
+    """Requests that chose it would end without an answer, though others are free."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first", slots=1)
+            await world.add_engine("second", slots=1)
+            spec = msgspec.json.encode(make_endpoint(ODD_ADDRESSES[odd], slots=100))
+            gateway = await start_beside(world, Kinds.ENDPOINTS, spec, when)
+            await check_endpoints_followed(world, gateway)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_an_odd_address_is_no_gateway(odd):
+    """The socket for updates would close, and no gateway would hear another."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            spec = msgspec.json.encode({"address": ODD_ADDRESSES[odd]})
+            put_odd(world, Kinds.PEERS, spec)
+            await world.start_gateway(number=1)
+            await world.start_gateway(number=2)
+            await world.wait_ready()
+            await asyncio.sleep(1.0)
+            for gateway in world.gateways:
+                exchange = gateway._update_exchange
+                assert exchange.is_listed
+                assert "odd" not in exchange._peers
+                assert len(exchange.latest) == 1
+            await check_served(world)
+
+    run(scenario())
