Ask the name of an object that holds a manifest or an order

What callers saw: after another writer had left a sound manifest without routes and with a higher version beside the operators', every request got 404, also after restarts. An entry under another name could likewise order a service's roll-out.

Cause: all objects of a kind counted, whatever their names. The manifest is the object `main`, and an order is the object that has its service's name.

Change: an object under another name names nothing to use. The name of a service is quoted in the path of its status.

--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -74,10 +74,20 @@
 
 
 def decode_configuration(wire: WireObject) -> object:
-    """Decode the manifest that an object holds."""
+    """Decode the manifest, if this is the object that holds it."""
+    if wire.metadata.name != MANIFEST_NAME:
+        raise FormatError("not the manifest's name")
     return decode_manifest(wire.spec)
 
 
+def decode_rollout(wire: WireObject) -> object:
+    """Decode an order, if this is the object that holds its service's."""
+    order = decode_order(wire)
+    if wire.metadata.name != order.service:
+        raise FormatError("not the name of the order's service")
+    return order
+
+
 def decode_presence(wire: WireObject) -> object:
     """Return the name of an object of which only its existence matters."""
     return wire.metadata.name
@@ -86,7 +96,7 @@
 DECODERS: dict[str, Decode] = {
     Kinds.CONFIGURATION: decode_configuration,
     Kinds.ENDPOINTS: decode_endpoint,
-    Kinds.ROLLOUTS: decode_order,
+    Kinds.ROLLOUTS: decode_rollout,
     Kinds.EVACUATIONS: decode_presence,
     Kinds.PEERS: decode_peer,
 }
@@ -233,7 +243,8 @@
             "metadata": {"name": service, "revision": revision},
             "status": encode_status(status),
         }
-        path = _make_path(Kinds.ROLLOUTS, name=f"{service}/status")
+        quoted = urllib.parse.quote(service, safe="")
+        path = _make_path(Kinds.ROLLOUTS, name=f"{quoted}/status")
         outcome = await self._send("PUT", path, body, timeout)
         return isinstance(outcome, Answer) and outcome.status < 300
 
--- a/test/gateway/test_odd_entries.py
+++ b/test/gateway/test_odd_entries.py
@@ -197,3 +197,40 @@
             await check_served(world)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("when", TIMES)
+def test_only_the_operators_object_holds_the_manifest(when):
+    """All callers would get 404 by what another writer left beside it."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            spec = msgspec.json.encode({**make_manifest(version=9), "routes": []})
+            gateway = await start_beside(world, Kinds.CONFIGURATION, spec, when)
+            await check_served(world)
+            world.configure(version=2)
+            await wait_for(lambda: gateway.router.version == 2)
+            await check_served(world)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("when", TIMES)
+def test_only_the_operators_object_holds_a_service_s_order(when):
+    """Another writer's entry would move all requests to a version of its choice."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            order = {"service": "plain", "to": "v9", "durationS": 20}
+            spec = msgspec.json.encode(order)
+            gateway = await start_beside(world, Kinds.ROLLOUTS, spec, when)
+            world.store.put(
+                kind=Kinds.ROLLOUTS, name="plain", spec={**order, "to": "v2"}
+            )
+            await wait_for(lambda: gateway.rollouts.orders)
+            assert [one.version for one in gateway.rollouts.orders] == ["v2"]
+            await check_served(world)
+
+    run(scenario())
