Bound the numbers of entries

What callers saw: with an order that lasts 1e308 s, roll-outs were no longer followed. With slots or a start of more than 64 bits, a gateway that fetches from its peers got nothing, as they couldn't encode their view; cold for ever, an endpoint was listed that never warms.

Cause: JSON has no bounds, and what is read was passed on and added to times.

A number beyond them makes the entry malformed. An endpoint cold for less than no time is warm.

--- a/eelgrassrack/platform/manifest.py
+++ b/eelgrassrack/platform/manifest.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's manifest into the gateway's configuration."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..decoding import decode_json
@@ -21,12 +23,16 @@
 }
 MILLISECONDS = 1000.0
 
+# Larger numbers are garbled, and can't be sent to peers or added to times.
+Whole = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+Amount = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+
 
 class WireTarget(msgspec.Struct, frozen=True):
     """A service that receives a share of a route's traffic."""
 
     service: str
-    weight: float
+    weight: Amount
 
 
 class WireRoute(msgspec.Struct, frozen=True, rename="camel"):
@@ -40,15 +46,15 @@
     hostname: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: Amount
+    target_latency_ms: Amount = 0.0
+    priority: Whole = 0
     service: str | None = None
     traffic_split: tuple[WireTarget, ...] | None = None
-    max_attempts: int = 1
+    max_attempts: Whole = 1
     public: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: Amount = 0.0
     sizes: tuple[str, ...] | None = None
 
 
@@ -56,14 +62,14 @@
     """A model of an engine; `cost` is the price of 1,000 generated tokens."""
 
     name: str
-    cost: float = 0.0
+    cost: Amount = 0.0
 
 
 class WireEngine(msgspec.Struct, frozen=True, rename="camel"):
     """The capacity and the models of each engine of a service."""
 
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: Whole = 1
+    kv_capacity_tokens: Whole = 0
     models: tuple[WireModel, ...] = ()
 
 
@@ -76,19 +82,19 @@
 
     name: str
     health_path: str = "/healthz"
-    max_connections: int = 100
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    max_connections: Whole = 100
+    cold_s: Amount = 0.0
+    cold_per_s: Amount = 0.0
     engine: WireEngine | None = None
 
 
 class WireLimits(msgspec.Struct, frozen=True, rename="camel"):
     """Limits on what a caller may send, in bytes and milliseconds."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 4_194_304
+    header_timeout_ms: Amount = 3_000.0
+    idle_timeout_ms: Amount = 15_000.0
 
 
 class WireOrganisation(msgspec.Struct, frozen=True, rename="camel"):
@@ -96,13 +102,13 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Whole | None = None
 
 
 class WireManifest(msgspec.Struct, frozen=True):
     """The whole manifest; without `tenants` no API key is needed."""
 
-    version: int
+    version: Whole
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     limits: WireLimits = WireLimits()
--- a/eelgrassrack/platform/objects.py
+++ b/eelgrassrack/platform/objects.py
@@ -25,6 +25,14 @@
 # A revision of the store.  Peers can't be told of larger ones.
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
+# Larger numbers are garbled: Unix milliseconds, slots, milliseconds of a day, seconds
+# of a year, and Unix seconds.
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Slots = Annotated[int, msgspec.Meta(le=1_000_000)]
+ColdMilliseconds = Annotated[float, msgspec.Meta(le=86_400_000.0)]
+RolloutSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=31_536_000.0)]
+UnixSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=2.0**53)]
+
 
 class WireMeta(msgspec.Struct, frozen=True):
     """Metadata of an object.
@@ -75,10 +83,10 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: Slots
     state: str
-    born: int = 0
-    cold_remaining_ms: float = 0.0
+    born: UnixMilliseconds = 0
+    cold_remaining_ms: ColdMilliseconds = 0.0
 
 
 class WireOrder(msgspec.Struct, frozen=True, rename="camel"):
@@ -86,7 +94,7 @@
 
     service: str
     to: str
-    duration_s: float
+    duration_s: RolloutSeconds
 
 
 class WireStatus(msgspec.Struct, frozen=True, rename="camel"):
@@ -97,7 +105,7 @@
 
     state: str
     to: str
-    since: float = 0.0
+    since: UnixSeconds = 0.0
 
 
 class WirePeer(msgspec.Struct, frozen=True):
@@ -120,7 +128,7 @@
         version=spec.version,
         slots=max(spec.slots, 1),
         is_draining=spec.state == "draining",
-        cold=spec.cold_remaining_ms / MILLISECONDS,
+        cold=max(spec.cold_remaining_ms, 0.0) / MILLISECONDS,
     )
 
 
--- a/test/gateway/test_odd_entries.py
+++ b/test/gateway/test_odd_entries.py
@@ -7,10 +7,19 @@
 
 from eelgrassrack.platform.store import Kinds
 
-from .oddentries import ODD_ADDRESSES, make_endpoint, make_unreadable
+from .oddentries import (
+    ODD_ADDRESSES,
+    ODD_NUMBERS,
+    make_endpoint,
+    make_spec,
+    make_unreadable,
+)
 from .world import make_manifest, make_world, run, wait_for
 
 CALLS = 6
+
+# Nothing listens there.
+NOWHERE = "http://127.0.0.1:9"
 TIMES = ("before the start", "while running")
 
 UNREADABLE = make_unreadable(make_endpoint(), "address")
@@ -234,3 +243,42 @@
             await check_served(world)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("odd", ODD_NUMBERS)
+def test_an_endpoint_with_a_number_out_of_range_is_none(odd):
+    """Gateways couldn't tell each other of it, nor add it to a time."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            spec = make_spec(make_endpoint(), **ODD_NUMBERS[odd])
+            gateway = await start_beside(world, Kinds.ENDPOINTS, spec, TIMES[0])
+            await check_served(world)
+            assert gateway.fleet.find("odd") is None
+            second = await world.start_gateway(number=2, objects_url=NOWHERE)
+            await wait_for(lambda: second.is_ready)
+            await check_served(world)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("seconds", (b"1e308", b"-1", b"1e12", b"9" * 400))
+@pytest.mark.parametrize("when", TIMES)
+def test_an_order_whose_time_is_out_of_range_is_none(when, seconds):
+    """Roll-outs would no longer be followed."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            order = {"service": "plain", "to": "v9"}
+            odd = make_spec({**order, "service": "models"}, durationS=seconds)
+            gateway = await start_beside(world, Kinds.ROLLOUTS, odd, when, "models")
+            world.store.put(
+                kind=Kinds.ROLLOUTS, name="plain", spec={**order, "durationS": 20}
+            )
+            await wait_for(lambda: gateway.rollouts.orders)
+            await check_served(world)
+            assert [one.service for one in gateway.rollouts.orders] == ["plain"]
+
+    run(scenario())
