Refuse statuses and versions that HTTP/1 doesn't have, at gateways

What callers saw: the status 600, 777 or 999 of an engine in trouble as an answer, and a whole 200 whose line said HTTP/2.0 or HTTP/9.9.

Cause: h11 takes any status from 200 to 999 and any version of two digits.

Change: responsehead.py checks what h11 has read: versions 1.x and statuses up to 599.

The test's caller reads heads as Latin-1 now, as HTTP says.

--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -14,6 +14,8 @@
 import h11
 from tornado.iostream import IOStream, StreamClosedError
 
+from ...errors import FormatError
+from ...responsehead import MAX_HEAD_BYTES, MAX_INTERIM, check_response
 from ...turnquota import TurnQuota
 from ..errors import BrokenError, ConnectError, EndlessError, NoDescriptorError
 from ..patience import wait_unless_late
@@ -32,13 +34,6 @@
 # The value of SO_LINGER for which a close discards unsent bytes and sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
 
-# Limit of a response head, which usually takes a few hundred bytes, and of the line of
-# a chunk's size.
-MOST_HEAD_BYTES = 65_536
-
-# Limit of interim responses (1xx) before a response.
-MOST_INTERIM = 16
-
 # The status by which the HTTP library tells that a head or line is too long.
 TOO_LONG = 431
 
@@ -73,7 +68,7 @@
     def __init__(self, *, stream: IOStream) -> None:
         self._stream = stream
         self._machine = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MOST_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._write_future: asyncio.Future | None = None
         self._interim = 0
@@ -161,14 +156,18 @@
                 if error.error_status_hint == TOO_LONG:
                     raise EndlessError(f"not an answer: {error}") from error
                 raise BrokenError(f"not an answer: {error}") from error
+            except ValueError as error:
+                raise BrokenError(f"not an answer: {error}") from error
             if self._turn.use(0):
                 await asyncio.sleep(0)
             match event:
                 case h11.NEED_DATA:
                     await self._receive()
                 case h11.InformationalResponse():
+                    _check_head(event)
                     self._count_interim()
                 case h11.Response():
+                    _check_head(event)
                     return event
                 case h11.Data():
                     return Data(bytes(event.data))
@@ -179,8 +178,8 @@
 
     def _count_interim(self) -> None:
         self._interim += 1
-        if self._interim > MOST_INTERIM:
-            raise EndlessError(f"more than {MOST_INTERIM} interim answers")
+        if self._interim > MAX_INTERIM:
+            raise EndlessError(f"more than {MAX_INTERIM} interim answers")
 
     def release(self) -> bool:
         """Prepare for the next request; return whether that is possible.
@@ -270,6 +269,14 @@
     return isinstance(cause, ConnectionRefusedError)
 
 
+def _check_head(event: h11.Response | h11.InformationalResponse) -> None:
+    """Raise `BrokenError` for a head that isn't one of HTTP/1."""
+    try:
+        check_response(event)
+    except FormatError as error:
+        raise BrokenError(str(error)) from error
+
+
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     enable_keepalive(sock)
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -223,7 +223,7 @@
     async def read(self):
         """Return status, headers, body and whether the answer was complete."""
         head = await self.reader.readuntil(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
+        lines = head.decode("latin-1").split("\r\n")
         status = int(lines[0].split()[1])
         pairs = [line.split(": ", 1) for line in lines[1:] if line]
         headers = {name.lower(): value for name, value in pairs}
