Read numbers and texts of headers without exceptions

What callers saw: a closed connection without an answer, where an engine's answer or their own request had a number of thousands of digits in a field that the gateway reads (X-Confidence, X-Token-Usage, X-Prompt-Prefix, X-Length-Hint; 400 digits in X-Deadline-Ms), or where their request had any header beyond ASCII.

Cause: int refuses more than 4,300 digits, a float holds no more than 308, and isdecimal and isdigit are true for digits that aren't ASCII; each check stood beside its own conversion. Headers went to h11 as text, which encodes ASCII only.

Change: counts.py reads a whole number of up to 20 ASCII digits, or none, in headers, event ids and lengths. Headers reach an endpoint as the bytes that the caller sent. A length of more digits is a body that is too long.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -13,6 +13,7 @@
 from tornado import web
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..counts import read_count
 from ..document.sections import Organisation
 from .answers import Labels, write_error
 from .arrivals import RequestOptions, authenticate_caller, read_options
@@ -80,7 +81,8 @@
             )
             return
         length = self.request.headers.get("Content-Length", "0")
-        if length.isdigit() and int(length) > self._max_body_bytes:
+        size = read_count(length)
+        if size is not None and size > self._max_body_bytes:
             self._refuse_size()
         elif length != "0" or "Transfer-Encoding" in self.request.headers:
             self._check_head()
--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -123,9 +123,10 @@
         connection is closed.
         """
         self.active_at = asyncio.get_running_loop().time()
+        pairs = [(_encode(name), _encode(value)) for name, value in headers]
         try:
             data = self._machine.send(
-                h11.Request(method=method, target=target, headers=headers)
+                h11.Request(method=method, target=target, headers=pairs)
             )
             if body:
                 data += self._machine.send(h11.Data(data=body))
@@ -269,6 +270,14 @@
     return isinstance(cause, ConnectionRefusedError)
 
 
+def _encode(text: str) -> bytes:
+    """Return a header's text as bytes: those that a caller sent, else UTF-8."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def _check_head(event: h11.Response | h11.InformationalResponse) -> None:
     """Raise `BrokenError` for a head that isn't one of HTTP/1."""
     try:
--- a/eelgrassrack/gateway/requests/events.py
+++ b/eelgrassrack/gateway/requests/events.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ...counts import read_count
 from ...decisions.heldbytes import Holding
 from .holding import hold_more
 
@@ -65,10 +66,11 @@
 
     An endpoint that resumes a stream may send events again that the caller has.
     """
-    if not last_id.isdecimal():
+    newest = read_count(last_id)
+    if newest is None:
         return data
     events = data.split(EVENT_END)[:-1]
-    new = [event for event in events if not _is_delivered(event, int(last_id))]
+    new = [event for event in events if not _is_delivered(event, newest)]
     return b"".join(event + EVENT_END for event in new)
 
 
@@ -77,15 +79,14 @@
 
     `next_id` is that of an event that an endpoint has just sent, perhaps again.
     """
-    is_repeated = (
-        last_id.isdecimal() and next_id.isdecimal() and int(next_id) < int(last_id)
-    )
+    newest, sent = read_count(last_id), read_count(next_id)
+    is_repeated = newest is not None and sent is not None and sent < newest
     return last_id if is_repeated else next_id
 
 
 def _is_delivered(event: bytes, last_id: int) -> bool:
-    found = _find_last_id(event + b"\n")
-    return found.isdecimal() and int(found) <= last_id
+    found = read_count(_find_last_id(event + b"\n"))
+    return found is not None and found <= last_id
 
 
 def _find_last_id(data: bytes) -> str:
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -19,6 +19,7 @@
 from tornado.iostream import IOStream
 
 from ...callers.connection import UNLIMITED_BYTES
+from ...counts import read_count
 from ...dismissal import REQUEST_TIMEOUT_ANSWER
 from ...lingering import LingeringConnections
 from ..endpoints.connection import enable_keepalive
@@ -362,7 +363,9 @@
         if is_too_long or _count_header_bytes(headers) > self._limits.header_bytes:
             return HEADERS_TOO_LONG
         declared = headers.get("Content-Length", "")
-        length = int(declared) if declared.isdecimal() else 0
+        length = read_count(declared)
+        if length is None:
+            length = math.inf if declared.isdecimal() else 0
         if length > self._limits.body_bytes:
             return BODY_TOO_LONG
         if not length and "Transfer-Encoding" not in headers:
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Iterable
 
+from ..counts import read_count
 from ..gateway.requests.messages import Arrival, EndpointLoad, PromptPart, ResponseHead
 from ..hopbyhop import HOP_BY_HOP
 
@@ -107,7 +108,7 @@
         parts=_decode_parts(named.get("x-prompt-prefix", "")),
         session=named.get("session", ""),
         resume_after=named.get("last-event-id", ""),
-        length_hint=_decode_count(named.get("x-length-hint", "")) or 0,
+        length_hint=read_count(named.get("x-length-hint", "")) or 0,
     )
 
 
@@ -169,7 +170,7 @@
         load=_decode_load(named.get("x-instance-load", "")),
         keep_alive=_decode_keep_alive(named.get("keep-alive", "")),
         will_close="close" in listed,
-        confidence=_decode_count(named.get("x-confidence", "")),
+        confidence=read_count(named.get("x-confidence", "")),
         rest=find_rest(status=status, pairs=named.items()),
         is_leaving=says_leaving(named.items()),
         is_misdirected=status == MISDIRECTED,
@@ -216,26 +217,24 @@
 
 
 def _decode_milliseconds(value: str) -> float | None:
-    try:
-        seconds = int(value) / MILLISECONDS
-    except ValueError:
-        return None
-    return seconds if seconds >= 0 else None
+    milliseconds = read_count(value.strip())
+    return None if milliseconds is None else milliseconds / MILLISECONDS
 
 
 def _decode_tokens(value: str) -> tuple[int, int]:
-    fields = value.split(",")
-    if len(fields) != 2 or not all(field.strip().isdecimal() for field in fields):
+    counts = [read_count(field.strip()) for field in value.split(",")]
+    if len(counts) != 2 or None in counts:
         return 0, 0
-    return int(fields[0]), int(fields[1])
+    return counts[0], counts[1]
 
 
 def _decode_parts(value: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt, or none if the list is malformed."""
     pairs = [item.strip().split(":") for item in value.split(",") if item.strip()]
-    if not all(len(pair) == 2 and pair[1].isdecimal() for pair in pairs):
+    if not all(len(pair) == 2 for pair in pairs):
         return ()
-    return tuple(PromptPart(name, int(tokens)) for name, tokens in pairs)
+    parts = tuple(PromptPart(name, read_count(tokens)) for name, tokens in pairs)
+    return () if any(part.tokens is None for part in parts) else parts
 
 
 def _decode_load(value: str) -> EndpointLoad | None:
@@ -268,14 +267,11 @@
     return limit if 0.0 < limit <= MAX_LIMIT else None
 
 
-def _decode_count(value: str) -> int | None:
-    return int(value) if value.isdecimal() else None
-
-
 def _decode_keep_alive(value: str) -> float | None:
     """Return the idle timeout in seconds from a value such as `timeout=5`."""
     for item in value.split(","):
         name, _, number = item.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdecimal():
+        if name.lower() == "timeout" and read_count(number.strip()) is not None:
             return float(number)
-    return float(value) if value.strip().isdecimal() else None
+    seconds = read_count(value.strip())
+    return None if seconds is None else float(seconds)
