Take no answer without a length for whole while its request is being written

What callers saw: a part of a body as a complete answer, framed with a length, after a long upload that the engine answered at once with a 200 without a length, ended the stream and then reset it. The same with events, and without the reset.

Cause: nothing but the end of the stream ends such an answer. A reset alone counted as broken, but an end that came before it counted as the answer's, and what followed was not looked at.

Change: an answer that ends by a close is broken off unless the engine's machine has the whole request: the write has ended, and the kernel holds no byte that isn't acknowledged when the end arrives. An end of the stream acknowledges all that was received before it, so an engine that read the request always passes. Answers with a length or in chunks are judged as before, and requests without a body take no extra call to the kernel.

Ruled out: the write alone. The kernel may have taken the rest of an upload that the engine never gets.

--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import fcntl
 import math
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 
 import h11
@@ -34,10 +37,29 @@
 # The value of SO_LINGER for which a close discards unsent bytes and sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
 
+# Size of the number that the kernel gives for the bytes that it hasn't sent.
+INT_BYTES = 4
+
 # The status by which the HTTP library tells that a head or line is too long.
 TOO_LONG = 431
 
 
+class EndpointStream(IOStream):
+    """A stream that notes at its close whether bytes of a request were on their way.
+
+    `has_body` is set while it writes a request with a body: others take one packet.
+    """
+
+    has_body = False
+    has_unsent = False
+
+    def close_fd(self) -> None:
+        """Close the socket; the stream does so as soon as the other side has."""
+        if self.has_body:
+            self.has_unsent = count_unsent(self.socket) > 0
+        super().close_fd()
+
+
 class Connection:
     """A connection to one endpoint, used for one request at a time.
 
@@ -51,6 +73,7 @@
 
     __slots__ = (
         "_abandoned_for",
+        "_has_ended",
         "_interim",
         "_machine",
         "_stream",
@@ -65,8 +88,9 @@
         "sent",
     )
 
-    def __init__(self, *, stream: IOStream) -> None:
+    def __init__(self, *, stream: EndpointStream) -> None:
         self._stream = stream
+        self._has_ended = False
         self._machine = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -133,6 +157,7 @@
             data += self._machine.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise BrokenError(f"not a request: {error}") from error
+        self._stream.has_body = bool(body)
         self.sent = len(data)
         self.received = 0
         self._interim = 0
@@ -173,10 +198,28 @@
                 case h11.Data():
                     return Data(bytes(event.data))
                 case h11.EndOfMessage():
+                    self._check_end()
                     return End()
                 case _:
                     raise BrokenError("closed before the answer")
 
+    def _check_end(self) -> None:
+        """Raise `BrokenError` for an answer that ends by a close too early.
+
+        Nothing else tells that such an answer is complete, and an endpoint that closes
+        before it has the request has broken down.
+        """
+        if self._has_ended and not self._is_written:
+            raise BrokenError("closed while the request was being written")
+
+    @property
+    def _is_written(self) -> bool:
+        """Return whether the endpoint's machine has the whole request."""
+        written = self._write_future
+        if written is None or not written.done() or written.exception() is not None:
+            return False
+        return not self._stream.has_unsent
+
     def _count_interim(self) -> None:
         self._interim += 1
         if self._interim > MAX_INTERIM:
@@ -235,6 +278,7 @@
                 raise self._abandoned_for from error
             if self._stream.error is not None:
                 raise BrokenError(f"reset: {self._stream.error}") from error
+            self._has_ended = True
             data = b""
         self.active_at = asyncio.get_running_loop().time()
         self.received += len(data)
@@ -249,12 +293,12 @@
     Raises `ConnectError` on failure and `NoDescriptorError` before it tries.
     """
     try:
-        stream = IOStream(_make_socket())
+        stream = EndpointStream(_make_socket())
     except OSError as error:
         raise NoDescriptorError(str(error)) from error
     try:
         await wait_unless_late(stream.connect(address), timeout)
-    except (StreamClosedError, OSError, TimeoutError) as error:
+    except Exception as error:
         stream.close()
         raise ConnectError(
             f"{address[0]}:{address[1]}: {error}", is_refused=_is_refused(error)
@@ -286,6 +330,18 @@
         raise BrokenError(str(error)) from error
 
 
+def count_unsent(sock: socket.socket) -> int:
+    """Return how many bytes written to a socket the other machine hasn't received.
+
+    An end of the stream that arrives acknowledges all that was received before it.
+    """
+    try:
+        data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(INT_BYTES))
+    except OSError:
+        return 0
+    return int.from_bytes(data, sys.byteorder, signed=True)
+
+
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     enable_keepalive(sock)
--- a/test/gateway/test_odd_answers.py
+++ b/test/gateway/test_odd_answers.py
@@ -5,9 +5,13 @@
 from eelgrassrack.platform.store import Kinds
 
 from ..oddanswers import (
+    LENGTH,
     ODD_ANSWERS,
     ODD_NUMBERS,
     SOUND_ANSWERS,
+    STAMP,
+    STATUS,
+    EarlyEngine,
     make_answer,
     serve_bytes,
 )
@@ -64,3 +68,44 @@
     pair = (name, values.get(name, value))
     got = run(answer_with(make_answer(), headers=(pair,)))
     assert (got.status, got.body) == (200, b"done")
+
+
+async def upload_to(engine, path):
+    async with make_world() as world:
+        await engine.start()
+        world.engines["early"] = engine
+        service = "models" if path.startswith("/once") else "plain"
+        world.list_engine("early", service=service)
+        await world.start_gateway()
+        await world.wait_ready()
+        return await world.call(path, body=UPLOAD)
+
+
+@pytest.mark.parametrize("is_reset", (True, False))
+@pytest.mark.parametrize(
+    "path, fields, body",
+    (
+        ("/issue/1", b"", b"part"),
+        ("/issue/1", b"Connection: close\r\n", b""),
+        ("/once/1", EVENTS, b"id: 1\ndata: part\n\n"),
+    ),
+)
+def test_an_early_answer_without_a_length_isnt_whole(path, fields, body, is_reset):
+    """A part of a body would reach the caller as a complete answer."""
+    answer = STATUS + STAMP + fields + b"\r\n" + body
+    got = run(upload_to(EarlyEngine(answer=answer, is_reset=is_reset), path))
+    assert got.status == 502 or not got.is_whole
+
+
+def test_an_early_answer_with_a_length_is_passed_on():
+    """An engine may refuse a long upload before it has read it."""
+    answer = b"HTTP/1.1 413 Too Long\r\n" + LENGTH + b"\r\ndone"
+    got = run(upload_to(EarlyEngine(answer=answer), "/issue/1"))
+    assert (got.status, got.body) == (413, b"done")
+
+
+def test_an_answer_without_a_length_to_a_whole_request_is_passed_on():
+    """Engines of HTTP/1.0 end their answers by a close."""
+    answer = make_answer(length=b"Connection: close\r\n")
+    got = run(answer_with(answer, body=UPLOAD))
+    assert (got.status, got.body) == (200, b"done")
