Answer a request after an exception that nobody expected

What callers saw: a closed connection without an answer, for whatever reason the gateway's own code raised; they couldn't tell whether the request had run.

Cause: an exception out of an attempt ended the request's task, and the last resort closed the connection. So did one from connect of an unknown type.

What still gets through is logged and answered 502, which promises nothing, or closed if the response has begun.

--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -4,6 +4,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
+import logbook
+
 from ...decisions.heldbytes import HeldBytes, Holding
 from ...decisions.modelchoice import choose_next
 from ...decisions.timeouts import find_first_timeout, find_gap_timeout
@@ -13,6 +15,7 @@
 from ..endpoints.pool import ConnectionPool
 from ..errors import (
     BrokenError,
+    CallerGoneError,
     ConnectError,
     EndlessError,
     MemoryFullError,
@@ -29,6 +32,8 @@
 from .silence import SilenceTimer
 from .translation import Translation
 
+log = logbook.Logger("attempts")
+
 SUCCESS_STATUSES = range(200, 300)
 FAILURE_STATUSES = range(500, 600)
 
@@ -130,6 +135,12 @@
                 job.attempts -= 1
             self._note_silence(job, endpoint)
             raise
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            # Another endpoint may serve the request, if it may be repeated.
+            log.exception("attempts: {} at {} failed", job.arrival.id, endpoint.name)
+            return Lost(reason=f"unexpected: {type(error).__name__}")
         finally:
             self._placer.end(job, endpoint, outcome)
             self._placer.guard.note_end(
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -57,6 +57,9 @@
 # The request's own time is over, and nothing ran.
 BODY_TOO_SLOW = Refusal(status=503, reason="body took too long", retry_after=1.0)
 
+# The request may have run.
+FAILED = Refusal(status=502, reason="the gateway failed")
+
 # How long a caller may go on to send a body that is refused.
 REFUSED_SECONDS = 10.0
 
@@ -312,7 +315,17 @@
             # A bug in the gateway must not affect the connection's other requests,
             # nor leave this caller waiting until its timeout.
             log.exception("ingress: request {} failed", arrival.id)
-            reply.abort()
+            await self._answer_failure(arrival, reply)
+
+    async def _answer_failure(self, arrival: Arrival, reply: Reply) -> None:
+        """Answer a request that failed, or close a response that has begun."""
+        if not reply.is_started:
+            try:
+                await self._handler.refuse(arrival, reply, FAILED)
+                return
+            except Exception as error:
+                log.info("ingress: no answer to {}: {}", arrival.id, error)
+        reply.abort()
 
 
 class _Message(HTTPMessageDelegate):
--- a/test/gateway/test_odd_answers.py
+++ b/test/gateway/test_odd_answers.py
@@ -1,7 +1,10 @@
 """Tests of answers that no engine in order sends, at a gateway."""
 
+import asyncio
+
 import pytest
 
+from eelgrassrack.gateway.endpoints.pool import ConnectionPool
 from eelgrassrack.platform.store import Kinds
 
 from ..oddanswers import (
@@ -109,3 +112,24 @@
     answer = make_answer(length=b"Connection: close\r\n")
     got = run(answer_with(answer, body=UPLOAD))
     assert (got.status, got.body) == (200, b"done")
+
+
+def test_an_unexpected_exception_leaves_no_request_unanswered(monkeypatch):
+    """A caller's connection would be closed without an answer."""
+
+    async def fail(self, **_):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(ConnectionPool, "acquire", fail)
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            await world.start_gateway()
+            await world.wait_ready()
+            for path in ("/issue/1", "/look/1", "/once/1"):
+                got = await world.call(path)
+                assert 500 <= got.status < 600
+            await asyncio.sleep(0)
+
+    run(scenario())
