Read the heads that curl passes on by h11 too

What callers saw, through an agent: as a complete answer, each passed on as it was, names with blanks, control bytes or separators, in heads, interim heads and trailers; lengths of thousands of digits; a line of HTTP/2.0; statuses from 600 on; trailers as headers. An event or a chat answer nested thousands of levels ended the request with an exception.

Cause: libcurl checks little of a head, and what it passed was taken. h11 reads the same answers at gateways and refuses them.

Change: HeadReader collects the lines of a head from curl and lets h11 read it, with the same checks and limits as at gateways; each trailer is read like a field and left out. Curl's callback ends the transfer at the first fault. It serves the agent, health polls and the calls to the platform and to peers. Events and answers are decoded with the one typed error, and the counts of usage are bounded.

HTTP/1.2 to 1.9 is refused everywhere now: curl takes it for an error, and nothing on this platform speaks it. The test of a gateway that took 1.9 for a sound answer has moved to the odd ones.

Ruled out: patterns of our own for names and values, which would be a second copy of what h11 checks.

--- a/eelgrassrack/agent/answers.py
+++ b/eelgrassrack/agent/answers.py
@@ -5,9 +5,12 @@
 """
 
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
 from ..mailbox.messages import Start
 from .errors import AnswerError
 
@@ -20,13 +23,19 @@
 FIRST_ERROR_STATUS = 300
 BODYLESS_STATUSES = frozenset({204, 304})
 
+# What one answer can be billed for, as far as bills can hold it.
+TokenCount = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+# The number of a choice in an answer.
+ChoiceIndex = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+
 OnPiece = Callable[[bytes], None]
 
 
 class Choice(msgspec.Struct, kw_only=True):
     """The fields in use of one choice of a chunk or a complete answer."""
 
-    index: int = 0
+    index: ChoiceIndex = 0
     finish_reason: str | None = None
 
 
@@ -46,11 +55,6 @@
     usage: dict[str, msgspec.Raw] | None = None
 
 
-CHUNKS = msgspec.json.Decoder(Chunk)
-CHOICES = msgspec.json.Decoder(list[Choice])
-COMPLETIONS = msgspec.json.Decoder(Completion)
-
-
 class StreamedAnswer:
     """A chat answer that arrives as server-sent events."""
 
@@ -91,9 +95,9 @@
             self._finish_stream()
             return
         try:
-            chunk = CHUNKS.decode(event)
-            choices = CHOICES.decode(chunk.choices)
-        except msgspec.MsgspecError as error:
+            chunk = decode_json(event, kind=Chunk)
+            choices = decode_json(chunk.choices, kind=list[Choice])
+        except FormatError as error:
             raise AnswerError(f"not a chunk: {error}") from error
         # Without this check a late answer to an earlier attempt could reach this
         # caller.  The engine uses the attempt's name as the id of its answer.
@@ -138,8 +142,8 @@
         Raise `AnswerError` if the body isn't the complete answer.
         """
         try:
-            answer = COMPLETIONS.decode(self._body)
-        except msgspec.MsgspecError as error:
+            answer = decode_json(self._body, kind=Completion)
+        except FormatError as error:
             raise AnswerError(f"not a chat answer: {error}") from error
         if answer.id != self._attempt:
             raise AnswerError("the answer is another request's")
@@ -201,9 +205,9 @@
     """Return the billed token counts; raise `AnswerError` if one isn't an integer."""
     try:
         return {
-            name: msgspec.json.decode(usage[name], type=int)
+            name: decode_json(usage[name], kind=TokenCount)
             for name in ("prompt_tokens", "completion_tokens")
             if name in usage
         }
-    except msgspec.MsgspecError as error:
+    except FormatError as error:
         raise AnswerError(f"the usage is no count: {error}") from error
--- a/eelgrassrack/agent/health.py
+++ b/eelgrassrack/agent/health.py
@@ -16,6 +16,8 @@
 from ..curl import make_client
 from ..decisions.coldstart import CollapseReason
 from ..decisions.engineleaving import EngineLeaving
+from ..decoding import decode_json
+from ..errors import FormatError
 from .lag import LagMeter
 from .outcomes import OnHead
 
@@ -198,8 +200,8 @@
         if response.code >= FIRST_DOWN_STATUS:
             return Resting() if self._is_resting() else EndpointDown()
         try:
-            return msgspec.json.decode(response.body, type=HealthReport)
-        except msgspec.MsgspecError:
+            return decode_json(response.body, kind=HealthReport)
+        except FormatError:
             # A plain service needn't support this path.  It answered, so it is up.
             return HealthReport()
 
--- a/eelgrassrack/agent/transfer.py
+++ b/eelgrassrack/agent/transfer.py
@@ -6,7 +6,9 @@
 import pycurl
 from tornado.curl_httpclient import CurlError
 
-from ..curl import HeadEnd
+from ..curl import REFUSED
+from ..errors import FormatError
+from ..responsehead import HeadReader
 from .answers import ChatAnswer, PlainAnswer
 from .errors import AnswerError
 from .headers import drop_hop_by_hop
@@ -69,11 +71,9 @@
         "_error",
         "_exchange",
         "_error_body",
-        "_head_end",
-        "_headers",
+        "_head",
         "_on_begun",
         "_on_head",
-        "_status",
     )
 
     def __init__(
@@ -91,9 +91,7 @@
         self._begun = False
         self._error: AnswerError | None = None
         self._error_body = bytearray()
-        self._head_end = HeadEnd()
-        self._headers: list[tuple[str, str]] = []
-        self._status = 0
+        self._head = HeadReader()
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set the curl options that tornado has no parameters for."""
@@ -128,18 +126,18 @@
         """Return the outcome of a transfer that ended without a curl error."""
         if self._error is not None:
             return AnswerFailed(reason=self._error.reason, cut=self._error.cut)
-        if not self._head_end.is_seen:
+        if not self._head.is_complete:
             return ConnectionBroken(reason="the response's head broke off")
         if not self._answer.accepts(status):
             text = self._error_body[:MAX_REASON_BYTES].decode(errors="replace")
             return AnswerFailed(reason=text or f"status {status}", status=status)
         try:
-            usage = self._answer.finish(tuple(self._headers))
+            usage = self._answer.finish(self._head.headers)
         except AnswerError as error:
             return AnswerFailed(reason=error.reason, cut=error.cut)
         return Completed(
             status=status,
-            headers=drop_hop_by_hop(tuple(self._headers)),
+            headers=drop_hop_by_hop(self._head.headers),
             usage=None if usage is None else Usage(**usage),
         )
 
@@ -155,25 +153,21 @@
         self._begun = True
         return pycurl.PREREQFUNC_OK
 
-    def _read_header(self, line: bytes) -> None:
-        self._head_end.note_line(line)
-        text = line.decode("latin-1").strip()
-        if text.startswith("HTTP/"):
-            # Interim (1xx) responses may come first; the last status counts.
-            self._status = int(text.split()[1])
-            self._headers.clear()
-            return
-        if not text:
-            self._on_head(self._status, tuple(self._headers))
-            return
-        name, colon, value = text.partition(":")
-        if colon:
-            self._headers.append((name, value.strip()))
+    def _read_header(self, line: bytes) -> int | None:
+        is_trailer = self._head.is_complete
+        try:
+            self._head.read_line(line)
+        except FormatError as error:
+            self._error = AnswerError(str(error))
+            return REFUSED
+        if self._head.is_complete and not is_trailer:
+            self._on_head(self._head.status, self._head.headers)
+        return None
 
     def _write(self, data: bytes) -> int:
         if self._exchange.stopped:
             return 0
-        if not self._answer.accepts(self._status):
+        if not self._answer.accepts(self._head.status):
             self._error_body += data[: MAX_REASON_BYTES - len(self._error_body)]
             return len(data)
         try:
--- a/eelgrassrack/curl.py
+++ b/eelgrassrack/curl.py
@@ -1,6 +1,7 @@
 """A subclass of Tornado's curl client that can be closed, and its calls ended.
 
-It takes a response whose head breaks off for an error, which curl doesn't.
+It takes a response whose head breaks off, or isn't one of HTTP/1, for an error, which
+curl doesn't.
 """
 
 from collections.abc import Callable
@@ -10,36 +11,11 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-# The first status of a response that isn't interim.
-FIRST_FINAL_STATUS = 200
+from .errors import FormatError
+from .responsehead import HeadReader
 
-
-class HeadEnd:
-    """Whether the head of a final response has ended, from the lines that curl passes.
-
-    Curl takes a head that breaks off for a complete one without a body.
-    """
-
-    __slots__ = ("_is_final", "is_seen")
-
-    def __init__(self) -> None:
-        self._is_final = False
-        self.is_seen = False
-
-    def note_line(self, line: bytes) -> None:
-        """Note a line of the head; interim (1xx) responses may come first."""
-        if line.startswith(b"HTTP/"):
-            self._is_final = _read_status(line) >= FIRST_FINAL_STATUS
-            self.is_seen = False
-        elif not line.strip():
-            self.is_seen = self._is_final
-
-
-def _read_status(line: bytes) -> int:
-    """Return a status line's status, 0 if it is incomplete."""
-    _, _, rest = line.partition(b" ")
-    digits = rest.strip()[:3]
-    return int(digits) if digits.isdigit() else 0
+# What a header function returns for curl to end the transfer: not the line's size.
+REFUSED = -1
 
 
 class CurlClient(CurlAsyncHTTPClient):
@@ -49,8 +25,9 @@
     When a process stops, the callback fails on the closed handle and logs a
     misleading traceback.
 
-    A response whose head breaks off ends with `E_PARTIAL_FILE`.  Requests that set a
-    header function of their own check that themselves.
+    A response whose head breaks off ends with `E_PARTIAL_FILE`, one whose head or
+    trailer is malformed with `E_WRITE_ERROR`.  Requests that set a header
+    function of their own check that themselves.
     """
 
     def _curl_header_callback(
@@ -58,11 +35,19 @@
         headers: HTTPHeaders,
         header_callback: Callable[[str], None] | None,
         header_line_bytes: bytes,
-    ) -> None:
-        if not hasattr(headers, "head_end"):
-            headers.head_end = HeadEnd()
-        headers.head_end.note_line(header_line_bytes)
-        super()._curl_header_callback(headers, header_callback, header_line_bytes)
+    ) -> int | None:
+        if not hasattr(headers, "reader"):
+            headers.reader = HeadReader()
+            headers.fault = None
+        is_trailer = headers.reader.is_complete
+        try:
+            headers.reader.read_line(header_line_bytes)
+        except FormatError as error:
+            headers.fault = str(error)
+            return REFUSED
+        if not is_trailer:
+            super()._curl_header_callback(headers, header_callback, header_line_bytes)
+        return None
 
     def _finish(
         self,
@@ -70,8 +55,11 @@
         curl_error: int | None = None,
         curl_message: str | None = None,
     ) -> None:
-        head_end = getattr(curl.info["headers"], "head_end", None)
-        if curl_error is None and head_end is not None and not head_end.is_seen:
+        headers = curl.info["headers"]
+        reader = getattr(headers, "reader", None)
+        if reader is not None and headers.fault is not None:
+            curl_error, curl_message = pycurl.E_WRITE_ERROR, headers.fault
+        elif curl_error is None and reader is not None and not reader.is_complete:
             curl_error = pycurl.E_PARTIAL_FILE
             curl_message = "the response's head broke off"
         super()._finish(curl, curl_error, curl_message)
--- a/eelgrassrack/responsehead.py
+++ b/eelgrassrack/responsehead.py
@@ -8,8 +8,8 @@
 
 from .errors import FormatError
 
-# HTTP/1.1 and later minor versions of it, and HTTP/1.0.
-MAJOR_VERSION = b"1."
+# Curl reads no others.
+VERSIONS = frozenset({b"1.0", b"1.1"})
 
 MAX_STATUS = 599
 
@@ -26,7 +26,7 @@
 
 def check_response(event: h11.Response | h11.InformationalResponse) -> None:
     """Raise `FormatError` for a head that h11 takes and HTTP/1 doesn't have."""
-    if not event.http_version.startswith(MAJOR_VERSION):
+    if event.http_version not in VERSIONS:
         version = event.http_version.decode()
         raise FormatError(f"not an answer: HTTP version {version}")
     if event.status_code > MAX_STATUS:
--- a/test/oddanswers.py
+++ b/test/oddanswers.py
@@ -56,6 +56,7 @@
     "no status": b"HTTP/1.1\r\n",
     "version 2": b"HTTP/2.0 200 OK\r\n",
     "version 9": b"HTTP/9.9 200 OK\r\n",
+    "a later minor version": b"HTTP/1.9 200 OK\r\n",
     "version 0": b"HTTP/0.9 200 OK\r\n",
     "no version": b"HTTP 200 OK\r\n",
     "another protocol": b"ICY 200 OK\r\n",
@@ -108,7 +109,6 @@
 # Sound answers, some of them unusual.
 SOUND_ANSWERS = {
     "usual": make_answer(),
-    "a later minor version": make_answer(status=b"HTTP/1.9 200 OK\r\n"),
     "an earlier minor version": make_answer(status=b"HTTP/1.0 200 OK\r\n"),
     "no reason": make_answer(status=b"HTTP/1.1 200\r\n"),
     "an empty reason": make_answer(status=b"HTTP/1.1 200 \r\n"),
