Decode what the store and peers of the own daemons send with one typed error

What users saw: nothing so far. A time to come back that never ends (inf, nan) would keep a daemon from the store for good, and a version of thousands of digits would end the task that reads it.

Cause: numbers of headers weren't bounded.

Change: versions are read by counts.py, and a time to come back beyond an hour is ignored. Records, tokens, names, ratings, batches and documents are decoded by decoding.py, whose one error covers RecursionError.

--- a/eelgrassrack/entry/answers.py
+++ b/eelgrassrack/entry/answers.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
 from ..mailbox.messages import Bill
 from . import headers
 from .refusals import CallerError, encode_error
@@ -156,8 +158,8 @@
     Returns an error, and sends nothing, if the body isn't valid JSON.
     """
     try:
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except msgspec.DecodeError:
+        fields = decode_json(body, kind=dict[str, msgspec.Raw])
+    except FormatError:
         return CallerError(
             status=502,
             code="engine_garbage",
--- a/eelgrassrack/entry/configuration.py
+++ b/eelgrassrack/entry/configuration.py
@@ -15,7 +15,9 @@
 import logbook
 import msgspec
 
+from ..decoding import decode_msgpack
 from ..document.snapshot import Snapshot
+from ..errors import FormatError
 from ..invariants import Invariants
 from ..mailbox.messages import DocumentCopy
 from ..store.head import DocumentHead, HeadState, NoDocument
@@ -150,8 +152,8 @@
         if copy.revision <= self.snapshot.revision:
             return
         try:
-            snapshot = msgspec.msgpack.decode(copy.snapshot, type=Snapshot)
-        except msgspec.DecodeError as error:
+            snapshot = decode_msgpack(copy.snapshot, kind=Snapshot)
+        except FormatError as error:
             log.warning("configuration: can't decode a peer's document: {}", error)
             return
         if snapshot.revision == copy.revision:
--- a/eelgrassrack/entry/texts.py
+++ b/eelgrassrack/entry/texts.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
+
 
 class Delta(msgspec.Struct, frozen=True):
     """The part of a message in one chunk."""
@@ -33,15 +36,11 @@
     choices: list[PlainChoice] = []
 
 
-_choices = msgspec.json.Decoder(list[StreamChoice])
-_body = msgspec.json.Decoder(PlainBody)
-
-
 def join_pieces(pieces: tuple[bytes, ...]) -> str:
     """Return the text of a streamed answer, or '' if it can't be parsed."""
     try:
-        chunks = [_choices.decode(piece) for piece in pieces]
-    except msgspec.DecodeError:
+        chunks = [decode_json(piece, kind=list[StreamChoice]) for piece in pieces]
+    except FormatError:
         return ""
     deltas = (choice.delta.content for chunk in chunks for choice in chunk)
     return "".join(text for text in deltas if text)
@@ -50,7 +49,7 @@
 def read_body(body: bytes) -> str:
     """Return the text of a plain body, or '' if it can't be parsed."""
     try:
-        choices = _body.decode(body).choices
-    except msgspec.DecodeError:
+        choices = decode_json(body, kind=PlainBody).choices
+    except FormatError:
         return ""
     return "".join(choice.message.content or "" for choice in choices)
--- a/eelgrassrack/mailbox/codec.py
+++ b/eelgrassrack/mailbox/codec.py
@@ -2,11 +2,12 @@
 
 import msgspec
 
+from ..decoding import decode_msgpack
+from ..errors import FormatError
 from .errors import MailboxError
 from .messages import PROTOCOL, MessageBatch
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(MessageBatch)
 
 
 def encode_batch(batch: MessageBatch) -> bytes:
@@ -20,8 +21,8 @@
     Raise `MailboxError` if the bytes are invalid or of another protocol version.
     """
     try:
-        batch = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        batch = decode_msgpack(data, kind=MessageBatch)
+    except FormatError as error:
         raise MailboxError(f"can't decode a message batch: {error}") from error
     if batch.protocol != PROTOCOL:
         raise MailboxError(f"a message batch of protocol {batch.protocol} came")
--- a/eelgrassrack/store/platform.py
+++ b/eelgrassrack/store/platform.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+from ..errors import FormatError
 from .budget import Backoff
 from .http import Answer, HttpCaller, NoAnswer
 from .instances import Listing
@@ -140,8 +142,8 @@
 def read_rating(body: bytes) -> Rated | NotRated:
     """Decode a rating; one out of range becomes `NotRated`."""
     try:
-        rated = msgspec.json.decode(body, type=Rated)
-    except msgspec.DecodeError as error:
+        rated = decode_json(body, kind=Rated)
+    except FormatError as error:
         return NotRated(reason=f"a rating that can't be read: {error}")
     if not 0.0 <= rated.score <= 1.0:
         return NotRated(reason=f"a rating out of range: {rated.score}")
--- a/eelgrassrack/store/records.py
+++ b/eelgrassrack/store/records.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from ..decoding import decode_msgpack
+from ..errors import FormatError
 from .errors import StoreError
 from .objects import (
     MAX_BODY_BYTES,
@@ -68,8 +70,8 @@
 def decode_record(body: bytes, kind: type[Record]) -> Record | None:
     """Decode a record; return None if the bytes are malformed."""
     try:
-        return msgspec.msgpack.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_msgpack(body, kind=kind)
+    except FormatError:
         return None
 
 
--- a/eelgrassrack/store/replies.py
+++ b/eelgrassrack/store/replies.py
@@ -3,11 +3,15 @@
 import re
 from urllib.parse import quote
 
-import msgspec
-
+from ..counts import read_count
+from ..decoding import decode_json
+from ..errors import FormatError
 from .http import Answer
 from .objects import Absent, Conflict, Found, Names, Unavailable, Written
 
+# Longer times, as of a garbled header, would keep a daemon from the store.
+MAX_RETRY_AFTER_SECONDS = 3_600.0
+
 
 def make_path(kind: str, name: str) -> str:
     """Return an object's path; slashes in its name are percent-encoded."""
@@ -16,8 +20,8 @@
 
 def read_version(answer: Answer) -> int | None:
     """Return the version from a response's `ETag` header, or None."""
-    found = re.fullmatch(r'"(\d+)"', answer.headers.get("etag", ""))
-    return int(found.group(1)) if found else None
+    found = re.fullmatch(r'"(.*)"', answer.headers.get("etag", ""))
+    return read_count(found.group(1)) if found else None
 
 
 def read_object(answer: Answer | Unavailable) -> Found | Absent | Unavailable:
@@ -57,8 +61,8 @@
 def read_names(body: bytes) -> Names | Unavailable:
     """Decode a list of names."""
     try:
-        names = msgspec.json.decode(body, type=tuple[str, ...])
-    except msgspec.DecodeError as error:
+        names = decode_json(body, kind=tuple[str, ...])
+    except FormatError as error:
         return Unavailable(reason=f"a list that can't be read: {error}")
     return Names(names=names)
 
@@ -70,4 +74,6 @@
         retry_after = float(answer.headers["retry-after"])
     except (KeyError, ValueError):
         return Unavailable(reason=reason)
+    if not 0.0 <= retry_after <= MAX_RETRY_AFTER_SECONDS:
+        return Unavailable(reason=reason)
     return Unavailable(reason=reason, retry_after=retry_after)
--- a/eelgrassrack/store/tokens.py
+++ b/eelgrassrack/store/tokens.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from ..decoding import decode_msgpack
+from ..errors import FormatError
 from .errors import StoreError
 
 MAC_BYTES = 32
@@ -55,8 +57,8 @@
     if not hmac.compare_digest(mac, _sign(secret, body)):
         return BadToken(reason="the signature is wrong")
     try:
-        *parts, version = msgspec.msgpack.decode(body, type=tuple[str, str, str, str])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        *parts, version = decode_msgpack(body, kind=tuple[str, str, str, str])
+    except FormatError:
         return BadToken(reason="the token is of another release")
     if parts != [organisation, session, model]:
         return BadToken(reason="the token is another session's")
