Leave one odd instance of the platform's list aside, and one odd batch

What users would see: with one entry that can't be read in the list of instances, entries and agents knew no change any more, and with one nested thousands of levels their tasks failed until the daemons ended, again after each restart. A batch of messages with a sender's address that can't be dialled raised in whatever answered it, and a batch that failed held up those behind it.

Cause: as at gateways: the list was decoded as a whole, a mailbox was taken for an address that can be dialled, and an exception in a follower ended it.

Change: the list is split into its entries where it can't be decoded whole; an entry without `tcp://IP:PORT` is left aside and logged like those of the store. Following the list or the document goes on after an unexpected exception, with a pause of a second. Batches need an address to answer to, and each is delivered apart. jsonparts and leftaside serve both faces and moved up a folder.

--- a/eelgrassrack/addresses.py
+++ b/eelgrassrack/addresses.py
@@ -17,6 +17,8 @@
 FIRST_HOST_BYTE = 1
 FIRST_GROUP_BYTE = 224
 
+MAILBOX_SCHEME = "tcp://"
+
 MAX_SHOWN_CHARACTERS = 80
 
 
@@ -28,6 +30,13 @@
     return host, int(port)
 
 
+def check_mailbox(address: str) -> None:
+    """Raise `FormatError` if this isn't the address `tcp://IP:PORT` of a mailbox."""
+    if not address.startswith(MAILBOX_SCHEME):
+        raise FormatError(f"not a mailbox: {address[:MAX_SHOWN_CHARACTERS]!r}")
+    parse_address(address[len(MAILBOX_SCHEME) :])
+
+
 def is_usable(address: tuple[str, int]) -> bool:
     """Return whether this is the IPv4 address of a host, and a port."""
     host, port = address
--- a/eelgrassrack/entry/configuration.py
+++ b/eelgrassrack/entry/configuration.py
@@ -28,6 +28,9 @@
 
 WATCH_SECONDS = 30.0
 
+# Pause after an exception that nobody expected.
+FAILURE_SECONDS = 1.0
+
 # Interval between reads while there is no document.
 NO_DOCUMENT_SECONDS = 0.5
 
@@ -117,24 +120,34 @@
         return self._confirmed.is_set()
 
     async def follow(self) -> None:
-        """Watch the document's head until cancelled."""
+        """Watch the document's head until cancelled.
+
+        An exception that nobody expected counts as an unavailable store.
+        """
         while True:
-            question = self._question
-            found = await self._head.watch(
-                known_version=self._version, timeout=WATCH_SECONDS
-            )
-            match found:
-                case HeadState():
-                    self._version = found.version
-                    self.take(found.snapshot)
-                    self._note_confirmed(question)
-                case NoDocument():
-                    await asyncio.sleep(NO_DOCUMENT_SECONDS)
-                case Unavailable(retry_after=seconds):
-                    self._ask_peers(self.snapshot.revision, self._question)
-                    await asyncio.sleep(seconds)
-                case Unchanged():
-                    self._note_confirmed(question)
+            try:
+                await self._follow_once()
+            except Exception as error:
+                log.exception("configuration: following failed: {}", error)
+                await asyncio.sleep(FAILURE_SECONDS)
+
+    async def _follow_once(self) -> None:
+        question = self._question
+        found = await self._head.watch(
+            known_version=self._version, timeout=WATCH_SECONDS
+        )
+        match found:
+            case HeadState():
+                self._version = found.version
+                self.take(found.snapshot)
+                self._note_confirmed(question)
+            case NoDocument():
+                await asyncio.sleep(NO_DOCUMENT_SECONDS)
+            case Unavailable(retry_after=seconds):
+                self._ask_peers(self.snapshot.revision, self._question)
+                await asyncio.sleep(seconds)
+            case Unchanged():
+                self._note_confirmed(question)
 
     def take(self, snapshot: Snapshot) -> bool:
         """Put a snapshot in force if it is newer; return whether it is."""
--- a/eelgrassrack/platform/jsonparts.py
+++ b/eelgrassrack/jsonparts.py
@@ -8,8 +8,8 @@
 import re
 from collections.abc import Iterator
 
-from ..decoding import decode_json
-from ..errors import FormatError
+from .decoding import decode_json
+from .errors import FormatError
 
 TEXT = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 
--- a/eelgrassrack/mailbox/codec.py
+++ b/eelgrassrack/mailbox/codec.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..addresses import check_mailbox
 from ..decoding import decode_msgpack
 from ..errors import FormatError
 from .errors import MailboxError
@@ -26,4 +27,8 @@
         raise MailboxError(f"can't decode a message batch: {error}") from error
     if batch.protocol != PROTOCOL:
         raise MailboxError(f"a message batch of protocol {batch.protocol} came")
+    try:
+        check_mailbox(batch.address)
+    except FormatError as error:
+        raise MailboxError(f"no address to answer to: {error}") from error
     return batch
--- a/eelgrassrack/mailbox/socket.py
+++ b/eelgrassrack/mailbox/socket.py
@@ -226,4 +226,9 @@
             log.warning("mailbox: {}", error)
             return
         self.counts["messages_received"] += len(batch.messages)
-        self._deliver(batch)
+        try:
+            self._deliver(batch)
+        except Exception:
+            # The batches behind it are others'.
+            self.counts["failed"] += 1
+            log.exception("mailbox: a batch of {} failed", batch.address)
--- a/eelgrassrack/platform/pages.py
+++ b/eelgrassrack/platform/pages.py
@@ -4,7 +4,7 @@
 
 from ..decoding import decode_json
 from ..errors import FormatError
-from .jsonparts import cut_deep, split_array, split_object
+from ..jsonparts import cut_deep, split_array, split_object
 from .objects import Revision, WireEvent, WireMeta, WireObject, WirePage, WireWatch
 
 NULL = b"null"
--- a/eelgrassrack/platform/store.py
+++ b/eelgrassrack/platform/store.py
@@ -16,9 +16,9 @@
     WatchOverdue,
     WatchResult,
 )
+from ..jsonparts import TOO_DEEP
+from ..leftaside import LeftAside
 from ..store.http import Answer, HttpCaller, NoAnswer, Pieces
-from .jsonparts import TOO_DEEP
-from .leftaside import LeftAside
 from .manifest import decode_manifest
 from .objects import (
     WireEvent,
--- a/eelgrassrack/store/platform.py
+++ b/eelgrassrack/store/platform.py
@@ -4,21 +4,31 @@
 import random
 from collections.abc import Callable
 
+import logbook
 import msgspec
 
+from ..addresses import check_mailbox
 from ..decoding import decode_json
 from ..errors import FormatError
+from ..jsonparts import cut_deep, split_array, split_object
+from ..leftaside import LeftAside
 from .budget import Backoff
 from .http import Answer, HttpCaller, NoAnswer
-from .instances import Listing
+from .instances import Instance, Listing
 from .objects import Unavailable
 
+log = logbook.Logger("platform")
+
 WATCH_EXTRA_SECONDS = 2.0
 MAX_INSTANCE_CALLS = 2
 MAX_RATING_CALLS = 64
 BACKOFF_BASE_SECONDS = 0.1
 BACKOFF_MAX_SECONDS = 4.0
 
+# What log lines call the entries of the list.
+INSTANCES = "instances"
+NULL = b"null"
+
 
 class HttpInstanceList:
     """The `InstanceList` protocol over HTTP.
@@ -28,7 +38,7 @@
     same time as all others.  `jitter` returns random numbers from 0 to 1.
     """
 
-    __slots__ = ("_backoff", "_http", "_jitter", "_pause")
+    __slots__ = ("_backoff", "_http", "_jitter", "_left_aside", "_pause")
 
     def __init__(
         self, *, url: str, jitter: Callable[[], float] = random.random
@@ -36,6 +46,7 @@
         self._http = HttpCaller(url=url, max_clients=MAX_INSTANCE_CALLS)
         self._backoff = Backoff(base=BACKOFF_BASE_SECONDS, maximum=BACKOFF_MAX_SECONDS)
         self._jitter = jitter
+        self._left_aside = LeftAside()
         self._pause = 0.0
 
     def close(self) -> None:
@@ -55,15 +66,25 @@
         )
         result = read_watch(outcome)
         match result:
-            case Listing():
+            case ListingRead(listing=listing, odd=odd):
                 self._pause = 0.0
                 self._backoff.reset()
+                sound = {one.name for one in listing.instances}
+                self._left_aside.note(kind=INSTANCES, odd=odd, sound=sound - odd.keys())
+                return listing
             case Unavailable():
                 self._pause = self._backoff.next_delay(jitter=self._jitter())
-        return result
+                return result
+
+
+class ListingRead(msgspec.Struct, kw_only=True, frozen=True):
+    """The instances of a list that can be used, and why others can't, by name."""
+
+    listing: Listing
+    odd: dict[str, str]
 
 
-def read_watch(outcome: Answer | NoAnswer) -> Listing | Unavailable:
+def read_watch(outcome: Answer | NoAnswer) -> ListingRead | Unavailable:
     """Convert the outcome of a watch into a result."""
     match outcome:
         case NoAnswer(reason=reason):
@@ -74,14 +95,53 @@
             return Unavailable(reason=f"status {status}")
 
 
-def read_listing(body: bytes) -> Listing | Unavailable:
-    """Decode the list of instances."""
+def read_listing(body: bytes) -> ListingRead | Unavailable:
+    """Decode the list of instances; one that can't be read doesn't hide the others."""
     try:
-        return msgspec.json.decode(body, type=Listing)
-    except msgspec.DecodeError as error:
+        return _sort_out(decode_json(body, kind=Listing), {})
+    except FormatError:
+        log.debug("platform: a list of instances isn't read as a whole")
+    try:
+        return _read_odd_listing(body)
+    except FormatError as error:
         return Unavailable(reason=f"a list that can't be read: {error}")
 
 
+def _read_odd_listing(body: bytes) -> ListingRead:
+    members = split_object(cut_deep(body))
+    sound = []
+    odd = {}
+    for part in split_array(members.get("instances", NULL)):
+        try:
+            sound.append(decode_json(part, kind=Instance))
+        except FormatError as error:
+            odd[_find_name(part)] = str(error)
+    version = decode_json(members.get("version", NULL), kind=int)
+    return _sort_out(Listing(version=version, instances=tuple(sound)), odd)
+
+
+def _sort_out(listing: Listing, odd: dict[str, str]) -> ListingRead:
+    """Leave out the instances whose mailbox isn't an address."""
+    usable = []
+    for instance in listing.instances:
+        try:
+            check_mailbox(instance.mailbox)
+        except FormatError as error:
+            odd[instance.name] = str(error)
+        else:
+            usable.append(instance)
+    usable_only = Listing(version=listing.version, instances=tuple(usable))
+    return ListingRead(listing=usable_only, odd=odd)
+
+
+def _find_name(part: bytes) -> str:
+    """Return the name of an instance that can't be read, empty if it has none."""
+    try:
+        return decode_json(split_object(part).get("name", NULL), kind=str)
+    except FormatError:
+        return ""
+
+
 class Rated(msgspec.Struct, kw_only=True, frozen=True):
     """The answer was rated; `score` runs from 0 (bad) to 1 (good)."""
 
--- a/test/mailbox/test_socket.py
+++ b/test/mailbox/test_socket.py
@@ -134,3 +134,46 @@
     batch = MessageBatch(protocol=99, address="tcp://x", incarnation="i", messages=[])
     with pytest.raises(MailboxError):
         decode_batch(encode_batch(batch))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ("", "odd", "tcp://127.0.0.1:70000", "tcp://127.0.0.1\0:80", "ipc:///tmp/x"),
+)
+def test_a_batch_without_an_address_to_answer_to_is_refused(address):
+    """The answer to it would raise, and end what its sender isn't part of."""
+    batch = MessageBatch(address=address, incarnation="i", messages=[])
+    with pytest.raises(MailboxError):
+        decode_batch(encode_batch(batch))
+
+
+def test_batches_nested_deeply_are_refused():
+    with pytest.raises(MailboxError):
+        decode_batch(b"\x91" * 5_000 + b"\xc0")
+
+
+def test_a_batch_that_fails_doesnt_hold_up_those_behind_it():
+    """A message that its receiver can't handle would hide others'."""
+
+    async def scenario():
+        received = []
+
+        def deliver(batch):
+            received.append(batch)
+            if len(received) == 1:
+                raise RuntimeError("unexpected")
+
+        left = make_mailbox("left", [])
+        right = Mailbox(address=ANY_PORT, incarnation="right", deliver=deliver)
+        left.open()
+        right.open()
+        for number in range(3):
+            message = Piece(attempt="a", number=number, data=b"x")
+            left.post(to=right.address, message=message)
+            await asyncio.sleep(0.05)
+        await wait_until(lambda: len(received) == 3)
+        left.close()
+        right.close()
+        return right.counts["failed"]
+
+    assert asyncio.run(scenario()) == 1
--- a/test/platform/test_pages.py
+++ b/test/platform/test_pages.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from eelgrassrack.errors import FormatError
-from eelgrassrack.platform.jsonparts import (
+from eelgrassrack.jsonparts import (
     MAX_DEPTH,
     TOO_DEEP,
     cut_deep,
--- a/test/platform/test_store.py
+++ b/test/platform/test_store.py
@@ -7,7 +7,7 @@
 import pytest
 
 from eelgrassrack.gateway.store.storeobjects import StoreUnavailable
-from eelgrassrack.platform.leftaside import MAX_LINES
+from eelgrassrack.leftaside import MAX_LINES
 from eelgrassrack.platform.store import Kinds, PlatformStore
 from eelgrassrack.standins.metadatastore import MetadataStore
 
