Bear odd rates in a peer's report of a roll-out

What callers would see: a roll-out that is neither taken over nor taken back in time, while one gateway reports an infinite rate or what is no number.

Cause: the number of answers that a verdict asks for became a whole number before it was bounded, and int raises for infinite numbers.

Change: the number is bounded first, and a report with what is no number is refused where an update is decoded.

--- a/eelgrassrack/decisions/versiontrial.py
+++ b/eelgrassrack/decisions/versiontrial.py
@@ -194,12 +194,14 @@
     """
     fewer = max(old_endpoints / max(endpoints, 1), 1.0)
     expected = progress.rate * progress.limit
-    answers = min(max(int(expected * ANSWERS_PART), MIN_ANSWERS), MAX_ANSWERS)
-    full_load = int((progress if moved is None else moved).left * FULL_LOAD_PART)
+    answers = min(max(expected * ANSWERS_PART, MIN_ANSWERS), MAX_ANSWERS)
+    full_load = (progress if moved is None else moved).left * FULL_LOAD_PART
     return Demand(
         endpoints=endpoints,
-        answers=answers,
-        full_load=min(max(full_load, MIN_FULL_LOAD_ANSWERS), MAX_FULL_LOAD_ANSWERS),
+        answers=int(answers),
+        full_load=int(
+            min(max(full_load, MIN_FULL_LOAD_ANSWERS), MAX_FULL_LOAD_ANSWERS)
+        ),
         has_moved=moved is not None,
         growth=1.0 if moved is None else _find_growth(progress, moved) * fewer,
     )
--- a/eelgrassrack/gateway/peers/peerupdates.py
+++ b/eelgrassrack/gateway/peers/peerupdates.py
@@ -19,11 +19,10 @@
 
 from ...decisions.precedence import Sharer
 from ...decisions.stopping import Readiness
-from ...decoding import decode_msgpack
 from ...errors import FormatError
 from ..store.storeobjects import Peer
 from .roommessages import RoomMessage, decode_message, is_message
-from .updatemessages import Audience, PeerUpdate
+from .updatemessages import Audience, PeerUpdate, decode_update
 
 log = logbook.Logger("news")
 
@@ -325,7 +324,7 @@
             if is_message(data):
                 self._receive_message(decode_message(data))
                 return
-            update = decode_msgpack(data, kind=PeerUpdate)
+            update = decode_update(data)
         except FormatError as error:
             log.warning("news: update from {} can't be read: {}", addr[0], error)
             return
--- a/eelgrassrack/gateway/peers/updatemessages.py
+++ b/eelgrassrack/gateway/peers/updatemessages.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from typing import Annotated
 
 import msgspec
@@ -15,6 +16,8 @@
 from ...decisions.pace import PaceReport
 from ...decisions.urgency import LEAST_URGENT
 from ...decisions.versionevidence import Tally
+from ...decoding import decode_msgpack
+from ...errors import FormatError
 
 
 class BacklogReport(msgspec.Struct, frozen=True, array_like=True):
@@ -163,6 +166,19 @@
         return (known, trials, crashes, self.suspected, flags, limits)
 
 
+def decode_update(data: bytes) -> PeerUpdate:
+    """Decode a peer's update; raise `FormatError`, also for what is no number."""
+    update = decode_msgpack(data, kind=PeerUpdate)
+    if any(map(_has_no_number, update.trials)):
+        raise FormatError("a report of a trial with what is no number")
+    return update
+
+
+def _has_no_number(trial: TrialReport) -> bool:
+    values = msgspec.structs.astuple(trial)
+    return any(isinstance(value, float) and math.isnan(value) for value in values)
+
+
 class Audience(enum.Enum):
     """The peers that an update is made for."""
 
--- a/test/decisions/test_versiontrial.py
+++ b/test/decisions/test_versiontrial.py
@@ -1,10 +1,17 @@
 """Tests of the canary release of a service version: shares, the move and the end."""
 
+import math
+
+import msgspec
 import pytest
 
 from eelgrassrack.decisions.versiontrial import (
     FREE_SESSIONS_PART,
+    MAX_ANSWERS,
+    MAX_FULL_LOAD_ANSWERS,
     MAX_TRIAL_SHARE,
+    MIN_ANSWERS,
+    MIN_FULL_LOAD_ANSWERS,
     MOVE_SECONDS,
     Progress,
     count_on_trial,
@@ -169,3 +176,13 @@
         for slot in slots
     }
     assert len(used) >= 5
+
+
+def test_a_demand_is_bounded_whatever_rate_gateways_report():
+    """An infinite rate of one gateway would end the others' roll-outs."""
+    progress = make_progress(0.5)
+    for rate in (math.inf, -math.inf, 1e308, -1e308):
+        odd = msgspec.structs.replace(progress, rate=rate, left=rate)
+        demand = find_demand(odd, endpoints=9)
+        assert MIN_ANSWERS <= demand.answers <= MAX_ANSWERS
+        assert MIN_FULL_LOAD_ANSWERS <= demand.full_load <= MAX_FULL_LOAD_ANSWERS
--- a/test/gateway/test_unexpected.py
+++ b/test/gateway/test_unexpected.py
@@ -1,13 +1,19 @@
 """Tests of exceptions that nobody expected."""
 
+import asyncio
+import math
+import socket
+
+import msgspec
 import pytest
 
+from eelgrassrack.gateway.peers.updatemessages import PeerUpdate, TrialReport
 from eelgrassrack.platform import store as platform_store
 from eelgrassrack.platform.store import Kinds
 from eelgrassrack.supervisor import MAX_FAILURES
 
 from .virtualtime import run_in_virtual_time
-from .world import make_world, wait_for
+from .world import make_world, run, wait_for
 
 # Failures in a row, more than a supervisor takes.
 FAILURES = MAX_FAILURES + 4
@@ -59,3 +65,56 @@
         case Kinds.EVACUATIONS:
             world.store.put(kind=kind, name="south", spec={})
             await wait_for(lambda: "south" in gateway.fleet.evacuated)
+
+
+# What a report of a peer may hold in place of a rate.
+ODD_RATES = (math.nan, math.inf, -math.inf, 1e308, -1e308)
+
+
+@pytest.mark.parametrize("rate", ODD_RATES)
+def test_an_odd_rate_of_a_peer_doesnt_end_a_roll_out(rate):
+    """The task that judges versions would fail while the report counts."""
+
+    async def scenario():
+        async with make_world() as world:
+            await world.add_engine("first")
+            await world.add_engine("second", version="v2")
+            gateway = await world.start_gateway()
+            await world.wait_ready()
+            order = {"service": "plain", "to": "v2", "durationS": 20}
+            world.store.put(kind=Kinds.ROLLOUTS, name="plain", spec=order)
+            await wait_for(lambda: gateway.rollouts.orders)
+            send_report(world, gateway.rollouts.orders[0].created, rate)
+            await asyncio.sleep(1.0)
+            assert not gateway._supervisor.failures
+            assert (await world.call()).status == 200
+
+    run(scenario())
+
+
+def send_report(world, created, rate):
+    """Send a peer's report of a trial to the first gateway."""
+    report = TrialReport(
+        service="plain",
+        version="v2",
+        created=created,
+        elapsed=0.1,
+        is_bad=False,
+        tallies=(),
+        mean_rate=rate,
+        latest_rate=rate,
+        left=rate,
+    )
+    update = PeerUpdate(
+        name="odd",
+        lifetime="a",
+        port=world.news_port,
+        number=1,
+        configuration=1,
+        knows_store=False,
+        trials=(report,),
+    )
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind(("127.0.0.9", 0))
+        address = (world.settings[0].address, world.news_port)
+        sender.sendto(msgspec.msgpack.encode(update), address)
