--- a/eelgrassrack/curl.py
+++ b/eelgrassrack/curl.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from io import BytesIO
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -30,6 +31,17 @@
     function of their own check that themselves.
     """
 
+    def _curl_setup_request(
+        self,
+        curl: pycurl.Curl,
+        request: HTTPRequest,
+        buffer: BytesIO,
+        headers: HTTPHeaders,
+    ) -> None:
+        # The heads of other versions, which TLS may choose, can't be checked.
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        super()._curl_setup_request(curl, request, buffer, headers)
+
     def _curl_header_callback(
         self,
         headers: HTTPHeaders,
