--- a/test/agent/test_odd_answers.py
+++ b/test/agent/test_odd_answers.py
@@ -12,9 +12,13 @@
 from eelgrassrack.agent.transfer import Exchange
 
 from ..oddanswers import (
+    END,
     ODD_ANSWERS,
     ODD_NUMBERS,
     SOUND_ANSWERS,
+    STAMP,
+    STATUS,
+    EarlyEngine,
     make_answer,
     make_chunked,
     serve_bytes,
@@ -26,19 +30,24 @@
 
 async def ask(answer):
     """Return the outcome of a request whose engine sends `answer`, and its body."""
-    pieces = []
     async with serve_bytes(answer) as address:
-        engine = HttpEngine(url=f"http://{address}", on_head=lambda *_: None)
-        try:
-            outcome = await engine.run(
-                start=make_start("a", service="plain"),
-                exchange=Exchange(),
-                timeout=5.0,
-                on_begun=lambda: True,
-                on_piece=pieces.append,
-            )
-        finally:
-            engine.close()
+        return await send(address)
+
+
+async def send(address, **changes):
+    """Return the outcome of a request to an address, and the answer's body."""
+    pieces = []
+    engine = HttpEngine(url=f"http://{address}", on_head=lambda *_: None)
+    try:
+        outcome = await engine.run(
+            start=make_start("a", service="plain", **changes),
+            exchange=Exchange(),
+            timeout=5.0,
+            on_begun=lambda: True,
+            on_piece=pieces.append,
+        )
+    finally:
+        engine.close()
     return outcome, b"".join(pieces)
 
 
@@ -71,6 +80,23 @@
     assert not names & {"x-late", "content-length"}
 
 
+@pytest.mark.parametrize("is_reset", (True, False))
+def test_an_early_answer_without_a_length_isnt_whole(is_reset):
+    """A part of a body would reach the caller as a complete answer."""
+
+    async def scenario():
+        answer = STATUS + STAMP + END + b"part"
+        engine = EarlyEngine(answer=answer, is_reset=is_reset)
+        await engine.start()
+        try:
+            return await send(engine.address, body=b"u" * 4_000_000)
+        finally:
+            await engine.stop()
+
+    outcome, _ = asyncio.run(scenario())
+    assert not isinstance(outcome, Completed)
+
+
 def ignore(piece):
     """Ignore a piece of an answer."""
 
