Read the head of the answer that a redirect leads to

Found by reading the change once more; no caller's request goes that way, as daemons follow no redirects.

Cause: curl passes the heads of both answers to one callback, and HeadReader took the second one's status line for a trailer of the first.

Change: after the head of a redirect a status line begins another head. Such a line as a trailer leaves a head that never ends, so the answer is still refused. read_line says whether a line is of a head, which both callbacks found out apart.

--- a/eelgrassrack/agent/transfer.py
+++ b/eelgrassrack/agent/transfer.py
@@ -154,13 +154,12 @@
         return pycurl.PREREQFUNC_OK
 
     def _read_header(self, line: bytes) -> int | None:
-        is_trailer = self._head.is_complete
         try:
-            self._head.read_line(line)
+            is_of_head = self._head.read_line(line)
         except FormatError as error:
             self._error = AnswerError(str(error))
             return REFUSED
-        if self._head.is_complete and not is_trailer:
+        if is_of_head and self._head.is_complete:
             self._on_head(self._head.status, self._head.headers)
         return None
 
--- a/eelgrassrack/curl.py
+++ b/eelgrassrack/curl.py
@@ -51,13 +51,12 @@
         if not hasattr(headers, "reader"):
             headers.reader = HeadReader()
             headers.fault = None
-        is_trailer = headers.reader.is_complete
         try:
-            headers.reader.read_line(header_line_bytes)
+            is_of_head = headers.reader.read_line(header_line_bytes)
         except FormatError as error:
             headers.fault = str(error)
             return REFUSED
-        if not is_trailer:
+        if is_of_head:
             super()._curl_header_callback(headers, header_callback, header_line_bytes)
         return None
 
--- a/eelgrassrack/responsehead.py
+++ b/eelgrassrack/responsehead.py
@@ -22,6 +22,9 @@
 HEAD_END = b"\r\n"
 
 FIRST_FINAL_STATUS = 200
+REDIRECT_STATUSES = range(300, 400)
+
+STATUS_LINE = b"HTTP/"
 
 
 def check_response(event: h11.Response | h11.InformationalResponse) -> None:
@@ -37,7 +40,8 @@
     """Reads the lines of an answer's heads and trailers as curl passes them on.
 
     `is_complete` is set once the head of the final response has ended, and `status`
-    and `headers` are those of it.  A head that breaks off never becomes complete.
+    and `headers` are those of it.  A head that breaks off never becomes complete.  Curl
+    may follow a redirect: then another answer begins.
     """
 
     __slots__ = ("_interim", "_lines", "_size", "headers", "is_complete", "status")
@@ -50,17 +54,23 @@
         self.status = 0
         self.headers: tuple[tuple[str, str], ...] = ()
 
-    def read_line(self, line: bytes) -> None:
-        """Read one line, with its end; raise `FormatError` if it can't be right."""
+    def read_line(self, line: bytes) -> bool:
+        """Read one line, with its end; return whether it is of a head, not a trailer.
+
+        Raise `FormatError` if it can't be right.
+        """
+        if self.is_complete and self.status in REDIRECT_STATUSES:
+            self.is_complete = not line.startswith(STATUS_LINE)
         if self.is_complete:
             _read_head(SOME_HEAD + line.rstrip(b"\r\n") + HEAD_END * 2)
-            return
+            return False
         self._lines.append(line)
         self._size += len(line)
         if self._size > MAX_HEAD_BYTES:
             raise FormatError("not an answer: its head is too long")
         if not line.strip(b"\r\n"):
             self._end_head(_read_head(b"".join(self._lines)))
+        return True
 
     def _end_head(self, event: h11.Response | h11.InformationalResponse) -> None:
         self._lines.clear()
--- a/test/agent/test_odd_answers.py
+++ b/test/agent/test_odd_answers.py
@@ -73,6 +73,14 @@
     assert body == b"done"
 
 
+def test_a_trailer_like_a_status_line_is_an_odd_answer():
+    """A redirect isn't followed here, so no other answer begins after it."""
+    trailer = b"HTTP/1.1 200 OK\r\n"
+    answer = make_chunked(trailer).replace(b"200 OK", b"302 Found", 1)
+    outcome, _ = asyncio.run(ask(answer))
+    assert not isinstance(outcome, Completed)
+
+
 def test_trailers_are_not_passed_on():
     """A trailer could change what a head said, as at gateways it can't."""
     outcome, _ = asyncio.run(ask(make_chunked(b"Content-Length: 9\r\nX-Late: 1\r\n")))
--- a/test/ui/test_tools.py
+++ b/test/ui/test_tools.py
@@ -12,9 +12,12 @@
 
 
 class StatusHandler(web.RequestHandler):
-    """Answers `/status` with a body and other paths with a failure."""
+    """Answers `/status` with a body, `/moved` by that, and others with a failure."""
 
     def get(self, path):
+        if path == "moved":
+            self.redirect("/status")
+            return
         self.set_status(200 if path == "status" else 503)
         self.finish("body")
 
@@ -49,3 +52,8 @@
 def test_find_user(monkeypatch):
     monkeypatch.setenv("LOGNAME", "ana")
     assert find_user() == "ana"
+
+
+def test_a_redirect_is_followed():
+    """A balancer before the entries may send operators to another address."""
+    assert asyncio.run(fetch_from_server("moved")) == b"body"
