--- a/eelgrassrack/jsonparts.py
+++ b/eelgrassrack/jsonparts.py
@@ -29,6 +29,7 @@
 
 SPACE = b" \t\r\n"
 COMMA = b","
+NULL = b"null"
 OPENING = b"[{"
 
 # Deeper values can't be decoded.  Sound ones of the platform have six levels at most.
@@ -73,6 +74,14 @@
     return dict(map(_split_member, _split(data, b"{", b"}")))
 
 
+def find_name(data: bytes) -> str:
+    """Return the member `name` of an object that can't be decoded, empty if none."""
+    try:
+        return decode_json(split_object(data).get("name", NULL), kind=str)
+    except FormatError:
+        return ""
+
+
 def _split_member(part: bytes) -> tuple[str, bytes]:
     found = MEMBER.match(part)
     if found is None:
--- a/eelgrassrack/platform/pages.py
+++ b/eelgrassrack/platform/pages.py
@@ -4,10 +4,9 @@
 
 from ..decoding import decode_json
 from ..errors import FormatError
-from ..jsonparts import cut_deep, split_array, split_object
+from ..jsonparts import NULL, cut_deep, find_name, split_array, split_object
 from .objects import Revision, WireEvent, WireMeta, WireObject, WirePage, WireWatch
 
-NULL = b"null"
 FALSE = b"false"
 
 
@@ -106,12 +105,4 @@
             status=msgspec.Raw(members.get("status", NULL)),
         )
     except FormatError as error:
-        return OddItem(_find_name(metadata), str(error))
-
-
-def _find_name(metadata: bytes) -> str:
-    """Return the name in metadata that can't be read as a whole, if there is one."""
-    try:
-        return decode_json(split_object(metadata).get("name", NULL), kind=str)
-    except FormatError:
-        return ""
+        return OddItem(find_name(metadata), str(error))
--- a/eelgrassrack/store/platform.py
+++ b/eelgrassrack/store/platform.py
@@ -10,7 +10,7 @@
 from ..addresses import check_mailbox
 from ..decoding import decode_json
 from ..errors import FormatError
-from ..jsonparts import cut_deep, split_array, split_object
+from ..jsonparts import NULL, cut_deep, find_name, split_array, split_object
 from ..leftaside import LeftAside
 from .budget import Backoff
 from .http import Answer, HttpCaller, NoAnswer
@@ -27,7 +27,6 @@
 
 # What log lines call the entries of the list.
 INSTANCES = "instances"
-NULL = b"null"
 
 
 class HttpInstanceList:
@@ -115,7 +114,7 @@
         try:
             sound.append(decode_json(part, kind=Instance))
         except FormatError as error:
-            odd[_find_name(part)] = str(error)
+            odd[find_name(part)] = str(error)
     version = decode_json(members.get("version", NULL), kind=int)
     return _sort_out(Listing(version=version, instances=tuple(sound)), odd)
 
@@ -134,14 +133,6 @@
     return ListingRead(listing=usable_only, odd=odd)
 
 
-def _find_name(part: bytes) -> str:
-    """Return the name of an instance that can't be read, empty if it has none."""
-    try:
-        return decode_json(split_object(part).get("name", NULL), kind=str)
-    except FormatError:
-        return ""
-
-
 class Rated(msgspec.Struct, kw_only=True, frozen=True):
     """The answer was rated; `score` runs from 0 (bad) to 1 (good)."""
 
