--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -338,7 +338,7 @@
                 await read_body(reader, headers)
                 if not await self._respond(line, headers, writer):
                     return
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
