Log the size of a request's body, and a body that isn't kept whole

The lines of attempts, refusals and ends have the body's size. A request whose body has other bytes than were decoded is logged as an error, once a second at most. A caller that leaves before its request was read to its end gets a line with what came. No logic changes.

--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -27,6 +27,7 @@
 from ..store.configuration import Limits
 from .messages import Arrival, Refusal
 from .reply import Reply
+from .requestlog import log_unread
 
 log = logbook.Logger("ingress")
 
@@ -51,6 +52,9 @@
 # deadline still has to write the responses that are due.
 MIN_END_POLLS = 20
 
+# The least time between two log lines on bodies that weren't kept whole.
+LOG_SECONDS = 1.0
+
 HEADERS_TOO_LONG = Refusal(status=431, reason="headers are too long")
 BODY_TOO_LONG = Refusal(status=413, reason="body is too long")
 
@@ -153,6 +157,7 @@
         self._lingering = lingering
         self._reading: set[_Message] = set()
         self._serving: set[asyncio.Task] = set()
+        self._logged_at = -math.inf
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -296,6 +301,19 @@
     def _mark_active(self, connection: HTTPConnection) -> None:
         self._idle.pop(connection, None)
 
+    def log_incomplete(self, arrival: Arrival) -> None:
+        """Log that a part of a request's body was read and isn't kept."""
+        now = self._loop.time()
+        if now < self._logged_at + LOG_SECONDS:
+            return
+        self._logged_at = now
+        log.error(
+            "ingress: {request} has {kept} of {body} bytes of its body",
+            request=arrival.id,
+            kept=len(arrival.body),
+            body=arrival.body_size,
+        )
+
     async def _serve(
         self, arrival: Arrival, reply: Reply, refusal: Refusal | None = None
     ) -> None:
@@ -337,7 +355,6 @@
         "_ingress",
         "_limits",
         "_early_reply",
-        "_size",
         "_task",
         "connection",
     )
@@ -347,7 +364,6 @@
         self.connection = connection
         self._arrival: Arrival | None = None
         self._deadline = math.inf
-        self._size = 0
         self._early_reply: Reply | None = None
         self._limits: Limits | None = None
         self._task: asyncio.Task | None = None
@@ -393,14 +409,14 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, or discard it if the request is already refused."""
-        self._size += len(chunk)
+        self._arrival.body_size += len(chunk)
         if self._early_reply is None:
             self._keep(chunk)
-        elif self._size > self._limits.body_bytes + DRAIN_BYTES:
+        elif self._arrival.body_size > self._limits.body_bytes + DRAIN_BYTES:
             self.connection.close()
 
     def _keep(self, chunk: bytes) -> None:
-        if self._size > self._limits.body_bytes:
+        if self._arrival.body_size > self._limits.body_bytes:
             self._refuse(BODY_TOO_LONG)
         else:
             self.connection.stream.keep(chunk)
@@ -424,6 +440,8 @@
                 self._early_reply.finish()
             return
         self._arrival.body = self.connection.stream.take_body()
+        if len(self._arrival.body) != self._arrival.body_size:
+            self._ingress.log_incomplete(self._arrival)
         self._start(self._make_reply())
 
     def end(self) -> None:
@@ -451,6 +469,8 @@
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that closed its connection."""
         self._ingress._mark_active(self.connection)
+        if self in self._ingress._reading and self._early_reply is None:
+            log_unread(self._arrival)
         self._ingress._reading.discard(self)
         self._cancel()
 
--- a/eelgrassrack/gateway/requests/messages.py
+++ b/eelgrassrack/gateway/requests/messages.py
@@ -28,6 +28,7 @@
     headers were read.  `tokens_in` is the length of the prompt and `tokens_out` the
     maximum length of the answer in tokens; `length_hint` is the caller's estimate of
     the latter.  `resume_after` is the id of the last event that the caller has.
+    `body_size` is the number of bytes of the body that were decoded.
     """
 
     id: str
@@ -47,6 +48,7 @@
     resume_after: str = ""
     length_hint: int = 0
     body: bytes = b""
+    body_size: int = 0
 
 
 class EndpointLoad(msgspec.Struct, frozen=True):
--- a/eelgrassrack/gateway/requests/requestlog.py
+++ b/eelgrassrack/gateway/requests/requestlog.py
@@ -45,6 +45,7 @@
         pace=round(placement.pace, 2),
         news_age=round(placement.update_age, 3),
         loop_delay=round(loop_delay, 4),
+        body=len(job.arrival.body),
         first=round(job.first_piece_seconds, 4),
         told=list_load(job.told),
         **list_times(job.trial_attempt),
@@ -124,12 +125,22 @@
         status=refusal.status,
         reason=refusal.reason,
         retry_after=refusal.retry_after,
+        body=arrival.body_size,
         configuration=configuration,
         seconds=round(seconds, 4),
         loop_delay=round(loop_delay, 4),
     )
 
 
+def log_unread(arrival: Arrival) -> None:
+    """Log a request whose caller left before it was read to its end."""
+    log.info(
+        "serving: the caller of {request} left after {body} bytes of its body",
+        request=arrival.id,
+        body=arrival.body_size,
+    )
+
+
 def log_end(job: Job, end: str, *, reason: str, now: float) -> None:
     """Log the end of a request that wasn't refused."""
     route = job.permit.route
@@ -149,6 +160,7 @@
         attempts=job.attempts,
         confidence=job.confidence,
         prompt_tokens=job.arrival.tokens_in,
+        body=job.arrival.body_size,
         reason=reason,
     )
 
