Hand out a request's body whole or not at all

What callers saw: a request that they had sent to its end ran with an empty or a shortened body if they closed, half closed or reset the connection right after the last byte. On routes that may not be repeated that is for good.

Cause: the HTTP library closes a connection as soon as it reads its end, and goes on to decode the requests that stand in its buffer. With the connection its place in the callers' shared memory is closed; CallerStream.keep asked for room there, got False and dropped the part without an error. The endpoint can't notice, as the request to it was framed by the length of what was kept. The class: bytes that were read are dropped without an error because of a state that something else has set meanwhile.

Change: RequestBody owns the body. It is handed out only if it was read to its end, no part was dropped and it has as many bytes as the decoder counted; otherwise IncompleteBodyError, a line in the log and a true 503. Reading ends with an error at the first part that isn't kept. The request to the endpoint is framed by what was decoded from the caller, so that the sender itself refuses a body of another length. A request whose caller has reset its connection before anything was sent isn't run.

The caller's end no longer closes a connection while a request is in flight: the caller may have closed only its sending side, and HTTP lets it wait for its answers. As nothing tells the two apart until bytes are sent, the request has 0.25 s from the end until its answer begins, and then ends as before. After a freeze nobody knows how long ago callers closed, so nothing is begun for those that have; the others get a true 503.

--- /dev/null
+++ b/eelgrassrack/callers/body.py
@@ -0,0 +1,60 @@
+"""The body of the request that a connection reads: it is whole, or there is none.
+
+What happens to a connection meanwhile, as its close or a lack of memory, can make a
+part of the body be lost.  An endpoint that runs the rest can't notice that: the request
+to it has a length of its own.  So one object owns the body, knows whether all of it is
+there, and hands out nothing else.
+"""
+
+from ..errors import EelgrassrackError
+
+
+class IncompleteBodyError(EelgrassrackError):
+    """A request's body isn't whole, so the request must not run."""
+
+
+class RequestBody:
+    """What is kept of a body while it is read."""
+
+    __slots__ = ("_data", "_is_kept", "_is_whole")
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._is_kept = True
+        self._is_whole = False
+
+    def __len__(self) -> int:
+        """Return how many bytes are kept."""
+        return len(self._data)
+
+    def begin(self) -> None:
+        """Begin with the body of the connection's next request."""
+        self._data.clear()
+        self._is_kept = True
+        self._is_whole = False
+
+    def add(self, data: bytes) -> None:
+        """Keep the next part, unless others were dropped."""
+        if self._is_kept:
+            self._data += data
+
+    def drop(self) -> None:
+        """Keep nothing of the body: from now on it can't be taken."""
+        self._data.clear()
+        self._is_kept = False
+
+    def end(self, size: int) -> None:
+        """Note the body's end after `size` decoded bytes."""
+        self._is_whole = self._is_kept and len(self._data) == size
+
+    def take(self) -> bytes:
+        """Return the whole body, which is kept elsewhere from now on.
+
+        Raise `IncompleteBodyError` if a part is missing or was taken already.
+        """
+        if not self._is_whole:
+            raise IncompleteBodyError(f"{len(self._data)} bytes of a body are kept")
+        data = bytes(self._data)
+        self.drop()
+        self._is_whole = False
+        return data
--- a/eelgrassrack/callers/connection.py
+++ b/eelgrassrack/callers/connection.py
@@ -71,19 +71,22 @@
     async def _read_fixed_body(
         self, content_length: int, delegate: HTTPMessageDelegate
     ) -> None:
-        while content_length > 0:
-            size = min(READ_BYTES, content_length)
+        remaining = content_length
+        while remaining > 0:
+            size = min(READ_BYTES, remaining)
             data = await self.stream.read_bytes(size, partial=True)
             size = len(data)
-            content_length -= size
+            remaining -= size
             await self._deliver_body(delegate, data)
+            self.stream.check_stays()
             # Nothing refers to the part while the next one is awaited.
             data = b""
             await self._let_others(size=size)
-        self.stream.note_whole()
+        self.stream.note_whole(content_length)
 
     async def _read_chunked_body(self, delegate: HTTPMessageDelegate) -> None:
         decoder = ChunkDecoder(most=self._max_body_size)
+        decoded = 0
         while not decoder.is_done:
             is_large = decoder.remaining > READ_CHUNKS_BYTES
             size = READ_BYTES if is_large else READ_CHUNKS_BYTES
@@ -91,12 +94,14 @@
             size = len(data)
             pieces = decoder.chunks
             data = decoder.feed(data)
+            decoded += len(data)
             if data:
                 await self._deliver_body(delegate, data)
+                self.stream.check_stays()
             data = b""
             await self._let_others(size=size, pieces=decoder.chunks - pieces)
         self.stream.put_back(decoder.rest)
-        self.stream.note_whole()
+        self.stream.note_whole(decoded)
 
     def forget_head(self) -> None:
         """Drop the head of a request whose connection is closed.
--- a/eelgrassrack/callers/room.py
+++ b/eelgrassrack/callers/room.py
@@ -24,6 +24,12 @@
 BYTES_PER_TURN = 1_048_576
 
 
+# Two turns of the event loop that are noted further apart show that it was held up, and
+# so long after that callers may still be read that have left in the meantime.
+HELD_UP_SECONDS = 0.45
+BEHIND_SECONDS = 0.25
+
+
 class Leaver(Protocol):
     """What ends a caller's connection."""
 
@@ -42,12 +48,14 @@
 
     __slots__ = (
         "_count",
+        "_behind_until",
         "_gave_way",
         "_leavers",
         "_limited_at",
         "_logged_at",
         "_loop",
         "_read",
+        "_turned_at",
         "memory",
     )
 
@@ -62,11 +70,29 @@
         self._logged_at = -LOG_SECONDS
         self._limited_at = -math.inf
         self._read = 0
+        self._turned_at = math.inf
+        self._behind_until = -math.inf
 
     def time(self) -> float:
         """Return the time by which progress is measured, in seconds."""
         return self._loop.time()
 
+    def note_turn(self) -> None:
+        """Note that the event loop turns; for a task that calls it regularly."""
+        now = self.time()
+        if now > self._turned_at + HELD_UP_SECONDS:
+            self._behind_until = now + BEHIND_SECONDS
+        self._turned_at = now
+
+    @property
+    def was_held_up(self) -> bool:
+        """Return whether what is read now may have come long ago.
+
+        So it is for a while after the process was frozen, or its loop held up.
+        """
+        now = self.time()
+        return now > self._turned_at + HELD_UP_SECONDS or now < self._behind_until
+
     def open(self, leaver: Leaver) -> Place:
         """Return the place of a new connection, which `leaver` can end."""
         now = self.time()
--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -1,6 +1,7 @@
 """A caller's connection that counts what it holds and reads tiny pieces in turns."""
 
 import asyncio
+import contextlib
 import re
 import socket
 
@@ -9,6 +10,7 @@
 from ..decisions.callermemory import HEAD_LINE_BYTES, Phase
 from ..dismissal import REQUEST_TIMEOUT_ANSWER, UNAVAILABLE_ANSWER
 from ..lingering import LingeringConnections
+from .body import RequestBody
 from .room import CallerRoom
 from .turns import ReadTurns
 
@@ -21,6 +23,15 @@
 # After so many reads for one request they go on in turns.
 FREE_READS = 64
 
+# How long a request is served on after its caller has closed at least its sending side,
+# unless an answer was begun.
+END_SECONDS = 0.25
+
+# A timer that fires later than this shows that the event loop was held up, and so often
+# the wait begins again.
+LATE_SECONDS = 0.05
+MAX_WAITS = 4
+
 HEAD_TOO_LONG_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -39,6 +50,9 @@
     """A stream whose bytes count in the callers' room.
 
     `place` is its part of it, `body` what is kept of a request's body.
+
+    The end of what a caller sends doesn't close the connection while a request is in
+    flight: the caller may have closed only its sending side.
     """
 
     def __init__(
@@ -56,13 +70,18 @@
         self._reads = 0
         self._has_turn = False
         self._has_left = False
-        self.body = bytearray()
+        self._has_ended = False
+        self._is_answered = False
+        self._end_timer: asyncio.TimerHandle | None = None
+        self.body = RequestBody()
         self.place = room.open(self)
 
     def begin_request(self) -> None:
         """Wait for the connection's next request."""
         self._reads = 0
-        self.body.clear()
+        self._is_answered = False
+        self._cancel_end_timer()
+        self.body.begin()
         self.place.begin(self._room.time())
         if self._read_buffer_size:
             self.place.phase = Phase.HEAD
@@ -74,37 +93,54 @@
         self._room.make_room(self.place)
 
     def keep(self, data: bytes) -> None:
-        """Keep a part of a request's body, unless the caller gives way."""
+        """Keep a part of a request's body.
+
+        If the caller gives way or has left, nothing of the body is kept: the check that
+        follows each part ends the request.
+        """
         self.place.hold(len(data))
         if self._room.make_room(self.place):
-            self.body += data
+            self.body.add(data)
+        else:
+            self.body.drop()
 
     def take_body(self) -> bytes:
-        """Return the whole body, which is kept elsewhere from now on."""
-        body = bytes(self.body)
-        self.body.clear()
-        return body
+        """Return the whole body, which is kept elsewhere from now on.
+
+        Raise `IncompleteBodyError` if a part of it is missing.
+        """
+        return self.body.take()
 
-    def note_whole(self) -> None:
-        """Note that a request was read to its end.
+    def note_whole(self, size: int = 0) -> None:
+        """Note that a request was read to its end, with a body of `size` bytes.
 
-        Raise `StreamClosedError` if the caller gave way.
+        Raise `StreamClosedError` if the caller gave way or has left.
         """
+        if self._room.was_held_up:
+            self._find_end()
+            self._settle_end()
         self.check_stays()
+        self.body.end(size)
         if self.place.phase is Phase.BODY:
             self.place.phase = Phase.WAITING
 
     def note_served(self) -> None:
         """Note that work for a request begins, so that it doesn't give way any more.
 
-        Raise `StreamClosedError` if it did: its caller was told that it didn't run.
+        Raise `StreamClosedError` if it did, or if its caller has left: it must not run.
         """
+        if not self.closed() and self._is_reset():
+            self.close()
         self.check_stays()
         self.place.phase = Phase.SERVED
 
+    def _is_reset(self) -> bool:
+        """Return whether the caller has reset a connection that isn't being read."""
+        return bool(self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def note_refused(self) -> None:
         """Note that a request is refused before it was read to its end."""
-        self.body.clear()
+        self.body.drop()
         self.place.release()
         self.place.phase = Phase.REFUSED
 
@@ -122,8 +158,8 @@
         return self._has_left or self.closed()
 
     def check_stays(self) -> None:
-        """Raise `StreamClosedError` if the caller gave way to others."""
-        if self._has_left:
+        """Raise `StreamClosedError` if the caller gave way to others or has left."""
+        if self.is_ending:
             raise StreamClosedError()
 
     def leave(self, phase: Phase, *, is_reading: bool) -> None:
@@ -143,7 +179,7 @@
         # A closed stream may be part of a reference cycle for long.
         self._read_buffer = bytearray()
         self._read_buffer_size = 0
-        self.body.clear()
+        self.body.drop()
 
     def put_back(self, data: bytes) -> None:
         """Return bytes that were read beyond the end of a message."""
@@ -155,6 +191,7 @@
     def write(self, data: bytes | memoryview) -> "asyncio.Future[None]":
         """Write bytes of an answer; those that the caller doesn't read count."""
         written = super().write(data)
+        self._is_answered = self._has_ended
         if self.writing():
             self._note_unsent(has_sent=False)
         return written
@@ -170,13 +207,20 @@
             len(self._write_buffer), has_sent=has_sent, now=self._room.time()
         )
 
+    def _cancel_end_timer(self) -> None:
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+            self._end_timer = None
+
     def _signal_closed(self) -> None:
+        self._cancel_end_timer()
         self._room.close(self.place)
         super()._signal_closed()
 
     def _try_inline_read(self) -> None:
-        if self._may_read or self._read_buffer_size:
+        if self._may_read or self._read_buffer_size or self._has_ended:
             super()._try_inline_read()
+            self._settle_end()
             return
         self._check_closed()
         self._add_io_state(self.io_loop.READ)
@@ -186,8 +230,79 @@
         """Return whether to read now: in a full turn only the first of a request."""
         return self._room.may_read or self._has_turn or not self._reads
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket; the caller's end doesn't close the connection.
+
+        Whole requests may stand in the buffer before the end, and a caller that has
+        closed only its sending side waits for their answers.
+        """
+        size = super().read_from_fd(buf)
+        if size == 0:
+            self._has_ended = True
+            return None
+        return size
+
+    def _settle_end(self) -> None:
+        """Decide what the caller's end means, if it was read.
+
+        Without a request in flight, or within one, it ends the connection.
+        """
+        if not self._has_ended or self.closed():
+            return
+        if self.reading():
+            self.close()
+            return
+        if self._state is not None and self._state & self.io_loop.READ:
+            # The end would be reported again and again.
+            self._state &= ~self.io_loop.READ
+            self.io_loop.update_handler(self.fileno(), self._state)
+        if self._room.was_held_up:
+            self._end_unanswered()
+        elif self._end_timer is None:
+            self._await_answer(MAX_WAITS)
+
+    def _await_answer(self, waits: int) -> None:
+        """Give the request in flight a while to be answered."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + END_SECONDS
+        self._end_timer = loop.call_at(due, self._stop_waiting, due, waits)
+
+    def _stop_waiting(self, due: float, waits: int) -> None:
+        is_late = asyncio.get_running_loop().time() > due + LATE_SECONDS
+        if is_late and waits > 1:
+            # The answer may have come while the event loop was held up.
+            self._await_answer(waits - 1)
+        else:
+            self._end_unanswered()
+
+    def _end_unanswered(self) -> None:
+        """End the connection unless an answer was begun.
+
+        The caller may have closed the connection completely, and nothing tells until
+        bytes are sent to it.  What is sent after that resets the connection.
+        """
+        if self.closed() or self.writing() or self._is_answered:
+            return
+        if self.place.may_give_way:
+            self.leave(self.place.phase, is_reading=False)
+        else:
+            self.close()
+
+    def _find_end(self) -> None:
+        """Look whether the caller's end stands behind what was read."""
+        if self._has_ended or self._read_buffer_size or self.closed():
+            return
+        with contextlib.suppress(OSError):
+            peeked = self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            self._has_ended = not peeked
+
+    def _add_io_state(self, state: int) -> None:
+        if self._has_ended:
+            state &= ~self.io_loop.READ
+        super()._add_io_state(state)
+
     def _read_to_buffer(self) -> int | None:
-        if not self._may_read:
+        if not self._may_read or self._has_ended:
             return 0
         is_full = not (self._room.may_read or self._has_turn)
         self.read_chunk_size = FIRST_READ_BYTES if is_full else READ_BYTES
@@ -227,7 +342,7 @@
         """Handle events of the socket; a caller of many pieces waits for its turn."""
         may_read = self._reads < FREE_READS and self._may_read
         if may_read or not events & self.io_loop.READ:
-            super()._handle_events(fd, events)
+            self._handle_now(fd, events)
             return
         # Until then the loop isn't told of more to read.
         self._state = self.io_loop.ERROR
@@ -238,5 +353,9 @@
         if self.closed():
             return
         self._has_turn = True
-        super()._handle_events(fd, events)
+        self._handle_now(fd, events)
         self._has_turn = False
+
+    def _handle_now(self, fd: int, events: int) -> None:
+        super()._handle_events(fd, events)
+        self._settle_end()
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -412,11 +412,13 @@
     async def _do_chores(self) -> None:
         next_reload = 0.0
         now = asyncio.get_running_loop().time()
+        self._room.note_turn()
         while True:
             due = now + CHORE_SECONDS
             await asyncio.sleep(CHORE_SECONDS)
             now = asyncio.get_running_loop().time()
             self._note_stall(now - due)
+            self._room.note_turn()
             self._admission.note_late(now - due)
             self._admission.loop_delay.measure()
             self._load.compare()
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -18,6 +18,7 @@
 )
 from tornado.iostream import IOStream
 
+from ...callers.body import IncompleteBodyError
 from ...callers.connection import UNLIMITED_BYTES
 from ...counts import read_count
 from ...dismissal import REQUEST_TIMEOUT_ANSWER
@@ -61,6 +62,9 @@
 # The request's own time is over, and nothing ran.
 BODY_TOO_SLOW = Refusal(status=503, reason="body took too long", retry_after=1.0)
 
+# A part of the body was read and isn't there any more, so nothing ran.
+BODY_INCOMPLETE = Refusal(status=503, reason="body wasn't kept", retry_after=1.0)
+
 # The request may have run.
 FAILED = Refusal(status=502, reason="the gateway failed")
 
@@ -301,17 +305,18 @@
     def _mark_active(self, connection: HTTPConnection) -> None:
         self._idle.pop(connection, None)
 
-    def log_incomplete(self, arrival: Arrival) -> None:
+    def log_incomplete(self, arrival: Arrival, error: IncompleteBodyError) -> None:
         """Log that a part of a request's body was read and isn't kept."""
         now = self._loop.time()
         if now < self._logged_at + LOG_SECONDS:
             return
         self._logged_at = now
         log.error(
-            "ingress: {request} has {kept} of {body} bytes of its body",
+            "ingress: {request} doesn't run, {body} bytes of its body were read: "
+            "{error}",
             request=arrival.id,
-            kept=len(arrival.body),
             body=arrival.body_size,
+            error=str(error),
         )
 
     async def _serve(
@@ -439,9 +444,13 @@
             if self._early_reply.is_finished:
                 self._early_reply.finish()
             return
-        self._arrival.body = self.connection.stream.take_body()
-        if len(self._arrival.body) != self._arrival.body_size:
-            self._ingress.log_incomplete(self._arrival)
+        try:
+            self._arrival.body = self.connection.stream.take_body()
+        except IncompleteBodyError as error:
+            self._ingress.log_incomplete(self._arrival, error)
+            self._refuse(BODY_INCOMPLETE)
+            self._early_reply.is_request_read = True
+            return
         self._start(self._make_reply())
 
     def end(self) -> None:
--- a/eelgrassrack/gateway/requests/reply.py
+++ b/eelgrassrack/gateway/requests/reply.py
@@ -53,7 +53,7 @@
         try:
             self._connection.stream.note_served()
         except StreamClosedError as error:
-            raise CallerGoneError("gave way to others") from error
+            raise CallerGoneError("left or gave way to others") from error
 
     async def begin(
         self,
--- a/eelgrassrack/platform/headers.py
+++ b/eelgrassrack/platform/headers.py
@@ -139,8 +139,10 @@
         pairs.append((LAST_EVENT, resume_after))
     if priority is not None:
         pairs.append((PRIORITY, str(priority)))
-    if arrival.body or arrival.method in {"POST", "PUT", "PATCH"}:
-        pairs.append(("Content-Length", str(len(arrival.body))))
+    if arrival.body_size or arrival.method in {"POST", "PUT", "PATCH"}:
+        # What the caller sent, not what is kept: the sender refuses a body of another
+        # length.
+        pairs.append(("Content-Length", str(arrival.body_size)))
     return pairs
 
 
--- a/test/gateway/leaving.py
+++ b/test/gateway/leaving.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import itertools
+import re
 import socket
 import struct
 
@@ -14,7 +15,6 @@
 NO_LINGER = struct.pack("ii", 1, 0)
 
 ANSWER_BYTES = 65_536
-POLL_SECONDS = 0.01
 
 
 class Leaving(enum.Enum):
@@ -73,23 +73,18 @@
     return sock
 
 
-async def read_answer(sock):
-    """Return one answer with a `Content-Length`, or what came until the end."""
+async def read_to_end(sock):
+    """Return all that comes until the connection ends."""
     loop = asyncio.get_running_loop()
     received = b""
-    while not _is_whole(received):
-        piece = await loop.sock_recv(sock, ANSWER_BYTES)
-        if not piece:
-            break
+    while piece := await loop.sock_recv(sock, ANSWER_BYTES):
         received += piece
     return received
 
 
-def _is_whole(received):
-    head, end, body = received.partition(b"\r\n\r\n")
-    lines = head.lower().split(b"\r\n")
-    lengths = [line for line in lines if line.startswith(b"content-length:")]
-    return bool(end) and len(body) >= int(lengths[0].split(b":")[1])
+def list_statuses(received):
+    """Return the statuses of the answers that were received."""
+    return [int(found) for found in re.findall(rb"HTTP/1.1 (\d+) ", received)]
 
 
 def leave(sock, how):
--- a/test/gateway/test_leaving_callers.py
+++ b/test/gateway/test_leaving_callers.py
@@ -4,10 +4,19 @@
 
 import pytest
 
-from eelgrassrack.standins.directengine import Reply
+from eelgrassrack.standins.directengine import Echo, Hang, Reply
 
-from .leaving import Framing, Leaving, leave, make_body, make_request, open_socket
-from .virtualtime import run_in_virtual_time
+from .leaving import (
+    Framing,
+    Leaving,
+    leave,
+    list_statuses,
+    make_body,
+    make_request,
+    open_socket,
+    read_to_end,
+)
+from .virtualtime import hold_up, run_in_virtual_time
 from .world import make_world
 
 FRAMINGS = [Framing(), Framing(chunk=3), Framing(chunk=100), Framing(chunk=4_096)]
@@ -19,6 +28,14 @@
 # After it nothing of a request that has run can be on its way any more.
 QUIET_SECONDS = 3.0
 
+# Within it nothing works any more for a caller that has left.
+GONE_SECONDS = 0.5
+
+HELD_UP_SECONDS = 2.0
+
+# Each so many bytes a request is cut.
+CUT_STEP = 7
+
 
 async def start(world, *steps):
     """Start a gateway with one endpoint; return the endpoint."""
@@ -56,3 +73,101 @@
             assert list_bodies(engine, "second") in ([], [body])
 
     run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("framing", FRAMINGS, ids=str)
+def test_callers_that_close_only_their_sending_side_get_all_answers(framing):
+    """Guards against requests that are dropped though their callers wait."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Echo(delay=SERVE_SECONDS))
+            sock = await open_socket(world.settings[0].listen)
+            bodies = {name: make_body(name, 3_000) for name in ("one", "two", "three")}
+            for name, body in bodies.items():
+                sock.send(make_request(name, body, framing=framing))
+            leave(sock, Leaving.HALF_CLOSE)
+            received = await read_to_end(sock)
+            sock.close()
+            assert list_statuses(received) == [200, 200, 200]
+            assert {run.attempt: run.body for run in engine.runs} == bodies
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("how", Leaving, ids=lambda how: how.value)
+@pytest.mark.parametrize("framing", FRAMINGS, ids=str)
+def test_a_request_that_is_cut_at_any_byte_reaches_no_endpoint(framing, how):
+    """Guards against a part of a request that runs as its caller leaves."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Echo())
+            request = make_request("cut", make_body("cut", 300), framing=framing)
+            for size in range(1, len(request), CUT_STEP):
+                sock = await open_socket(world.settings[0].listen)
+                sock.send(make_request("first", b"ask", framing=framing))
+                sock.send(request[:size])
+                leave(sock, how)
+                await asyncio.sleep(SERVE_SECONDS)
+                sock.close()
+            assert not list_bodies(engine, "cut")
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("leaves_with_request", [True, False])
+def test_work_for_a_caller_that_closes_ends_soon(leaves_with_request):
+    """Guards against endpoints that go on working for callers that have left."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Hang())
+            sock = await open_socket(world.settings[0].listen)
+            sock.send(make_request("left", b"ask", framing=Framing()))
+            if not leaves_with_request:
+                await asyncio.sleep(SERVE_SECONDS)
+            leave(sock, Leaving.CLOSE)
+            await asyncio.sleep(GONE_SECONDS)
+            assert list_bodies(engine, "left") == [b"ask"]
+            assert engine.cancelled == ["left"]
+
+    run_in_virtual_time(main())
+
+
+@pytest.mark.parametrize("how", Leaving, ids=lambda how: how.value)
+def test_callers_that_left_while_a_gateway_was_held_up_are_not_served(how):
+    """Guards against work for callers that have given up a frozen gateway."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Echo())
+            sock = await open_socket(world.settings[0].listen)
+            await asyncio.sleep(SERVE_SECONDS)
+            sock.send(make_request("left", make_body("left", 600), framing=Framing()))
+            leave(sock, how)
+            hold_up(HELD_UP_SECONDS)
+            if how is Leaving.HALF_CLOSE:
+                assert list_statuses(await read_to_end(sock)) == [503]
+            await asyncio.sleep(QUIET_SECONDS)
+            sock.close()
+            assert not engine.runs
+
+    run_in_virtual_time(main())
+
+
+def test_callers_that_stay_are_served_after_a_gateway_was_held_up():
+    """Guards against sound requests that are refused after a freeze."""
+
+    async def main():
+        async with make_world() as world:
+            await start(world, Echo())
+            sock = await open_socket(world.settings[0].listen)
+            await asyncio.sleep(SERVE_SECONDS)
+            sock.send(make_request("stays", make_body("stays", 600), framing=Framing()))
+            hold_up(HELD_UP_SECONDS)
+            received = await asyncio.get_running_loop().sock_recv(sock, 1_000)
+            sock.close()
+            assert list_statuses(received) == [200]
+
+    run_in_virtual_time(main())
