Let callers pause while they read an answer

What callers saw: who read nothing for two seconds got a reset in the middle of the answer, though the endpoint had made all of it; the log said 'answered'.

Cause: TCP_USER_TIMEOUT on callers' connections also counts while the other machine acknowledges each probe of its closed window.

Change: callers have no such timeout. Once a second those that are being answered are looked at: gone are those whose machine acknowledges neither retransmissions nor probes. A caller that can be reached and reads nothing has 30 s.

Ruled out: the gateway's own end of a slow caller (its log says 'answered').

--- a/eelgrassrack/callers/room.py
+++ b/eelgrassrack/callers/room.py
@@ -30,9 +30,16 @@
 BEHIND_SECONDS = 0.25
 
 
+# How often callers that are being answered are checked.
+CHECK_SECONDS = 1.0
+
+
 class Leaver(Protocol):
     """What ends a caller's connection."""
 
+    def close_if_stuck(self) -> None:
+        """Close the connection if the caller is gone, or reads no answer."""
+
     def leave(self, phase: Phase, *, is_reading: bool) -> None:
         """Tell the caller that its request didn't run, and close the connection.
 
@@ -49,6 +56,7 @@
     __slots__ = (
         "_count",
         "_behind_until",
+        "_checked_at",
         "_gave_way",
         "_leavers",
         "_limited_at",
@@ -72,6 +80,7 @@
         self._read = 0
         self._turned_at = math.inf
         self._behind_until = -math.inf
+        self._checked_at = -math.inf
 
     def time(self) -> float:
         """Return the time by which progress is measured, in seconds."""
@@ -93,6 +102,20 @@
         now = self.time()
         return now > self._turned_at + HELD_UP_SECONDS or now < self._behind_until
 
+    def close_stuck(self) -> None:
+        """Close connections of callers that are gone, or that read no answer.
+
+        It looks once a second at those that are being answered.
+        """
+        now = self.time()
+        if now < self._checked_at + CHECK_SECONDS:
+            return
+        self._checked_at = now
+        served = (Phase.SERVED, Phase.UNREAD)
+        for place, leaver in tuple(self._leavers.items()):
+            if place.phase in served:
+                leaver.close_if_stuck()
+
     def open(self, leaver: Leaver) -> Place:
         """Return the place of a new connection, which `leaver` can end."""
         now = self.time()
--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -2,18 +2,23 @@
 
 import asyncio
 import contextlib
+import math
 import re
 import socket
 
+import logbook
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from ..decisions.callermemory import HEAD_LINE_BYTES, Phase
 from ..dismissal import REQUEST_TIMEOUT_ANSWER, UNAVAILABLE_ANSWER
 from ..lingering import LingeringConnections
 from .body import RequestBody
+from .reachability import is_unreachable
 from .room import CallerRoom
 from .turns import ReadTurns
 
+log = logbook.Logger("callers")
+
 # How many bytes are read from a connection at once.
 READ_BYTES = 8_192
 
@@ -32,6 +37,9 @@
 LATE_SECONDS = 0.05
 MAX_WAITS = 4
 
+# How long a caller may read nothing of its answer.
+UNREAD_SECONDS = 30.0
+
 HEAD_TOO_LONG_ANSWER = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -162,6 +170,19 @@
         if self.is_ending:
             raise StreamClosedError()
 
+    def close_if_stuck(self) -> None:
+        """Close the connection if the caller is gone, or reads no answer."""
+        if self.closed():
+            return
+        unread_since = self.place.since if self.writing() else math.inf
+        is_stuck = self._room.time() > unread_since + UNREAD_SECONDS
+        if is_stuck or is_unreachable(self.socket):
+            log.info(
+                "callers: an answer was broken off: {}",
+                "it wasn't read" if is_stuck else "its caller can't be reached",
+            )
+            self.close()
+
     def leave(self, phase: Phase, *, is_reading: bool) -> None:
         """Tell the caller that its request didn't run, and close the connection.
 
--- a/eelgrassrack/gateway/daemon.py
+++ b/eelgrassrack/gateway/daemon.py
@@ -428,6 +428,7 @@
             )
             self._store_sync.drop_missing()
             self.ingress.close_overdue()
+            self._room.close_stuck()
             self._placer.evict_prefixes()
             self._placer.guard.sweep()
             self._placer.detect_outliers()
--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -345,11 +345,12 @@
 def _make_socket() -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     enable_keepalive(sock)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS)
     return sock
 
 
 def enable_keepalive(sock: socket.socket) -> None:
-    """Make the kernel detect a peer that has fallen silent.
+    """Make the kernel detect a peer that has fallen silent while nothing is sent to it.
 
     A machine that loses power or a network partition sends nothing.  Without this a
     caller would wait its whole time limit for an answer that can't arrive.
@@ -359,7 +360,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS)
 
 
 def discard_unsent(sock: socket.socket) -> None:
