--- a/eelgrassrack/entry/entry.py
+++ b/eelgrassrack/entry/entry.py
@@ -85,6 +85,7 @@
         "_metrics",
         "_idempotent_runner",
         "_peers",
+        "_room",
         "_server",
         "_serving",
         "_settings",
@@ -344,11 +345,12 @@
             raise EntryError(text) from error
         self._listeners = [CallerListener(fileno=one.detach()) for one in bound]
         self.port = self._listeners[0].getsockname()[1]
+        self._room = CallerRoom(
+            memory_mb=self._settings.memory_mb, count=self._meter.note_gave_way
+        )
         self._server = CallerServer(
             build_application(core=self.core),
-            room=CallerRoom(
-                memory_mb=self._settings.memory_mb, count=self._meter.note_gave_way
-            ),
+            room=self._room,
             turns=ReadTurns(),
             lingering=self.core.lingering,
             max_body_size=MAX_BODY_BYTES,
@@ -362,6 +364,7 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
+        self._room.note_turn()
         self._configuration.tick()
         self._hearing.note_check(now=now)
         self.channels.check_timeouts(now)
