Write a request to its end though its answer came earlier

What callers saw: a success, while its endpoint got only a part of the request. Cause: an endpoint may answer before it has read a long body, keep the connection and read on. Connection.release() returned False as the request was still being written, and the pool closed the connection: what the kernel hadn't taken yet was dropped, and the answer counted as whole. Change: such a connection is written to its end (LateWrites) and then kept, or closed where its answer says so. DirectEngine answers early as a test asks (Early), and keeps what was cut short.

--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -220,6 +220,21 @@
             return False
         return not self._stream.has_unsent
 
+    @property
+    def is_writing(self) -> bool:
+        """Return whether part of the current request still has to be written."""
+        return self._write_future is not None and not self._write_future.done()
+
+    @property
+    def unwritten(self) -> int:
+        """Return how many bytes of the current request still have to be written."""
+        return len(self._stream._write_buffer or b"")
+
+    async def wait_written(self, timeout: float) -> bool:
+        """Wait until the request is written; return whether it is, within `timeout`."""
+        await asyncio.wait({self._write_future}, timeout=timeout)
+        return not self.is_writing and self._write_future.exception() is None
+
     def _count_interim(self) -> None:
         self._interim += 1
         if self._interim > MAX_INTERIM:
--- a/eelgrassrack/gateway/endpoints/pool.py
+++ b/eelgrassrack/gateway/endpoints/pool.py
@@ -16,6 +16,7 @@
 from ..requests.messages import ResponseHead
 from .connection import Connection, open_connection, refuse_to_abandon
 from .endpoint import Endpoint
+from .latewrites import LateWrites
 
 log = logbook.Logger("pool")
 
@@ -67,6 +68,7 @@
         "_idle",
         "_idle_seconds",
         "_in_use",
+        "_late_writes",
         "_note_broken",
         "_note_down",
         "_probe_tasks",
@@ -89,6 +91,7 @@
         self._in_use: dict[Endpoint, set[Connection]] = {}
         self._being_checked: set[Endpoint] = set()
         self._probe_tasks: set[asyncio.Task] = set()
+        self._late_writes = LateWrites()
 
     async def acquire(self, *, endpoint: Endpoint, now: float) -> Connection:
         """Return a kept connection or a new one; raise `ConnectError`."""
@@ -244,14 +247,27 @@
         endpoint: Endpoint,
         connection: Connection,
         head: ResponseHead,
-        now: float,
     ) -> None:
-        """Keep a connection after a complete response if it can be reused."""
+        """Keep a connection after a complete response if it can be reused.
+
+        Its request is written to its end before.
+        """
+        if connection.is_writing:
+            self._late_writes.add(
+                connection, lambda: self._reuse(endpoint, connection, head)
+            )
+            return
+        self._reuse(endpoint, connection, head)
+
+    def _reuse(
+        self, endpoint: Endpoint, connection: Connection, head: ResponseHead
+    ) -> None:
         if head.will_close or not connection.release():
             connection.close()
             return
         seconds = choose_idle_seconds(head.keep_alive)
         self._idle_seconds[endpoint.lifetime] = seconds
+        now = asyncio.get_running_loop().time()
         self._keep(endpoint, connection, until=now + seconds)
 
     def _keep_probed(self, endpoint: Endpoint, connection: Connection) -> None:
@@ -295,7 +311,8 @@
                 del self._idle[lifetime]
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and reset those on which a request is written."""
+        self._late_writes.close()
         for lifetime in list(self._idle):
             self.forget(lifetime=lifetime)
 
--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -439,7 +439,7 @@
     ) -> None:
         connection.is_kept = True
         self._pool.return_connection(
-            endpoint=endpoint, connection=connection, head=head, now=self._loop.time()
+            endpoint=endpoint, connection=connection, head=head
         )
 
     def _note_first_byte(self, job: Job) -> None:
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from collections.abc import Sequence
 
@@ -97,19 +98,34 @@
 
 
 class Raw(msgspec.Struct, kw_only=True, frozen=True):
-    """Send pieces of bytes unchanged, then close the connection normally.
+    """Send pieces of bytes unchanged, then close the connection normally or reset it.
 
     There are `gap` seconds after each piece.
     """
 
     pieces: tuple[bytes, ...]
     gap: float = 0.0
+    is_reset: bool = False
 
 
 class Hang(msgspec.Struct, kw_only=True, frozen=True):
     """Record the request as run and never answer."""
 
 
+class Early(msgspec.Struct, kw_only=True, frozen=True):
+    """How requests are answered before all of their bodies were read.
+
+    The answer comes once `after` bytes of a body were read, and the rest is read
+    `pause` seconds later.  With `will_close` the answer says that the connection
+    closes after it.
+    """
+
+    after: int = 0
+    pause: float = 0.0
+    status: int = 200
+    will_close: bool = False
+
+
 Step = Reply | Echo | Events | Refuse | Unframed | Break | Garbage | Raw | Hang
 
 
@@ -148,6 +164,7 @@
         "connections",
         "crashed_at",
         "crashing_parts",
+        "early",
         "is_leaving",
         "limit",
         "load",
@@ -155,6 +172,7 @@
         "names_limit",
         "resets",
         "runs",
+        "shortened",
     )
 
     def __init__(self, *, name: str, script: Sequence[Step]) -> None:
@@ -173,6 +191,10 @@
         # parts; the monotonic time when it did.
         self.crashing_parts: frozenset[str] = frozenset()
         self.crashed_at: float | None = None
+        # How requests are answered early in place of the script, None if they aren't,
+        # and the attempt ids of those whose connection then ended within the body.
+        self.early: Early | None = None
+        self.shortened: list[str] = []
         # Whether all answers say that the endpoint leaves.
         self.is_leaving = False
         # The limit that all answers name if `names_limit` is set or it isn't empty, in
@@ -186,9 +208,14 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, *, address: str = "127.0.0.1") -> None:
-        """Listen on a free port."""
+    async def start(
+        self, *, address: str = "127.0.0.1", receive_bytes: int | None = None
+    ) -> None:
+        """Listen on a free port; `receive_bytes` sets what the kernel buffers."""
         self._server = await asyncio.start_server(self._serve, address, 0)
+        if receive_bytes is not None:
+            for sock in self._server.sockets:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -225,7 +252,7 @@
         machine = h11.Connection(h11.SERVER)
         try:
             while True:
-                run = await self._read(reader, machine)
+                run = await self._read(reader, writer, machine)
                 if run is None or not await self._answer(run, reader, writer, machine):
                     return
                 machine.start_next_cycle()
@@ -240,23 +267,51 @@
             writer.close()
 
     async def _read(
-        self, reader: asyncio.StreamReader, machine: h11.Connection
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        machine: h11.Connection,
     ) -> RunRecord | None:
         request: h11.Request | None = None
-        body = b""
-        while True:
-            event = machine.next_event()
-            match event:
-                case h11.NEED_DATA:
-                    machine.receive_data(await reader.read(READ_BYTES))
-                case h11.Request():
-                    request = event
-                case h11.Data():
-                    body += bytes(event.data)
-                case h11.EndOfMessage():
-                    return _make_run(request, body)
-                case _:
-                    return None
+        body = bytearray()
+        try:
+            while True:
+                if self._is_early(machine, len(body)):
+                    await self._answer_early(_make_run(request, b""), writer, machine)
+                event = machine.next_event()
+                match event:
+                    case h11.NEED_DATA:
+                        machine.receive_data(await reader.read(READ_BYTES))
+                    case h11.Request():
+                        request = event
+                    case h11.Data():
+                        body += event.data
+                    case h11.EndOfMessage():
+                        return _make_run(request, bytes(body))
+                    case _:
+                        return None
+        except (ConnectionError, h11.RemoteProtocolError):
+            if machine.our_state in {h11.DONE, h11.MUST_CLOSE}:
+                self.shortened.append(_make_run(request, b"").attempt)
+            raise
+
+    def _is_early(self, machine: h11.Connection, size: int) -> bool:
+        """Return whether to answer now, when `size` bytes of the body were read."""
+        if self.early is None or size < self.early.after:
+            return False
+        is_in_body = machine.their_state is h11.SEND_BODY
+        return is_in_body and machine.our_state is h11.SEND_RESPONSE
+
+    async def _answer_early(
+        self, run: RunRecord, writer: asyncio.StreamWriter, machine: h11.Connection
+    ) -> None:
+        early = self.early
+        headers = {STAMP: STAMP_VALUE, ATTEMPT: run.attempt}
+        if early.will_close:
+            headers["Connection"] = "close"
+        body = run.attempt.encode()
+        await self._send(writer, machine, early.status, headers, body)
+        await asyncio.sleep(early.pause)
 
     async def _answer(
         self,
@@ -265,7 +320,14 @@
         writer: asyncio.StreamWriter,
         machine: h11.Connection,
     ) -> bool:
-        """Run the next step; return whether the connection stays open."""
+        """Run the next step; return whether the connection stays open.
+
+        A request that was answered early only counts as run.
+        """
+        if machine.our_state is not h11.SEND_RESPONSE:
+            self.arrived_at.append(run.at)
+            self.runs.append(run)
+            return machine.our_state is h11.DONE
         if run.headers.get(EXPECT_ENDPOINT.lower(), self.name) != self.name:
             await self._send(writer, machine, 421, {INSTANCE: self.name}, b"")
             return True
@@ -309,11 +371,13 @@
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
                 await writer.drain()
                 return False
-            case Raw(pieces=pieces, gap=gap):
+            case Raw(pieces=pieces, gap=gap, is_reset=is_reset):
                 for piece in pieces:
                     writer.write(piece)
                     await writer.drain()
                     await asyncio.sleep(gap)
+                if is_reset:
+                    reset_connection(writer)
                 return False
             case Hang():
                 await self._wait_for_cancel(run, reader)
