Reset a stream to a caller of HTTP/1.0 that is broken off

What callers saw: a part of a stream that looked whole, or with keep-alive a whole stream whose end never came. Cause: these callers take no chunks, so that nothing but the connection's close ends a stream; a stream that is broken off, and a gateway that ends, closed it as well. Change: Reply ends such an answer by a close, and until it is finished every close is a reset, by SO_LINGER: of a broken stream, of callers that give way, of a gateway that closes or is killed. A lingering close leaves such a connection to its reset. Ruled out: callers of HTTP/1.1, whose streams are in chunks (test_cut_answers).

--- a/eelgrassrack/gateway/endpoints/connection.py
+++ b/eelgrassrack/gateway/endpoints/connection.py
@@ -9,7 +9,6 @@
 import fcntl
 import math
 import socket
-import struct
 import sys
 import termios
 from collections.abc import Callable
@@ -18,6 +17,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from ...errors import FormatError
+from ...lingering import discard_unsent
 from ...responsehead import MAX_HEAD_BYTES, MAX_INTERIM, check_response
 from ...turnquota import TurnQuota
 from ..errors import BrokenError, ConnectError, EndlessError, NoDescriptorError
@@ -34,9 +34,6 @@
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
 
-# The value of SO_LINGER for which a close discards unsent bytes and sends a reset.
-NO_LINGER = struct.pack("ii", 1, 0)
-
 # Size of the number that the kernel gives for the bytes that it hasn't sent.
 INT_BYTES = 4
 
@@ -377,11 +374,6 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS)
 
 
-def discard_unsent(sock: socket.socket) -> None:
-    """Make the next close discard unsent bytes and reset the connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-
-
 def refuse_to_abandon() -> bool:
     """Return that a request may not be abandoned."""
     return False
--- a/eelgrassrack/gateway/requests/reply.py
+++ b/eelgrassrack/gateway/requests/reply.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPConnection, HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from ...lingering import discard_unsent, keep_unsent
 from ..errors import CallerGoneError
 from .messages import Refusal
 
@@ -21,6 +22,18 @@
 }
 
 
+OLD_VERSION = "HTTP/1.0"
+
+
+def is_unframed(connection: HTTPConnection, fields: HTTPHeaders) -> bool:
+    """Return whether nothing but the connection's close ends a response.
+
+    Callers of the old version of HTTP take no chunks.
+    """
+    is_old = connection._request_start_line.version == OLD_VERSION
+    return is_old and "Content-Length" not in fields
+
+
 class Reply:
     """The response to one request.
 
@@ -30,6 +43,7 @@
 
     __slots__ = (
         "_connection",
+        "_ends_by_close",
         "_is_closing",
         "is_started",
         "is_finished",
@@ -41,6 +55,7 @@
     ) -> None:
         self._connection = connection
         self._is_closing = is_closing
+        self._ends_by_close = False
         self.is_started = False
         self.is_finished = False
         self.is_request_read = True
@@ -72,12 +87,26 @@
             # or after a body that was not read to its end.
             fields["Connection"] = "close"
             self._connection._disconnect_on_finish = True
+        if is_unframed(self._connection, fields):
+            self._end_by_close(fields)
         self.is_started = True
         line = ResponseStartLine("HTTP/1.1", status, reason)
         await self._wait_written(
             self._connection.write_headers(line, fields, data or None)
         )
 
+    def _end_by_close(self, fields: HTTPHeaders) -> None:
+        """Let the connection's close end the response, and a reset break it off.
+
+        Until the response is finished every close is a reset, also by the kernel when
+        this process is killed.
+        """
+        fields["Connection"] = "close"
+        self._connection._disconnect_on_finish = True
+        if not self._connection.stream.closed():
+            self._ends_by_close = True
+            discard_unsent(self._connection.stream.socket)
+
     async def write(self, data: bytes) -> None:
         """Write bytes and wait until they are sent; raise `CallerGoneError`."""
         await self._wait_written(self._connection.write(data))
@@ -85,6 +114,8 @@
     def finish(self) -> None:
         """Finish the response as complete."""
         self.is_finished = True
+        if self._ends_by_close and not self._connection.stream.closed():
+            keep_unsent(self._connection.stream.socket)
         if self.is_request_read:
             self._connection.finish()
 
--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -10,6 +10,7 @@
 import contextlib
 import math
 import socket
+import struct
 from collections.abc import Coroutine
 
 import logbook
@@ -30,6 +31,11 @@
 
 READ_BYTES = 16_384
 
+# The values of SO_LINGER for which a close discards unsent bytes and sends a reset, and
+# for which the kernel still sends them.
+NO_LINGER = struct.pack("ii", 1, 0)
+SENDS_UNSENT = struct.pack("ii", 0, 0)
+
 # What arrives on lingering connections is discarded.
 _discarded = bytearray(READ_BYTES)
 
@@ -56,8 +62,11 @@
 
         At most `most` bytes are still read from it.
         The stream itself is closed immediately, so that no other code reads
-        from it.
+        from it.  A connection whose close resets it is only closed.
         """
+        if stream.closed() or is_reset_by_close(stream.socket):
+            stream.close()
+            return
         sock = _copy_socket(stream)
         if sock is None:
             _send_last(stream, answer)
@@ -108,6 +117,22 @@
         await asyncio.gather(*open_tasks, return_exceptions=True)
 
 
+def discard_unsent(sock: socket.socket) -> None:
+    """Make the next close discard unsent bytes and reset the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+def keep_unsent(sock: socket.socket) -> None:
+    """Make the next close send unsent bytes and then the end of the stream."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, SENDS_UNSENT)
+
+
+def is_reset_by_close(sock: socket.socket) -> bool:
+    """Return whether the next close resets the connection."""
+    value = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, len(NO_LINGER))
+    return value == NO_LINGER
+
+
 def _copy_socket(stream: IOStream) -> socket.socket | None:
     """Return a duplicate of the stream's socket, or None if the stream is closed."""
     if stream.closed():
--- a/eelgrassrack/standins/directengine.py
+++ b/eelgrassrack/standins/directengine.py
@@ -13,7 +13,7 @@
 import h11
 import msgspec
 
-from ..gateway.endpoints.connection import discard_unsent
+from ..lingering import discard_unsent
 from ..platform.headers import (
     ATTEMPT,
     CONFIDENCE,
