Send no last answer in the midst of another one

What callers would see: a 408 or 503 as bytes of the answer before it, which may thereby have as many bytes as it states. Cause: a lingering close drops what the stream still has to write and sends its last answer right after what was written. Change: while the stream writes, the last answer is left out. Result: the test in test_lingering failed before (the bytes of the 408 followed a part of an answer) and passes now. It calls the close itself: no path of a gateway is known that closes with a last answer while another is being written.

--- a/eelgrassrack/lingering.py
+++ b/eelgrassrack/lingering.py
@@ -67,6 +67,9 @@
         if stream.closed() or is_reset_by_close(stream.socket):
             stream.close()
             return
+        if stream.writing():
+            # In the midst of another answer it would be taken for a part of that.
+            answer = b""
         sock = _copy_socket(stream)
         if sock is None:
             _send_last(stream, answer)
@@ -146,7 +149,7 @@
 
 def _send_last(stream: IOStream, answer: bytes) -> None:
     """Send a last answer on a connection that can't linger."""
-    if stream.closed():
+    if stream.closed() or stream.writing():
         return
     with contextlib.suppress(OSError):
         stream.socket.send(answer)
