Report a change to peers only once it is applied

What callers would see: endpoints, domains or orders that a gateway never learns of. Cause: a follower noted the revision of a list or of a watch's events before it applied them. If that raised, it listed again, but had told its peers meanwhile that it knows the change; they note that revision with a view that lacks the change, and don't fetch it again. Change: what was noted is taken back where the changes can't be applied. Ruled out: nothing is known that raises there; test_unexpected covers decoders, which raise before.

--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from typing import Protocol
 
 import logbook
@@ -251,20 +251,16 @@
         now = loop.time()
         match result:
             case ListResult():
-                self._note_complete(asked_at)
-                self.has_listed = True
-                self.revision = result.revision
-                self._apply_list(result)
+                with self._note_applied():
+                    self._note_complete(asked_at)
+                    self.has_listed = True
+                    self.revision = result.revision
+                    self._apply_list(result)
             case WatchResult():
                 has_waited = now >= asked_at + WAITING_SECONDS
-                self._note_complete(now, is_prompt=has_waited)
-                # After `relist` the revision is None and stays so: this result may
-                # lack changes.
-                self.revision = self.revision and result.revision
-                self._has_changed = bool(result.objects)
-                if result.objects:
-                    self.event_revision = max(self.event_revision, result.newest)
-                    self._apply_changes(result.objects)
+                with self._note_applied():
+                    self._note_complete(now, is_prompt=has_waited)
+                    self._apply_watched(result)
             case HistoryGone():
                 log.notice("store: history of {} is gone, listing", self.kind)
                 self._note_gap()
@@ -281,6 +277,38 @@
         self._contact.note_answer(asked_at=asked_at, now=now)
         return True
 
+    @contextlib.contextmanager
+    def _note_applied(self) -> Iterator[None]:
+        """Note changes as known only if they can be applied.
+
+        Otherwise peers would be told that they are known here, and never fetch them.
+        """
+        noted = (
+            self.event_revision,
+            self._list_revision,
+            self._complete_at,
+            self.has_listed,
+        )
+        try:
+            yield
+        except Exception:
+            (
+                self.event_revision,
+                self._list_revision,
+                self._complete_at,
+                self.has_listed,
+            ) = noted
+            raise
+
+    def _apply_watched(self, result: WatchResult) -> None:
+        # After `relist` the revision is None and stays so: this result may lack
+        # changes.
+        self.revision = self.revision and result.revision
+        self._has_changed = bool(result.objects)
+        if result.objects:
+            self.event_revision = max(self.event_revision, result.newest)
+            self._apply_changes(result.objects)
+
     def _note_complete(self, at: float, *, is_prompt: bool = False) -> None:
         """Note that no change before the loop time `at` is unknown here any more.
 
--- /dev/null
+++ b/test/gateway/test_unapplied_changes.py
@@ -0,0 +1,89 @@
+"""Tests of changes that arrive and can't be applied, or break off."""
+
+import asyncio
+
+import pytest
+
+from eelgrassrack.gateway.store.follower import Follower
+from eelgrassrack.gateway.store.storecontact import StoreContact
+from eelgrassrack.gateway.store.storeobjects import (
+    ListResult,
+    StoreUnavailable,
+    WatchResult,
+)
+from eelgrassrack.platform.store import Kinds
+
+from .virtualtime import run_in_virtual_time
+from .world import wait_for
+
+EMPTY_LIST = ListResult(revision=1, newest=0, objects={})
+CHANGED_LIST = ListResult(revision=2, newest=2, objects={"models": 1})
+CHANGE = WatchResult(revision=2, newest=2, objects={"models": 1})
+LOST = StoreUnavailable(reason="cut")
+DELAY_SECONDS = 0.5
+
+
+class ScriptedStore:
+    """Answers each call with the next of some results, all of them late."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.calls = []
+
+    async def list(self, **_):
+        return await self._answer("list")
+
+    async def watch(self, **_):
+        return await self._answer("watch")
+
+    async def _answer(self, call):
+        self.calls.append(call)
+        if not self.results:
+            await asyncio.sleep(100.0)
+        await asyncio.sleep(DELAY_SECONDS)
+        return self.results.pop(0)
+
+    def is_receiving(self, kind):
+        return self.calls[-1:] == ["watch"]
+
+
+def make_follower(store, apply):
+    return Follower(
+        store=store,
+        kind=Kinds.EVACUATIONS,
+        contact=StoreContact(),
+        replace_all=apply,
+        apply_changes=apply,
+        find_wait=lambda: 1.0,
+        is_active=lambda: True,
+        is_standby=lambda: False,
+    )
+
+
+@pytest.mark.parametrize("results", ((CHANGED_LIST,), (EMPTY_LIST, CHANGE)))
+def test_a_change_that_cant_be_applied_isnt_reported_to_peers(results):
+    """Guards against peers that never fetch a change as they were told of it."""
+
+    async def main():
+        store = ScriptedStore(*results, CHANGED_LIST)
+        reported = []
+        applied = []
+
+        def apply(objects):
+            if objects and not reported:
+                asyncio.get_running_loop().call_soon(note)
+                raise RuntimeError("unexpected")
+            applied.append(objects)
+
+        def note():
+            reported.append((follower.event_revision, follower.complete_revision))
+
+        follower = make_follower(store, apply)
+        following = asyncio.ensure_future(follower.run())
+        await wait_for(lambda: {"models": 1} in applied)
+        known = 1 if len(results) > 1 else 0
+        assert reported == [(known, known)]
+        assert (follower.event_revision, follower.complete_revision) == (2, 2)
+        following.cancel()
+
+    run_in_virtual_time(main())
