List again where an answer breaks off after another watch missed changes

What callers would see: an endpoint that drains or a key that is revoked, for as long as a watch waits that reports nothing. Cause: a follower whose answer is arriving doesn't list again when another kind's watch turns out to miss changes. If its answer then broke off, nothing was left of that, and it watched again from the old revision. Change: the follower remembers that it has to list if its answer breaks off.

--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -120,6 +120,7 @@
         "_is_standby",
         "_list_known",
         "_list_revision",
+        "_lists_if_cut",
         "_may_watch",
         "_store",
         "_apply_changes",
@@ -160,6 +161,7 @@
         self._heard_revision = 0
         self._has_gap = True
         self._has_changed = False
+        self._lists_if_cut = False
         self._complete_at: float | None = None
         self.changed_after: float | None = None
         self.event_revision = 0
@@ -217,9 +219,11 @@
 
         A new watch isn't enough: a store that has just dropped its history doesn't
         report changes to new watches either for a moment, while a list is complete.
-        A watch whose answer is arriving isn't among those that miss changes.
+        A watch whose answer is arriving isn't among those that miss changes, unless
+        the answer breaks off.
         """
         if self._store.is_receiving(self.kind):
+            self._lists_if_cut = True
             return
         self._has_gap = True
         self._cancel_watch()
@@ -245,6 +249,7 @@
     async def _advance(self) -> bool:
         """List or watch once; return whether the next call needs no backoff."""
         self._has_changed = False
+        self._lists_if_cut = False
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         result = await (self._list() if self.revision is None else self._watch())
@@ -273,6 +278,9 @@
                 return True
             case StoreUnavailable(reason=reason):
                 self._contact.note_lost(now=now, kind=self.kind, reason=reason)
+                if self._lists_if_cut:
+                    self.revision = None
+                    self._has_gap = True
                 return False
         self._contact.note_answer(asked_at=asked_at, now=now)
         return True
--- a/test/gateway/test_unapplied_changes.py
+++ b/test/gateway/test_unapplied_changes.py
@@ -87,3 +87,19 @@
         following.cancel()
 
     run_in_virtual_time(main())
+
+
+def test_a_watch_that_breaks_off_after_another_missed_changes_is_listed():
+    """Guards against a change that a store without its history never reports."""
+
+    async def main():
+        store = ScriptedStore(EMPTY_LIST, LOST)
+        follower = make_follower(store, lambda objects: None)
+        following = asyncio.ensure_future(follower.run())
+        await wait_for(lambda: store.calls == ["list", "watch"])
+        follower.relist()
+        await wait_for(lambda: len(store.calls) > 2)
+        assert store.calls == ["list", "watch", "list"]
+        following.cancel()
+
+    run_in_virtual_time(main())
