Count a peer's view as known only once it is applied

What callers would see: as with a change that is reported too early, at a gateway that gets its changes from peers. Cause: the view's revisions were noted before it was applied. If that raised, the task started again and asked for later changes only. Change: the revisions are noted afterwards.

--- a/eelgrassrack/gateway/store/storesync.py
+++ b/eelgrassrack/gateway/store/storesync.py
@@ -305,9 +305,10 @@
             return
         read = (follower.complete_revision for follower in self.followers)
         known = tuple(map(max, self._peer_revisions, read))
-        newest = map(max, self._peer_revisions, view.revisions)
-        self._peer_revisions = tuple(newest)
+        newest = tuple(map(max, self._peer_revisions, view.revisions))
         self._apply_view(self._drop_older(view, known))
+        # Not earlier: what couldn't be applied has to be fetched again.
+        self._peer_revisions = newest
 
     def _drop_older(self, view: StoreView, known: tuple[int, ...]) -> StoreView:
         """Return a view without the kinds of which later changes are known here.
--- a/test/gateway/test_unapplied_changes.py
+++ b/test/gateway/test_unapplied_changes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrassrack.gateway.endpoints.fleet import Fleet
 from eelgrassrack.gateway.store.follower import Follower
 from eelgrassrack.gateway.store.storecontact import StoreContact
 from eelgrassrack.gateway.store.storeobjects import (
@@ -14,7 +15,7 @@
 from eelgrassrack.platform.store import Kinds
 
 from .virtualtime import run_in_virtual_time
-from .world import wait_for
+from .world import make_world, wait_for
 
 EMPTY_LIST = ListResult(revision=1, newest=0, objects={})
 CHANGED_LIST = ListResult(revision=2, newest=2, objects={"models": 1})
@@ -103,3 +104,28 @@
         following.cancel()
 
     run_in_virtual_time(main())
+
+
+def test_a_peer_s_view_that_cant_be_applied_is_fetched_again(monkeypatch):
+    """Guards against an endpoint that a gateway never learns of."""
+    failures = []
+
+    def fail(*_, **__):
+        failures.append(True)
+        raise RuntimeError("unexpected")
+
+    async def main():
+        async with make_world() as world:
+            await world.add_engine("e1")
+            await world.start_gateway(number=1)
+            away = await world.start_gateway(number=2, objects_url="http://127.0.0.9:9")
+            await wait_for(lambda: away.is_ready)
+            await asyncio.sleep(1.0)
+            monkeypatch.setattr(Fleet, "replace_from_peer", fail)
+            monkeypatch.setattr(Fleet, "apply_changes_of_peer", fail)
+            await world.add_engine("e2")
+            await wait_for(lambda: failures)
+            monkeypatch.undo()
+            await wait_for(lambda: away.fleet.find("e2"))
+
+    run_in_virtual_time(main())
