Take a changed endpoint that can't be used for one that is gone

What callers would see: requests to the address that an endpoint had before. Cause: of a peer's changes, endpoints whose address can't be used are left out, so that the asker kept what it had and counted the view as whole. Only gateways of an earlier version send such endpoints. Change: among changes they count as gone, as in a list that lacks them.

--- a/eelgrassrack/gateway/store/storeviews.py
+++ b/eelgrassrack/gateway/store/storeviews.py
@@ -102,14 +102,18 @@
 def decode_view(data: bytes) -> StoreView:
     """Decode a peer's store view; raise `FormatError`.
 
-    Endpoints whose address can't be used are left out: a peer of an earlier version
-    takes them from the store.
+    Endpoints whose address can't be used are left out, and among changes count as gone:
+    a peer of an earlier version takes them from the store.
     """
     view = decode_msgpack(data, kind=StoreView)
     if view.endpoints is None:
         return view
     usable = tuple(one for one in view.endpoints if is_usable(one.address))
-    return msgspec.structs.replace(view, endpoints=usable)
+    gone = view.gone
+    if gone is not None:
+        odd = {one.name for one in view.endpoints} - {one.name for one in usable}
+        gone = (*gone, *sorted(odd))
+    return msgspec.structs.replace(view, endpoints=usable, gone=gone)
 
 
 def make_path(known: KnownRevisions) -> str:
--- a/test/gateway/test_unapplied_changes.py
+++ b/test/gateway/test_unapplied_changes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrassrack.gateway.endpoints.endpoint import Endpoint
 from eelgrassrack.gateway.endpoints.fleet import Fleet
 from eelgrassrack.gateway.store.follower import Follower
 from eelgrassrack.gateway.store.storecontact import StoreContact
@@ -12,6 +13,11 @@
     StoreUnavailable,
     WatchResult,
 )
+from eelgrassrack.gateway.store.storeviews import (
+    StoreView,
+    decode_view,
+    encode_view,
+)
 from eelgrassrack.platform.store import Kinds
 
 from .virtualtime import run_in_virtual_time
@@ -129,3 +135,30 @@
             await wait_for(lambda: away.fleet.find("e2"))
 
     run_in_virtual_time(main())
+
+
+def test_a_changed_endpoint_whose_address_cant_be_used_is_gone():
+    """Guards against requests to the address that an endpoint had before."""
+    odd = Endpoint(
+        name="e1",
+        born=1,
+        service="plain",
+        address=("999.0.0.1", 80),
+        domain="north",
+        version="v1",
+        slots=1,
+        is_draining=False,
+        cold=0.0,
+    )
+    sent = StoreView(
+        plan=None,
+        endpoints=(odd,),
+        evacuated=None,
+        orders=None,
+        knows_store=True,
+        revisions=(1, 2, 1, 1),
+        gone=("e2",),
+    )
+    view = decode_view(encode_view(sent))
+    assert view.endpoints == ()
+    assert set(view.gone) == {"e1", "e2"}
