--- a/eelgrassrack/gateway/store/follower.py
+++ b/eelgrassrack/gateway/store/follower.py
@@ -7,7 +7,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 from typing import Protocol
 
 import logbook
@@ -120,6 +120,7 @@
         "_is_standby",
         "_list_known",
         "_list_revision",
+        "_lists_if_cut",
         "_may_watch",
         "_store",
         "_apply_changes",
@@ -160,6 +161,7 @@
         self._heard_revision = 0
         self._has_gap = True
         self._has_changed = False
+        self._lists_if_cut = False
         self._complete_at: float | None = None
         self.changed_after: float | None = None
         self.event_revision = 0
@@ -217,9 +219,11 @@
 
         A new watch isn't enough: a store that has just dropped its history doesn't
         report changes to new watches either for a moment, while a list is complete.
-        A watch whose answer is arriving isn't among those that miss changes.
+        A watch whose answer is arriving isn't among those that miss changes, unless
+        the answer breaks off.
         """
         if self._store.is_receiving(self.kind):
+            self._lists_if_cut = True
             return
         self._has_gap = True
         self._cancel_watch()
@@ -245,26 +249,23 @@
     async def _advance(self) -> bool:
         """List or watch once; return whether the next call needs no backoff."""
         self._has_changed = False
+        self._lists_if_cut = False
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         result = await (self._list() if self.revision is None else self._watch())
         now = loop.time()
         match result:
             case ListResult():
-                self._note_complete(asked_at)
-                self.has_listed = True
-                self.revision = result.revision
-                self._apply_list(result)
+                with self._note_applied():
+                    self._note_complete(asked_at)
+                    self.has_listed = True
+                    self.revision = result.revision
+                    self._apply_list(result)
             case WatchResult():
                 has_waited = now >= asked_at + WAITING_SECONDS
-                self._note_complete(now, is_prompt=has_waited)
-                # After `relist` the revision is None and stays so: this result may
-                # lack changes.
-                self.revision = self.revision and result.revision
-                self._has_changed = bool(result.objects)
-                if result.objects:
-                    self.event_revision = max(self.event_revision, result.newest)
-                    self._apply_changes(result.objects)
+                with self._note_applied():
+                    self._note_complete(now, is_prompt=has_waited)
+                    self._apply_watched(result)
             case HistoryGone():
                 log.notice("store: history of {} is gone, listing", self.kind)
                 self._note_gap()
@@ -277,10 +278,45 @@
                 return True
             case StoreUnavailable(reason=reason):
                 self._contact.note_lost(now=now, kind=self.kind, reason=reason)
+                if self._lists_if_cut:
+                    self.revision = None
+                    self._has_gap = True
                 return False
         self._contact.note_answer(asked_at=asked_at, now=now)
         return True
 
+    @contextlib.contextmanager
+    def _note_applied(self) -> Iterator[None]:
+        """Note changes as known only if they can be applied.
+
+        Otherwise peers would be told that they are known here, and never fetch them.
+        """
+        noted = (
+            self.event_revision,
+            self._list_revision,
+            self._complete_at,
+            self.has_listed,
+        )
+        try:
+            yield
+        except Exception:
+            (
+                self.event_revision,
+                self._list_revision,
+                self._complete_at,
+                self.has_listed,
+            ) = noted
+            raise
+
+    def _apply_watched(self, result: WatchResult) -> None:
+        # After `relist` the revision is None and stays so: this result may lack
+        # changes.
+        self.revision = self.revision and result.revision
+        self._has_changed = bool(result.objects)
+        if result.objects:
+            self.event_revision = max(self.event_revision, result.newest)
+            self._apply_changes(result.objects)
+
     def _note_complete(self, at: float, *, is_prompt: bool = False) -> None:
         """Note that no change before the loop time `at` is unknown here any more.
 
