Let the callers of the gateway soak send bodies and leave, and compare what ran

Cause: the soak missed that requests ran with an empty or a shortened body: its callers sent three bytes with a length and always waited, and its endpoints compared no bodies.

Change: callers send 0 to 60,000 bytes that follow from the attempt's id, with a length or in chunks of 1 to 4,096 bytes, in one or more parts, pipelined, with Expect, and one burst of four leaves: closed, half closed or reset, after its last byte or at any other. Endpoints compare each body as it arrives and keep none. A request that was cut before its last byte must not run, another one only with its body, method and path. Callers that stay are checked as before; one that is behind an answer that ended the connection needs none, as HTTP has it.

--- a/bench/gatewaysoak/__main__.py
+++ b/bench/gatewaysoak/__main__.py
@@ -64,7 +64,7 @@
         count += 1
         print(
             f"seed {seed}: {verdict.served} of {verdict.sent} served, "
-            f"{verdict.fault_counts}, {verdict.late_outcomes}",
+            f"{verdict.fault_counts}, {verdict.late_outcomes}, {verdict.leavers}",
             flush=True,
         )
         for fault in verdict.faults[:MAX_FAULT_LINES]:
--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -37,7 +37,7 @@
         lateness: Lateness | None = None,
     ) -> None:
         self._lateness = lateness or Lateness()
-        self._results = list(results)
+        self._results = [each for each in results if each.needs_answer]
         self._broken_at = broken
         self._reset_times = list(resets)
         self._gateways = {gateway.listen: gateway for gateway in gateways}
--- a/bench/gatewaysoak/callers.py
+++ b/bench/gatewaysoak/callers.py
@@ -8,16 +8,13 @@
 
 import msgspec
 
-from test.gateway.world import ANY_MODEL_HEADERS, Caller, CallerResponse
+from test.gateway.world import Caller, CallerResponse
 
+from ..leaving import Leaving, send_and_leave, send_parts
 from .lateness import Lateness
+from .requests import STREAMS, Burst, SoakRequest, draw_burst
 from .steps import EVENTS
 
-# Paths whose answers are streams of events.
-STREAMS = ("/chat/1", "/once/1", "/final/1")
-PATHS = ("/look/1", "/issue/1", "/issue/1", "/chat/1", "/chat/1", "/once/1", "/final/1")
-# Request timeouts; many are longer than the remaining grace of a stopping gateway.
-TIMEOUTS_MS = (700, 2_000, 4_000, 4_000, 9_000)
 # How long a caller waits for an answer before it gives up.
 ANSWER_SECONDS = 12.0
 PAUSE_SECONDS = 0.05
@@ -33,7 +30,12 @@
     answer.  `is_reused` means that the connection had served a request before,
     `has_partial_answer` that at least a part of the answer arrived, `gave_up` that
     the caller stopped waiting.  `fault` says what is wrong with a successful answer.
-    Times are monotonic; `connected_at` is when the caller began to connect.
+    Times are monotonic; `connected_at` is when the caller began to connect, `sent_at`
+    when it sent the request or, if that was later, had the answer before it.
+
+    `leaving` is what the caller did before it had the answer.  `is_cut` means that it
+    didn't send the whole request, `is_behind` that the connection ended with the
+    answer before it, so that nobody need answer this one.
     """
 
     attempt: str
@@ -50,6 +52,23 @@
     gave_up: bool = False
     error: str = ""
     fault: str = ""
+    leaving: Leaving = Leaving.STAY
+    is_cut: bool = False
+    is_behind: bool = False
+
+    @property
+    def needs_answer(self) -> bool:
+        """Return whether the caller stayed for an answer that was due."""
+        return self.leaving is Leaving.STAY and not self.is_behind
+
+
+class Connection(msgspec.Struct, kw_only=True):
+    """A caller's connection to a gateway, and whether it has served a request."""
+
+    caller: Caller
+    gateway: str
+    connected_at: float
+    is_reused: bool = False
 
 
 class Callers:
@@ -73,78 +92,124 @@
         self._numbers = itertools.count()
 
     async def run(self) -> None:
-        """Send one request after the other as a single caller."""
-        caller: Caller | None = None
-        gateway = ""
-        is_reused = False
-        connected_at = 0.0
+        """Send one burst of requests after the other as a single caller."""
+        connection: Connection | None = None
         while not self.is_stopping:
-            if caller is None:
-                gateway = self._rng.choice(self._addresses())
-                connected_at = time.monotonic()
-                caller = await _connect(gateway)
-                is_reused = False
-            if caller is None:
+            if connection is None:
+                connection = await _connect(self._rng.choice(self._addresses()))
+            if connection is None:
                 await asyncio.sleep(PAUSE_SECONDS)
                 continue
-            result, is_reusable = await self._send_request(
-                caller, gateway, is_reused, connected_at
-            )
-            self.results.append(result)
+            burst = draw_burst(self._rng, self._numbers)
+            is_reusable = await self._play(burst, connection)
             await asyncio.sleep(self._draw_pause())
-            is_reused = True
-            if not is_reusable or caller.reader.at_eof():
-                caller.close()
-                caller = None
-        if caller is not None:
-            caller.close()
+            connection.is_reused = True
+            if not is_reusable or connection.caller.reader.at_eof():
+                connection.caller.close()
+                connection = None
+        if connection is not None:
+            connection.caller.close()
 
     def _draw_pause(self) -> float:
         is_long = self._rng.random() < LONG_PAUSE_SHARE
         return self._rng.random() * (LONG_PAUSE_SECONDS if is_long else PAUSE_SECONDS)
 
-    async def _send_request(
-        self, caller: Caller, gateway: str, is_reused: bool, connected_at: float
-    ) -> tuple[RequestResult, bool]:
-        attempt = f"a{next(self._numbers)}"
-        path = self._rng.choice(PATHS)
-        timeout_ms = self._rng.choice(TIMEOUTS_MS)
-        lets_router_choose = path == "/chat/1" and self._rng.random() < 0.5
+    async def _play(self, burst: Burst, connection: Connection) -> bool:
+        """Send a burst and read its answers; return whether the connection stays."""
         sent_at = time.monotonic()
+        writer = connection.caller.writer
+        if burst.leaving is Leaving.STAY:
+            sending = asyncio.ensure_future(send_parts(writer, burst.parts))
+            is_reusable = await self._read_answers(burst, connection, sent_at)
+            if is_reusable:
+                await asyncio.wait({sending}, timeout=ANSWER_SECONDS)
+            was_sent = sending.done()
+            sending.cancel()
+            return is_reusable and was_sent
+        await send_and_leave(writer, burst.parts, burst.leaving)
+        if burst.leaving is Leaving.HALF_CLOSE:
+            await self._read_answers(burst, connection, sent_at)
+        else:
+            for request in burst.requests:
+                self._note(burst, request, connection, sent_at=sent_at)
+                connection.is_reused = True
+        return False
+
+    async def _read_answers(
+        self, burst: Burst, connection: Connection, sent_at: float
+    ) -> bool:
+        """Read the answers in their order; return whether the connection stays."""
+        is_open = True
+        for request in burst.requests:
+            if is_open:
+                is_open = await self._read_answer(burst, request, connection, sent_at)
+            else:
+                self._note(burst, request, connection, sent_at=sent_at, is_behind=True)
+            connection.is_reused = True
+            sent_at = time.monotonic()
+        return is_open
+
+    async def _read_answer(
+        self,
+        burst: Burst,
+        request: SoakRequest,
+        connection: Connection,
+        sent_at: float,
+    ) -> bool:
         response, error, has_partial_answer = None, None, False
-        reading = asyncio.ensure_future(caller.read())
+        reading = asyncio.ensure_future(connection.caller.read())
         try:
-            caller.send(
-                path,
-                attempt=attempt,
-                timeout_ms=timeout_ms,
-                headers=ANY_MODEL_HEADERS if lets_router_choose else (),
-            )
             response = await self._wait_answer(reading, sent_at)
             has_partial_answer = True
         except asyncio.IncompleteReadError as cut:
             error, has_partial_answer = cut, bool(cut.partial)
         except (OSError, TimeoutError) as broken:
             error = broken
-        result = RequestResult(
-            attempt=attempt,
-            path=path,
-            gateway=gateway,
-            is_reused=is_reused,
-            timeout_ms=timeout_ms,
-            connected_at=connected_at,
+        is_whole = response is not None and response.is_whole
+        self._note(
+            burst,
+            request,
+            connection,
             sent_at=sent_at,
-            ended_at=time.monotonic(),
             status=response.status if response else 0,
-            is_whole=response is not None and response.is_whole,
+            is_whole=is_whole,
             has_partial_answer=has_partial_answer,
             gave_up=isinstance(error, TimeoutError),
             error=repr(error) if error else "",
-            fault=_find_fault(path, attempt, response)
+            fault=_find_fault(request.path, request.attempt, response)
             if response and response.status == 200
             else "",
         )
-        return result, result.is_whole and response.headers.get("connection") != "close"
+        return is_whole and response.headers.get("connection") != "close"
+
+    def _note(
+        self,
+        burst: Burst,
+        request: SoakRequest,
+        connection: Connection,
+        *,
+        status: int = 0,
+        is_whole: bool = False,
+        has_partial_answer: bool = False,
+        **rest: object,
+    ) -> None:
+        self.results.append(
+            RequestResult(
+                attempt=request.attempt,
+                path=request.path,
+                gateway=connection.gateway,
+                is_reused=connection.is_reused,
+                timeout_ms=request.timeout_ms,
+                connected_at=connection.connected_at,
+                ended_at=time.monotonic(),
+                status=status,
+                is_whole=is_whole,
+                has_partial_answer=has_partial_answer,
+                leaving=burst.leaving,
+                is_cut=burst.is_cut and request is burst.requests[-1],
+                **rest,
+            )
+        )
 
     async def _wait_answer(
         self, reading: asyncio.Future, sent_at: float
@@ -164,13 +229,15 @@
         raise TimeoutError
 
 
-async def _connect(address: str) -> Caller | None:
-    host, port = address.rsplit(":", 1)
+async def _connect(gateway: str) -> Connection | None:
+    host, port = gateway.rsplit(":", 1)
+    connected_at = time.monotonic()
     try:
         async with asyncio.timeout(1.0):
-            return Caller(*await asyncio.open_connection(host, int(port)))
+            caller = Caller(*await asyncio.open_connection(host, int(port)))
     except (OSError, TimeoutError):
         return None
+    return Connection(caller=caller, gateway=gateway, connected_at=connected_at)
 
 
 def _find_fault(path: str, attempt: str, response: CallerResponse) -> str:
--- a/bench/gatewaysoak/play.py
+++ b/bench/gatewaysoak/play.py
@@ -13,17 +13,18 @@
 import msgspec
 
 from eelgrassrack.platform.store import Kinds
-from eelgrassrack.standins.directengine import DirectEngine
 from eelgrassrack.standins.metadatastore import Fault, MetadataStore
 from test.gateway.world import make_manifest
 from test.ports import find_port
 
+from ..bodies import BodyCheck
 from .answers import AnswerCheck
 from .callers import Callers
 from .draining import DRAIN_SECONDS, SLACK_SECONDS, DrainTracker, Outage
 from .gateways import GatewayProcess
 from .lateness import Lateness
 from .links import Link, LinkFault
+from .runs import ComparingEngine, RunCheck
 from .steps import Behaviour, make_endless, make_script
 
 GATEWAYS = 3
@@ -88,7 +89,7 @@
     """The result of one seed.
 
     `fault_counts` counts the injected faults by name, `late_outcomes` the requests
-    that were sent late in a stop, by outcome.
+    that were sent late in a stop, by outcome, `leavers` those of callers that left.
     """
 
     seed: int
@@ -97,6 +98,7 @@
     served: int
     fault_counts: dict[str, int]
     late_outcomes: dict[str, int]
+    leavers: dict[str, int]
 
 
 class Soak:
@@ -122,7 +124,7 @@
         # depends on timing and would change the faults of a seed.
         self._rng = random.Random(f"faults of {seed}")
         self._store = MetadataStore()
-        self._engines: dict[str, DirectEngine] = {}
+        self._engines: dict[str, ComparingEngine] = {}
         self._addresses: dict[str, str] = {}
         self._links: list[Link] = []
         # Monotonic times at which links to endpoints were reset.
@@ -135,6 +137,7 @@
         self._is_series_running = False
         self._lateness = Lateness()
         self._drains = DrainTracker(self._lateness)
+        self._bodies = BodyCheck()
 
     async def run(self) -> Verdict:
         """Play the seed and check its results."""
@@ -170,7 +173,13 @@
             resets=self._reset_times,
             lateness=self._lateness,
         )
+        run_check = RunCheck(
+            results=callers.results,
+            runs=[run for engine in engines for run in engine.runs],
+            differences=self._bodies.differences,
+        )
         faults = self._check(callers) + answer_check.list_faults()
+        faults += run_check.list_faults()
         if not recovered:
             faults.append("nothing was served after all faults were over")
         served = sum(result.status == 200 for result in callers.results)
@@ -181,6 +190,7 @@
             served=served,
             fault_counts=dict(self._fault_counts),
             late_outcomes=dict(answer_check.counts),
+            leavers=run_check.count_leavers(),
         )
 
     async def _start(self) -> None:
@@ -214,7 +224,7 @@
             [Behaviour.STEADY, Behaviour.STEADY, Behaviour.MIXED]
         )
         script = make_script(name[0], behaviour, self._rng)
-        engine = DirectEngine(name=name, script=script)
+        engine = ComparingEngine(name=name, script=script, bodies=self._bodies)
         await engine.start()
         link = Link(target=engine.address)
         await link.start()
@@ -451,8 +461,6 @@
             for name, engine in self._engines.items()
         }
         faults += self._drains.list_late(times)
-        sent_attempts = {result.attempt for result in callers.results}
-        faults += [f"{one} was asked by nobody" for one in runs.keys() - sent_attempts]
         return faults
 
 
--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bench.bodies import Difference
 from bench.gatewaysoak import draining
 from bench.gatewaysoak.answers import AnswerCheck
 from bench.gatewaysoak.callers import RequestResult
@@ -13,7 +14,11 @@
     ProcessLifetime,
 )
 from bench.gatewaysoak.play import play
+from bench.gatewaysoak.requests import METHOD
+from bench.gatewaysoak.runs import RunCheck
+from bench.leaving import Leaving
 from eelgrassrack.gateway.gracefulstop import ROTATION_SECONDS
+from eelgrassrack.standins.directengine import RunRecord
 
 BOUND = DRAIN_SECONDS + SLACK_SECONDS
 
@@ -198,3 +203,39 @@
     with log.open("a") as lines:
         lines.write("gateway: stopping, 0 open\ngateway: stopped, 0 cut\n")
     assert gateway._has_logged_stop()
+
+
+def check_runs(
+    result, *, attempt="a1", method=METHOD, target="/chat/1", differences=()
+):
+    """Return the faults of one run at an endpoint."""
+    run = RunRecord(
+        attempt=attempt,
+        model="",
+        method=method,
+        target=target,
+        headers={},
+        body=b"",
+        at=104.5,
+    )
+    check = RunCheck(results=[result], runs=[run], differences=[*differences])
+    return [*check.list_faults()]
+
+
+def test_the_soak_notices_runs_of_what_nobody_sent():
+    """Guards against a soak that doesn't compare what ran with what was sent."""
+    left = make_result(leaving=Leaving.CLOSE)
+    assert not check_runs(left)
+    assert check_runs(left, attempt="a2")
+    assert check_runs(left, method="GET")
+    assert check_runs(left, target="/chat/2")
+    assert check_runs(make_result(leaving=Leaving.CLOSE, is_cut=True))
+    shortened = Difference(request="a1", endpoint="m0", size=0, is_prefix=True)
+    assert check_runs(left, differences=[shortened])
+
+
+def test_only_callers_that_stay_need_an_answer():
+    """Guards against counting callers that left, and against leaving out others."""
+    assert judge(make_result())
+    assert not judge(make_result(leaving=Leaving.HALF_CLOSE))
+    assert not judge(make_result(is_behind=True))
--- a/test/gateway/world.py
+++ b/test/gateway/world.py
@@ -19,6 +19,9 @@
 
 MODELS = ("small", "middle", "large")
 
+# How the answer begins that asks for a body which the caller announced.
+INTERIM = b"HTTP/1.1 100"
+
 # Headers of a request that lets the gateway choose the model.
 ANY_MODEL_HEADERS = (
     ("X-Model", "*"),
@@ -221,8 +224,13 @@
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
     async def read(self):
-        """Return status, headers, body and whether the answer was complete."""
-        head = await self.reader.readuntil(b"\r\n\r\n")
+        """Return status, headers, body and whether the answer was complete.
+
+        Interim answers before it are skipped.
+        """
+        head = INTERIM
+        while head.startswith(INTERIM):
+            head = await self.reader.readuntil(b"\r\n\r\n")
         lines = head.decode("latin-1").split("\r\n")
         status = int(lines[0].split()[1])
         pairs = [line.split(": ", 1) for line in lines[1:] if line]
