--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -18,6 +18,7 @@
 )
 from tornado.iostream import IOStream
 
+from ...callers.body import IncompleteBodyError
 from ...callers.connection import UNLIMITED_BYTES
 from ...counts import read_count
 from ...dismissal import REQUEST_TIMEOUT_ANSWER
@@ -27,6 +28,7 @@
 from ..store.configuration import Limits
 from .messages import Arrival, Refusal
 from .reply import Reply
+from .requestlog import log_unread
 
 log = logbook.Logger("ingress")
 
@@ -51,12 +53,18 @@
 # deadline still has to write the responses that are due.
 MIN_END_POLLS = 20
 
+# The least time between two log lines on bodies that weren't kept whole.
+LOG_SECONDS = 1.0
+
 HEADERS_TOO_LONG = Refusal(status=431, reason="headers are too long")
 BODY_TOO_LONG = Refusal(status=413, reason="body is too long")
 
 # The request's own time is over, and nothing ran.
 BODY_TOO_SLOW = Refusal(status=503, reason="body took too long", retry_after=1.0)
 
+# A part of the body was read and isn't there any more, so nothing ran.
+BODY_INCOMPLETE = Refusal(status=503, reason="body wasn't kept", retry_after=1.0)
+
 # The request may have run.
 FAILED = Refusal(status=502, reason="the gateway failed")
 
@@ -153,6 +161,7 @@
         self._lingering = lingering
         self._reading: set[_Message] = set()
         self._serving: set[asyncio.Task] = set()
+        self._logged_at = -math.inf
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -296,6 +305,20 @@
     def _mark_active(self, connection: HTTPConnection) -> None:
         self._idle.pop(connection, None)
 
+    def log_incomplete(self, arrival: Arrival, error: IncompleteBodyError) -> None:
+        """Log that a part of a request's body was read and isn't kept."""
+        now = self._loop.time()
+        if now < self._logged_at + LOG_SECONDS:
+            return
+        self._logged_at = now
+        log.error(
+            "ingress: {request} doesn't run, {body} bytes of its body were read: "
+            "{error}",
+            request=arrival.id,
+            body=arrival.body_size,
+            error=str(error),
+        )
+
     async def _serve(
         self, arrival: Arrival, reply: Reply, refusal: Refusal | None = None
     ) -> None:
@@ -337,7 +360,6 @@
         "_ingress",
         "_limits",
         "_early_reply",
-        "_size",
         "_task",
         "connection",
     )
@@ -347,7 +369,6 @@
         self.connection = connection
         self._arrival: Arrival | None = None
         self._deadline = math.inf
-        self._size = 0
         self._early_reply: Reply | None = None
         self._limits: Limits | None = None
         self._task: asyncio.Task | None = None
@@ -393,14 +414,14 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, or discard it if the request is already refused."""
-        self._size += len(chunk)
+        self._arrival.body_size += len(chunk)
         if self._early_reply is None:
             self._keep(chunk)
-        elif self._size > self._limits.body_bytes + DRAIN_BYTES:
+        elif self._arrival.body_size > self._limits.body_bytes + DRAIN_BYTES:
             self.connection.close()
 
     def _keep(self, chunk: bytes) -> None:
-        if self._size > self._limits.body_bytes:
+        if self._arrival.body_size > self._limits.body_bytes:
             self._refuse(BODY_TOO_LONG)
         else:
             self.connection.stream.keep(chunk)
@@ -423,7 +444,13 @@
             if self._early_reply.is_finished:
                 self._early_reply.finish()
             return
-        self._arrival.body = self.connection.stream.take_body()
+        try:
+            self._arrival.body = self.connection.stream.take_body()
+        except IncompleteBodyError as error:
+            self._ingress.log_incomplete(self._arrival, error)
+            self._refuse(BODY_INCOMPLETE)
+            self._early_reply.is_request_read = True
+            return
         self._start(self._make_reply())
 
     def end(self) -> None:
@@ -451,6 +478,8 @@
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that closed its connection."""
         self._ingress._mark_active(self.connection)
+        if self in self._ingress._reading and self._early_reply is None:
+            log_unread(self._arrival)
         self._ingress._reading.discard(self)
         self._cancel()
 
