Check that nothing runs behind an answer that closes its connection

Cause: with requests that were pipelined behind an answer with Connection: close ran, with an empty body. HTTP forbids to process them, as their callers send them again.

Change: the soak's callers note these requests, and a run of one is a fault.

--- a/bench/gatewaysoak/callers.py
+++ b/bench/gatewaysoak/callers.py
@@ -35,7 +35,8 @@
 
     `leaving` is what the caller did before it had the answer.  `is_cut` means that it
     didn't send the whole request, `is_behind` that the connection ended with the
-    answer before it, so that nobody need answer this one.
+    answer before it, so that nobody need answer this one, `must_not_run` that the
+    answer before it said so.
     """
 
     attempt: str
@@ -55,6 +56,7 @@
     leaving: Leaving = Leaving.STAY
     is_cut: bool = False
     is_behind: bool = False
+    must_not_run: bool = False
 
     @property
     def needs_answer(self) -> bool:
@@ -139,12 +141,21 @@
         self, burst: Burst, connection: Connection, sent_at: float
     ) -> bool:
         """Read the answers in their order; return whether the connection stays."""
-        is_open = True
+        is_open, is_closing = True, False
         for request in burst.requests:
             if is_open:
-                is_open = await self._read_answer(burst, request, connection, sent_at)
+                answer = await self._read_answer(burst, request, connection, sent_at)
+                is_closing = answer is not None and _is_closing(answer)
+                is_open = answer is not None and not is_closing
             else:
-                self._note(burst, request, connection, sent_at=sent_at, is_behind=True)
+                self._note(
+                    burst,
+                    request,
+                    connection,
+                    sent_at=sent_at,
+                    is_behind=True,
+                    must_not_run=is_closing,
+                )
             connection.is_reused = True
             sent_at = time.monotonic()
         return is_open
@@ -155,7 +166,8 @@
         request: SoakRequest,
         connection: Connection,
         sent_at: float,
-    ) -> bool:
+    ) -> CallerResponse | None:
+        """Read one answer and note it; return it if it is whole."""
         response, error, has_partial_answer = None, None, False
         reading = asyncio.ensure_future(connection.caller.read())
         try:
@@ -180,7 +192,7 @@
             if response and response.status == 200
             else "",
         )
-        return is_whole and response.headers.get("connection") != "close"
+        return response if is_whole else None
 
     def _note(
         self,
@@ -240,6 +252,10 @@
     return Connection(caller=caller, gateway=gateway, connected_at=connected_at)
 
 
+def _is_closing(answer: CallerResponse) -> bool:
+    return answer.headers.get("connection") == "close"
+
+
 def _find_fault(path: str, attempt: str, response: CallerResponse) -> str:
     """Return what is wrong with a successful answer, or an empty string."""
     if path not in STREAMS:
--- a/bench/gatewaysoak/runs.py
+++ b/bench/gatewaysoak/runs.py
@@ -56,7 +56,7 @@
             sent = self._results.get(run.attempt)
             if sent is None:
                 yield f"{run.attempt} was asked by nobody"
-            elif sent.is_cut:
+            elif sent.is_cut or sent.must_not_run:
                 yield f"{run.attempt}: ran, {self._describe(run.attempt)}"
             elif (run.method, run.target) != (METHOD, sent.path):
                 yield (
--- a/test/bench/test_gatewaysoak.py
+++ b/test/bench/test_gatewaysoak.py
@@ -230,6 +230,8 @@
     assert check_runs(left, method="GET")
     assert check_runs(left, target="/chat/2")
     assert check_runs(make_result(leaving=Leaving.CLOSE, is_cut=True))
+    assert not check_runs(make_result(is_behind=True))
+    assert check_runs(make_result(is_behind=True, must_not_run=True))
     shortened = Difference(request="a1", endpoint="m0", size=0, is_prefix=True)
     assert check_runs(left, differences=[shortened])
 
