Let callers of the own soak's plain service leave, and compare the bodies that ran

Cause: the own soak sent bodies of some bytes, each on a connection of its own, its callers left by a timeout only, and nothing compared what a service ran.

Change: beside four kinds of steps callers on kept connections send bodies in both framings and leave at any byte, with the code of the gateway soak; each run of a plain service must be of a key that was sent, once, with its whole body, and none of a request that was cut.

--- a/bench/fuzz/calls.py
+++ b/bench/fuzz/calls.py
@@ -7,6 +7,7 @@
 
 from eelgrassrack.standins.caller import CallAnswer, Caller
 
+from ..bodies import make_body
 from .rig import ALLOWED_VERSIONS, SERVICE, Rig, make_api_key
 
 CALL_TIMEOUT_SECONDS = 25.0
@@ -125,7 +126,7 @@
             call.answer = await caller.send(
                 url=url + call.path,
                 method="POST" if call.key else "GET",
-                body=f"body of {call.key}".encode() if call.key else None,
+                body=make_body(call.key).content if call.key else None,
                 fields={"Idempotency-Key": call.key} if call.key else None,
                 timeout=seconds,
             )
--- a/bench/fuzz/play.py
+++ b/bench/fuzz/play.py
@@ -11,6 +11,7 @@
 from .calls import CallSender, SentCall
 from .faultlog import FaultLog
 from .faults import FaultInjector
+from .leavers import Leavers, check_bodies, count_leavers
 from .network import Network
 from .operators import Operators
 from .rig import DOCUMENT, DOMAINS, VERSIONS, Rig
@@ -18,6 +19,15 @@
 
 BURST_CALLS = 14
 SESSION_CALLS = 3
+LEAVING_CALLS = 4
+
+# Steps beside which callers of the plain service leave.
+LEAVING_STEPS = {
+    StepKind.LOOKUP,
+    StepKind.ISSUE,
+    StepKind.RESEND,
+    StepKind.GIVE_UP,
+}
 
 # A query of death counts as a fault for this time, and is resent after these delays.
 QUERY_OF_DEATH_SECONDS = 6.0
@@ -64,6 +74,7 @@
             self._rig = Rig(seed=self._seed)
             await self._rig.start(document=DOCUMENT)
             self._calls = CallSender(rig=self._rig)
+            self._leavers = Leavers(rig=self._rig)
             self._operators = Operators(rig=self._rig)
             self._faults = FaultInjector(
                 rig=self._rig,
@@ -96,6 +107,9 @@
 
     def _apply(self, step: Step) -> None:
         pick = step.pick
+        if step.kind in LEAVING_STEPS:
+            for number in range(LEAVING_CALLS):
+                self._leavers.start(pick=pick + 17 * number)
         match step.kind:
             case StepKind.CHAT:
                 self._calls.chat(pick=pick)
@@ -166,6 +180,7 @@
         self._operators.restore()
         await self._operators.wait()
         await self._calls.wait()
+        await self._leavers.wait()
         await self._faults.wait()
         self._faults.start_missing()
         await self._faults.wait()
@@ -195,6 +210,9 @@
         faults += oracle.check_runs(calls, self._rig)
         faults += oracle.check_queries_of_death(calls, self._fault_log, self._rig)
         faults += oracle.check_keys(calls, self._rig)
+        keys = {call.key for call in calls}
+        faults += check_bodies(keys, self._leavers, self._rig)
+        self._verdict.counts.update(count_leavers(self._leavers, self._rig))
         faults += oracle.check_exclusions(self._operators, self._fault_log, self._rig)
         faults += oracle.check_overloads(self._rig)
         faults += oracle.check_invariants(self._rig)
