Send all messages of a turn, also those that are large or whose peer was idle

Cause: a mailbox sent all messages that were posted to a peer in one turn of the event loop as one batch, however long; the receiver's library drops a batch of more than MAX_BATCH_BYTES, ends the connection and counts nothing. And close_idle dropped a peer with the messages that were posted to it in the same turn.

Change: a batch that is too long is sent in halves; a single message that is too long is counted as lost, logged and not sent, as it would end the connection for others. A peer to which messages wait isn't idle; those of an unreachable one are counted as lost.

What callers saw: a request that waits for a second until its entry asks the agent, which says that it never saw the start; then a retry. Ruled out: nothing ran twice, as the agent records a tombstone.

--- a/eelgrassrack/mailbox/socket.py
+++ b/eelgrassrack/mailbox/socket.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import logbook
 import pynng
@@ -81,11 +81,12 @@
         self.used_at = now
 
     def is_active(self, now: float) -> bool:
-        """Return whether the peer was written to and connected recently."""
+        """Return whether the peer is or was written to and connected recently."""
         if self.socket.pipes:
             self.reached_at = now
         is_reached = now - self.reached_at <= UNREACHABLE_SECONDS
-        return is_reached and now - self.used_at <= IDLE_SECONDS
+        is_used = bool(self.messages) or now - self.used_at <= IDLE_SECONDS
+        return is_reached and is_used
 
 
 class Mailbox:
@@ -163,7 +164,9 @@
         now = self._loop.time()
         idle = [name for name, peer in self._peers.items() if not peer.is_active(now)]
         for address in idle:
-            self._peers.pop(address).socket.close()
+            peer = self._peers.pop(address)
+            self.counts["lost"] += len(peer.messages)
+            peer.socket.close()
 
     def _find_peer(self, address: str) -> Peer:
         peer = self._peers.get(address)
@@ -190,21 +193,41 @@
     def _send(self, address: str, peer: Peer, now: float) -> None:
         messages, peer.messages = peer.messages, []
         peer.used_at = now
+        for count, data in self._encode(messages):
+            if len(data) > MAX_BATCH_BYTES:
+                # The receiver would end the connection, and lose what else is on it.
+                self.counts["lost"] += count
+                log.warning("mailbox: {} bytes to {} are too many", len(data), address)
+                continue
+            self._send_batch(address, peer, data, count)
+
+    def _encode(self, messages: list[AnyMessage]) -> Iterator[tuple[int, bytes]]:
+        """Yield batches, with their numbers of messages, no longer than a peer takes.
+
+        One of a single message may be longer.
+        """
         batch = MessageBatch(
             address=self.address, incarnation=self.incarnation, messages=messages
         )
+        data = encode_batch(batch)
+        if len(data) <= MAX_BATCH_BYTES or len(messages) == 1:
+            yield len(messages), data
+            return
+        middle = len(messages) // 2
+        yield from self._encode(messages[:middle])
+        yield from self._encode(messages[middle:])
+
+    def _send_batch(self, address: str, peer: Peer, data: bytes, count: int) -> None:
         try:
-            peer.socket.send(encode_batch(batch), block=False)
+            peer.socket.send(data, block=False)
         except pynng.NNGException as error:
             # The receiver is gone or its buffer is full.  The messages are lost,
             # as on a broken connection, and the sender's timeouts detect that.
-            self.counts["lost"] += len(messages)
-            log.debug(
-                "mailbox: {} messages to {} lost: {}", len(messages), address, error
-            )
+            self.counts["lost"] += count
+            log.debug("mailbox: {} messages to {} lost: {}", count, address, error)
             return
         self.counts["parcels_sent"] += 1
-        self.counts["messages_sent"] += len(messages)
+        self.counts["messages_sent"] += count
 
     def _receive(self) -> None:
         for _ in range(BATCHES_PER_TURN):
--- a/test/mailbox/test_socket.py
+++ b/test/mailbox/test_socket.py
@@ -8,7 +8,7 @@
 from eelgrassrack.mailbox import socket
 from eelgrassrack.mailbox.codec import decode_batch, encode_batch
 from eelgrassrack.mailbox.errors import MailboxError
-from eelgrassrack.mailbox.messages import Cancel, MessageBatch, Piece
+from eelgrassrack.mailbox.messages import Cancel, MessageBatch, Piece, Start
 from eelgrassrack.mailbox.socket import Mailbox
 
 ANY_PORT = "tcp://127.0.0.1:0"
@@ -177,3 +177,83 @@
         return right.counts["failed"]
 
     assert asyncio.run(scenario()) == 1
+
+
+def test_a_message_to_a_peer_that_was_idle_is_sent(monkeypatch):
+    """Guards against messages that are dropped as their peer's socket is closed."""
+    monkeypatch.setattr(socket, "IDLE_SECONDS", 0.0)
+
+    async def scenario():
+        received = []
+        left, right = make_mailbox("left", []), make_mailbox("right", received)
+        left.open()
+        right.open()
+        left.post(to=right.address, message=Cancel(attempt="first"))
+        await wait_until(lambda: received)
+        left.post(to=right.address, message=Cancel(attempt="second"))
+        left.close_idle()
+        await wait_until(lambda: len(received) == 2)
+        left.close()
+        right.close()
+        return received[1].messages
+
+    assert asyncio.run(scenario()) == [Cancel(attempt="second")]
+
+
+def test_large_messages_of_one_tick_all_arrive():
+    """Guards against a batch that is lost as it is larger than a mailbox takes."""
+
+    async def scenario():
+        received = []
+        left, right = make_mailbox("left", []), make_mailbox("right", received)
+        left.open()
+        right.open()
+        small = Cancel(attempt="small")
+        starts = [make_large(number) for number in range(7)]
+        messages = [small, *starts, small]
+        for message in messages:
+            left.post(to=right.address, message=message)
+        await wait_until(lambda: count_messages(received) == len(messages))
+        left.close()
+        right.close()
+        return messages, [each for batch in received for each in batch.messages]
+
+    sent, received = asyncio.run(scenario())
+    assert received == sent
+
+
+def test_a_message_that_is_too_large_is_counted_and_harms_no_other():
+    """Guards against a connection that breaks for a message nobody takes."""
+
+    async def scenario():
+        received = []
+        left, right = make_mailbox("left", []), make_mailbox("right", received)
+        left.open()
+        right.open()
+        large = Piece(attempt="a", number=0, data=bytes(socket.MAX_BATCH_BYTES))
+        for message in (Cancel(attempt="before"), large, Cancel(attempt="after")):
+            left.post(to=right.address, message=message)
+        await wait_until(lambda: count_messages(received) == 2)
+        left.close()
+        right.close()
+        return left.counts["lost"]
+
+    assert asyncio.run(scenario()) == 1
+
+
+def make_large(number):
+    """Return a message with a body of the largest usual size."""
+    return Start(
+        attempt=f"{number}",
+        request="r",
+        agent="x.1",
+        organisation="o",
+        revision=1,
+        within=1.0,
+        body=bytes(1_000_000),
+    )
+
+
+def count_messages(batches):
+    """Return how many messages some batches hold."""
+    return sum(len(batch.messages) for batch in batches)
