Take a whole body before its request waits, and run nothing for who has left

Cause: a handler of the own face took the body only after it had waited for a confirmed document. A connection that is closed meanwhile is free for its next request, and that clears the body. The request didn't run with an empty body only because the head is forgotten then too, so that the key was missing: it was counted as refused (no_key). The same held for bytes that were dropped as a body was read on a closed connection, and for a request that was refused while it waited (body_too_slow, "not run").

Change: the body is taken before the wait, and checked against the number of bytes that were decoded; a body of another size is refused as not run (body_incomplete) and logged at most once a second. After the wait nothing runs if the request was refused or the connection is closed.

Ruled out: a caller that gave way to others (note_served raises), and a close between the end of a body and its handler (the handler goes first).

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -13,6 +13,7 @@
 from tornado import web
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..bodysize import BodySizeError, check_size
 from ..counts import read_count
 from ..document.sections import Organisation
 from .answers import Labels, write_error
@@ -45,7 +46,8 @@
 class CallerHandler(web.RequestHandler):
     """Base class of the handlers for callers.
 
-    `kind` is the kind of request if the caller sends no kind header.
+    `kind` is the kind of request if the caller sends no kind header.  `size` is how
+    many bytes of its body were read, `body` the whole of it once it was read.
     """
 
     kind = "chat"
@@ -54,6 +56,7 @@
         """Prepare for a request; Tornado passes `core` from the routes."""
         self.core = core
         self.size = 0
+        self.body = b""
         self.responder = HttpResponder(handler=self)
         self.task: asyncio.Task | None = None
         self.refused = False
@@ -125,6 +128,8 @@
         """
         self.responder.has_ended = True
         self.core.callers.discard(self)
+        if self._has_given_way:
+            self.body = b""
         if self.task is not None:
             self.core.meter.note_gone()
             self.task.cancel()
@@ -145,6 +150,20 @@
         """Whether the caller has closed its connection."""
         return self.responder.is_closed
 
+    @property
+    def _has_ended(self) -> bool:
+        """Whether the request was refused, or its caller has left."""
+        return self.refused or self.is_gone
+
+    @property
+    def _has_given_way(self) -> bool:
+        """Whether the connection was closed to make room for others."""
+        try:
+            self.stream.check_stays()
+        except StreamClosedError:
+            return True
+        return False
+
     def set_end(self, time: float) -> None:
         """Buffer the answer if it may not be complete when this entry exits.
 
@@ -221,6 +240,38 @@
         )
         write_error(responder=self.responder, labels=labels, error=error)
 
+    async def _receive(self) -> CallerContext | None:
+        """Take the whole body and return whose request it is.
+
+        The result is None if the caller has left, or if its request was refused.
+        """
+        if self._has_ended:
+            return None
+        # A connection that is closed is free for its next request, so that the body
+        # would be lost during a wait.
+        refusal = self._take_body()
+        if refusal is None:
+            await self.core.wait_confirmed()
+            if self._has_ended:
+                return None
+            caller = self._identify_caller()
+            if isinstance(caller, CallerContext):
+                return caller
+            refusal = caller
+        self._send_error(refusal)
+        return None
+
+    def _take_body(self) -> CallerError | None:
+        """Take the whole body; return the refusal of a request that lacks a part."""
+        self.body = self.stream.take_body()
+        try:
+            check_size(self.body, size=self.size)
+        except BodySizeError as error:
+            now = asyncio.get_running_loop().time()
+            self.core.body_faults.note(error, request=self.request.path, now=now)
+            return refuse_unavailable(reason="body_incomplete")
+        return None
+
     def _identify_caller(self) -> CallerContext | CallerError:
         """Authenticate the caller and parse its options, if the entry is open."""
         refusal = self.core.find_refusal()
@@ -258,7 +309,7 @@
         except StreamClosedError:
             log.debug("callers: the caller disconnected")
         except Exception:
-            log.exception("callers: a request failed")
+            log.exception("callers: a request with {} bytes failed", self.size)
             # The exception may have occurred before or after the request was sent
             # to an endpoint, so whether it ran is unknown.
             self._send_error(
--- a/eelgrassrack/entry/core.py
+++ b/eelgrassrack/entry/core.py
@@ -6,6 +6,7 @@
 
 from tornado.iostream import IOStream
 
+from ..bodysize import BodyFaults
 from ..decisions.rollout import Health, PlannedVersion, RolloutHealth, Verdict
 from ..document.snapshot import Snapshot
 from ..invariants import Invariants
@@ -51,6 +52,7 @@
     __slots__ = (
         "_detached",
         "billing",
+        "body_faults",
         "chat",
         "configuration",
         "meter",
@@ -89,6 +91,7 @@
         self.health = health
         self.identity = identity
         self.invariants = invariants
+        self.body_faults = BodyFaults()
         self.is_closing = False
         self.is_draining = False
         self.lingering = LingeringConnections()
--- a/eelgrassrack/entry/handlers.py
+++ b/eelgrassrack/entry/handlers.py
@@ -14,17 +14,11 @@
 
     async def post(self) -> None:
         """Answer a chat request."""
-        if self.refused:
-            return
-        await self.core.wait_confirmed()
-        caller = self._identify_caller()
-        if isinstance(caller, CallerError):
-            self._send_error(caller)
+        caller = await self._receive()
+        if caller is None:
             return
         organisation, options = caller.organisation, caller.options
-        arrival = read_chat(
-            body=self.stream.take_body(), options=options, organisation=organisation
-        )
+        arrival = read_chat(body=self.body, options=options, organisation=organisation)
         if isinstance(arrival, CallerError):
             self._send_error(arrival)
             return
@@ -47,12 +41,8 @@
     kind = "service"
 
     async def _forward(self, name: str, path: str) -> None:
-        if self.refused:
-            return
-        await self.core.wait_confirmed()
-        caller = self._identify_caller()
-        if isinstance(caller, CallerError):
-            self._send_error(caller)
+        caller = await self._receive()
+        if caller is None:
             return
         organisation, options = caller.organisation, caller.options
         snapshot = self.core.snapshot
@@ -69,7 +59,7 @@
             method=self.request.method,
             path=f"/{path}{query}",
             sent=dict(self.request.headers.get_all()),
-            body=self.stream.take_body(),
+            body=self.body,
             options=options,
             organisation=organisation,
         )
--- /dev/null
+++ b/test/entry/test_leaving_callers.py
@@ -0,0 +1,171 @@
+"""Tests that an endpoint gets the body that a caller sent, or nothing, if it leaves."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from eelgrassrack.callers.connection import CallerConnection
+from eelgrassrack.entry.core import Core
+
+from ..promises.world import REGISTRY, World
+from .leaving import (
+    TURN_SECONDS,
+    Leave,
+    LeavingCaller,
+    find_bodies,
+    make_body,
+    make_request,
+    settle,
+)
+
+# Without a chunk size a body is declared by its length.
+CHUNK_SIZES = (None, 3, 100, 4_096)
+BODY_SIZES = (0, 600, 9_000, 60_000)
+PATHS = {"once": "/credentials", "repeatable": "/items"}
+
+
+@pytest.fixture
+def world(monkeypatch):
+    world = World(monkeypatch)
+    try:
+        world.start(plans=[REGISTRY])
+        yield world
+    finally:
+        world.close()
+
+
+@pytest.fixture
+def confirmed(monkeypatch):
+    """Let requests wait until this event is set."""
+    event = asyncio.Event()
+
+    async def wait_confirmed(core):
+        await event.wait()
+
+    monkeypatch.setattr(Core, "wait_confirmed", wait_confirmed)
+    return event
+
+
+def connect(world, *, is_later):
+    """Return a caller, whose connection has served a request if `is_later`."""
+    caller = LeavingCaller(world.entry().url)
+    if is_later:
+        caller.send(make_request(b"first", key="first", path="/items"))
+        world.wait(caller.has_answers)
+    world.run(asyncio.sleep(TURN_SECONDS))
+    return caller
+
+
+def send_as_it_is_read(monkeypatch, world, caller, request, leave):
+    """Send a request at the moment that the entry begins to read it."""
+    read_response = CallerConnection.read_response
+    due = [True]
+
+    def send_and_read(connection, delegate):
+        if due:
+            due.clear()
+            caller.send(request, leave)
+        return read_response(connection, delegate)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(CallerConnection, "read_response", send_and_read)
+        caller.send(make_request(b"before", key="before", path="/items"))
+        world.wait(lambda: not due)
+
+
+def send_when_waited_for(monkeypatch, world, caller, request, leave):
+    """Send a request while the entry waits for it."""
+    caller.send(request, leave)
+
+
+def send_behind_another(monkeypatch, world, caller, request, leave):
+    """Send a request together with the one before it."""
+    before = make_request(b"before", key="before", path="/items")
+    caller.send(before + request, leave)
+
+
+MOMENTS = {
+    "as it is read": send_as_it_is_read,
+    "when it is waited for": send_when_waited_for,
+    "behind another": send_behind_another,
+}
+
+
+def find_other_bodies(monkeypatch, world, *, leave, moment, path):
+    """Send bodies in all framings; describe what the service got but nobody sent.
+
+    Of a caller that stays it has to get each request once.
+    """
+    others = []
+    cases = itertools.product(BODY_SIZES, CHUNK_SIZES, (False, True))
+    for number, (size, chunk, is_later) in enumerate(cases):
+        body, key = make_body(size), f"key-{number}"
+        request = make_request(body, key=key, path=path, chunk=chunk)
+        caller = connect(world, is_later=is_later)
+        MOMENTS[moment](monkeypatch, world, caller, request, leave)
+        settle(world)
+        caller.close()
+        found = find_bodies(world, key)
+        if found != [body] and (found or leave is Leave.STAYS):
+            lengths = [len(each) for each in found]
+            others.append((size, chunk, is_later, lengths))
+    return others
+
+
+@pytest.mark.parametrize("repeat", PATHS)
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("leave", Leave)
+def test_an_endpoint_gets_no_other_body_than_was_sent(
+    monkeypatch, world, leave, moment, repeat
+):
+    """Guards against requests that run with a shortened body as their caller leaves."""
+    others = find_other_bodies(
+        monkeypatch, world, leave=leave, moment=moment, path=PATHS[repeat]
+    )
+    assert not others
+
+
+def send_during_wait(world, confirmed, *, path, leave, fields=""):
+    """Send a request that waits, let its caller leave, and end the wait."""
+    body = make_body(600)
+    caller = LeavingCaller(world.entry().url)
+    caller.send(make_request(body, key="key", path=path, fields=fields))
+    world.run(asyncio.sleep(TURN_SECONDS))
+    caller.send(b"", leave)
+    world.run(asyncio.sleep(TURN_SECONDS))
+    confirmed.set()
+    settle(world)
+    caller.close()
+    return body
+
+
+@pytest.mark.parametrize("repeat", PATHS)
+@pytest.mark.parametrize("leave", Leave)
+def test_a_body_stays_whole_while_its_request_waits(world, confirmed, leave, repeat):
+    """Guards against a body that is lost as its caller leaves during a wait."""
+    body = send_during_wait(world, confirmed, path=PATHS[repeat], leave=leave)
+    allowed = [[body]] if leave is Leave.STAYS else [[body], []]
+    assert find_bodies(world, "key") in allowed
+
+
+@pytest.mark.parametrize("repeat", PATHS)
+def test_a_request_isnt_run_for_a_caller_that_was_reset(world, confirmed, repeat):
+    """Guards against work for callers that are known to have left."""
+    send_during_wait(world, confirmed, path=PATHS[repeat], leave=Leave.RESETS)
+    counts = world.entry().core.meter.counts
+    assert not find_bodies(world, "key")
+    assert not any(name.startswith("refused") for name in counts)
+
+
+def test_a_request_that_was_refused_while_it_waited_isnt_run(world, confirmed):
+    """Guards against "not run" that is untrue as the request runs after it."""
+    caller = LeavingCaller(world.entry().url)
+    fields = "Eelgrassrack-Deadline: 0.1\r\n"
+    caller.send(make_request(b"late", key="key", fields=fields))
+    world.wait(lambda: caller.has_answers(status=503))
+    assert b"not-run" in caller.received
+    confirmed.set()
+    settle(world)
+    caller.close()
+    assert not find_bodies(world, "key")
