Send an endpoint no body of another size than its entry read

Cause: a body goes from the caller's connection through an entry and a message to an agent, and each gives it a new length; an endpoint can't notice that a part is missing.

Change: the number of bytes that were decoded from the caller goes with a service's body to the agent, for a chat that of the body that was built anew. Right before it sends anything the agent compares; another size raises BodySizeError, is logged at most once a second and refused as not run (body_incomplete), which isn't retried, as any agent would get the same. An entry of an earlier release tells no size, and isn't checked. The log lines on failed requests and on those that aren't retried name the size.

There was no such check before.

What callers saw: nothing; this is a second guard behind the connection's own.

--- a/eelgrassrack/agent/engine.py
+++ b/eelgrassrack/agent/engine.py
@@ -6,8 +6,9 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from ..bodysize import check_size
 from ..curl import make_client
-from ..mailbox.messages import Start
+from ..mailbox.messages import UNKNOWN_SIZE, Start
 from .answers import make_answer
 from .headers import make_headers
 from .outcomes import OnHead, Outcome, Stopped
@@ -39,7 +40,8 @@
 
         `timeout` is in seconds.  `on_begun` is called once, before the first byte
         is sent; if it returns false, nothing is sent.  `on_piece` is called with
-        each piece of the answer.
+        each piece of the answer.  Raise `BodySizeError`, and send nothing, if the
+        request's body isn't whole.
         """
 
 
@@ -66,7 +68,12 @@
         on_begun: Callable[[], bool],
         on_piece: Callable[[bytes], None],
     ) -> Outcome:
-        """Send one request, pass on its answer and return the outcome."""
+        """Send one request, pass on its answer and return the outcome.
+
+        Raise `BodySizeError`, and send nothing, if the request's body isn't whole.
+        """
+        if start.size != UNKNOWN_SIZE:
+            check_size(start.body, size=start.size)
         transfer = Transfer(
             exchange=exchange,
             answer=make_answer(start, on_piece),
--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+from ..bodysize import BodyFaults, BodySizeError
 from ..decisions.coldstart import CollapseReason
 from ..invariants import Promise
 from ..logs import bind_request
@@ -54,6 +55,7 @@
 
     __slots__ = (
         "_announce",
+        "_body_faults",
         "_core",
         "_crashes",
         "_engine",
@@ -72,6 +74,7 @@
         announce: Callable[[AnyMessage], None],
     ) -> None:
         """Create a runner; `announce` sends a message to all entries."""
+        self._body_faults = BodyFaults()
         self._core = core
         self._intake = intake
         self._engine = engine
@@ -175,8 +178,13 @@
                 on_piece=lambda data: self._relay_piece(attempt, data),
             )
             await self._handle_outcome(attempt, outcome)
+        except BodySizeError as error:
+            now = self._core.clock()
+            self._body_faults.note(error, request=attempt.key, now=now)
+            self._abandon(attempt, str(error), refusal=Refusal.BODY_INCOMPLETE)
         except Exception as error:
-            log.exception("runner: attempt failed: {}", attempt.key)
+            size = len(attempt.start.body)
+            log.exception("runner: attempt of {} bytes failed: {}", size, attempt.key)
             self._abandon(attempt, str(error))
         finally:
             self._free(attempt)
@@ -249,12 +257,14 @@
             case Stopped():
                 self._intake.take_back(attempt)
 
-    def _abandon(self, attempt: Attempt, reason: str) -> None:
+    def _abandon(
+        self, attempt: Attempt, reason: str, *, refusal: Refusal = Refusal.ENGINE_DOWN
+    ) -> None:
         """End a failed attempt: refuse it if it hasn't started."""
         if self._core.attempts.live.get(attempt.key) is not attempt:
             return
         if attempt.phase is Phase.QUEUED:
-            self._core.refuse(attempt, Refusal.ENGINE_DOWN)
+            self._core.refuse(attempt, refusal)
             return
         self._end(attempt, Finish.ENGINE_FAILED, reason=reason)
 
--- a/eelgrassrack/entry/arrivals.py
+++ b/eelgrassrack/entry/arrivals.py
@@ -89,7 +89,8 @@
 class ServiceArrival(msgspec.Struct, kw_only=True, frozen=True):
     """A valid request for a plain service.
 
-    A request that isn't `repeatable` runs at most once.
+    `size` is how many bytes of its body were read from the caller.  A request that
+    isn't `repeatable` runs at most once.
     """
 
     options: RequestOptions
@@ -98,6 +99,7 @@
     path: str
     forwarded_headers: tuple[tuple[str, str], ...]
     body: bytes
+    size: int
     fingerprint: str
     repeatable: bool
 
@@ -189,10 +191,14 @@
     path: str,
     sent: Mapping[str, str],
     body: bytes,
+    size: int,
     options: RequestOptions,
     organisation: Organisation,
 ) -> ServiceArrival:
-    """Build a service request from the parts of an HTTP request."""
+    """Build a service request from the parts of an HTTP request.
+
+    `size` is how many bytes of the body were read from the caller.
+    """
     operation = f"{method} {path}"
     marked = any(operation.startswith(text) for text in service.not_repeatable)
     forwarded = tuple(
@@ -205,6 +211,7 @@
         path=path,
         forwarded_headers=forwarded,
         body=body,
+        size=size,
         fingerprint=_compute_fingerprint(organisation.name, operation.encode() + body),
         repeatable=not (marked or options.never_repeat),
     )
--- a/eelgrassrack/entry/dispatcher.py
+++ b/eelgrassrack/entry/dispatcher.py
@@ -262,13 +262,24 @@
             case Retry():
                 return True
             case GiveUp(reason=reason):
-                log.debug("dispatcher: no retry after {}: {}", channel.attempt, reason)
+                log.debug(
+                    "dispatcher: no retry after {} of {} bytes: {}",
+                    channel.attempt,
+                    job.size,
+                    reason,
+                )
                 return False
 
 
 # Refusals that any other endpoint would repeat.
 FINAL_REFUSALS = frozenset(
-    {Refusal.WITHDRAWN, Refusal.QUARANTINED, Refusal.DEADLINE, Refusal.CANCELLED}
+    {
+        Refusal.WITHDRAWN,
+        Refusal.QUARANTINED,
+        Refusal.DEADLINE,
+        Refusal.CANCELLED,
+        Refusal.BODY_INCOMPLETE,
+    }
 )
 
 
--- a/eelgrassrack/entry/handlers.py
+++ b/eelgrassrack/entry/handlers.py
@@ -60,6 +60,7 @@
             path=f"/{path}{query}",
             sent=dict(self.request.headers.get_all()),
             body=self.body,
+            size=self.size,
             options=options,
             organisation=organisation,
         )
--- a/eelgrassrack/entry/jobs.py
+++ b/eelgrassrack/entry/jobs.py
@@ -15,7 +15,8 @@
 
     `deadline` is in the time of the event loop.  `ledger` is the same for all
     attempts of a request, because the bills of two attempts at one step are
-    recognised as duplicates only within one ledger.
+    recognised as duplicates only within one ledger.  `size` is how many bytes the body
+    has to have.
     """
 
     request: str
@@ -37,6 +38,7 @@
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    size: int = 0
 
 
 class AttemptTarget(msgspec.Struct, kw_only=True, frozen=True):
@@ -87,4 +89,5 @@
         path=job.path,
         headers=job.headers,
         body=job.body,
+        size=job.size,
     )
--- a/eelgrassrack/entry/services.py
+++ b/eelgrassrack/entry/services.py
@@ -128,6 +128,7 @@
             path=arrival.path,
             headers=arrival.forwarded_headers,
             body=arrival.body,
+            size=arrival.size,
         )
         if arrival.repeatable:
             return judge_outcome(await self._dispatcher.run(job=job))
--- a/eelgrassrack/entry/steps.py
+++ b/eelgrassrack/entry/steps.py
@@ -171,6 +171,7 @@
 
 def _build_job(request: ChatRequest, index: int, picked: PickedVersion) -> Job:
     arrival = request.arrival
+    body = arrival.build_body(version=picked.version)
     return Job(
         request=request.request_id,
         organisation=request.organisation.name,
@@ -185,5 +186,6 @@
         affinity=request.affinity,
         fingerprint=arrival.fingerprint,
         parts=arrival.parts,
-        body=arrival.build_body(version=picked.version),
+        body=body,
+        size=len(body),
     )
--- a/eelgrassrack/mailbox/messages.py
+++ b/eelgrassrack/mailbox/messages.py
@@ -11,6 +11,9 @@
 
 PROTOCOL = 1
 
+# The size of a body whose entry doesn't tell it.
+UNKNOWN_SIZE = -1
+
 
 class Message(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=True):
     """Base class of all messages; a message is tagged with its class name."""
@@ -61,7 +64,8 @@
     until the caller's deadline.  With `alone` no other attempt runs at the same
     time.  An attempt that isn't `repeatable` and has started isn't cut off at the
     caller's deadline.  `parts` are hashes of the parts of its prompt that other
-    requests may share.
+    requests may share.  `size` is how many bytes the body has to have, or
+    `UNKNOWN_SIZE` from an entry of an earlier release.
     """
 
     attempt: str
@@ -85,6 +89,7 @@
     path: str = "/v1/chat/completions"
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    size: int = UNKNOWN_SIZE
 
 
 class Cancel(Message, kw_only=True):
@@ -211,6 +216,7 @@
     CANCELLED = "cancelled"
     NEVER_SEEN = "never_seen"
     ENGINE_DOWN = "engine_down"
+    BODY_INCOMPLETE = "body_incomplete"
 
 
 class NotStarted(Message, kw_only=True):
