Send a GET with its body, and refuse a HEAD that has one

Cause: the agent's HTTP library sends a body by an upload, and that makes a PUT of a HEAD; for a GET with a body it raises an error, which the agent reported as an engine that is down, so that entries judged the endpoint by it.

Change: a GET with a body is uploaded under its own name, as a DELETE is. A HEAD with a body, which has no meaning and can't be sent, is refused as not run (head_with_body, 400).

What callers saw: a GET with a body got 503 (not run); for a HEAD the service ran a PUT that nobody had sent.

--- a/eelgrassrack/agent/engine.py
+++ b/eelgrassrack/agent/engine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
@@ -23,6 +24,10 @@
 
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
+# The method by which the library sends a body with a GET; the name that the endpoint
+# gets is set by itself.
+UPLOAD_METHOD = "PUT"
+
 
 class Engine(Protocol):
     """The endpoint as a runner uses it."""
@@ -80,9 +85,16 @@
             on_begun=on_begun,
             on_head=self._on_head,
         )
+        is_upload = start.method == "GET" and bool(start.body)
+
+        def prepare(curl: pycurl.Curl) -> None:
+            transfer.prepare(curl)
+            if is_upload:
+                curl.setopt(pycurl.CUSTOMREQUEST, start.method)
+
         request = HTTPRequest(
             url=self._url + start.path,
-            method=start.method,
+            method=UPLOAD_METHOD if is_upload else start.method,
             headers=make_headers(start),
             body=start.body or (b"" if start.method in BODY_METHODS else None),
             allow_nonstandard_methods=True,
@@ -90,7 +102,7 @@
             decompress_response=False,
             connect_timeout=CONNECT_SECONDS,
             request_timeout=timeout + CURL_EXTRA_SECONDS,
-            prepare_curl_callback=transfer.prepare,
+            prepare_curl_callback=prepare,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
--- a/eelgrassrack/entry/services.py
+++ b/eelgrassrack/entry/services.py
@@ -88,6 +88,13 @@
                 code="service_not_allowed",
                 text=f"This organisation may not use {arrival.service}.",
             )
+        if arrival.method == "HEAD" and arrival.body:
+            # An agent's HTTP library would make a PUT of it.
+            return CallerError(
+                status=BAD_REQUEST,
+                code="head_with_body",
+                text="A HEAD request can't have a body.",
+            )
         if not arrival.repeatable and not arrival.options.idempotency_key:
             # Without a key a resend can't be distinguished from a new request and
             # would run a second time.
