--- a/eelgrassrack/agent/engine.py
+++ b/eelgrassrack/agent/engine.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from ..bodysize import check_size
 from ..curl import make_client
-from ..mailbox.messages import Start
+from ..mailbox.messages import UNKNOWN_SIZE, Start
 from .answers import make_answer
 from .headers import make_headers
 from .outcomes import OnHead, Outcome, Stopped
@@ -22,6 +24,10 @@
 
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
+# The method by which the library sends a body with a GET; the name that the endpoint
+# gets is set by itself.
+UPLOAD_METHOD = "PUT"
+
 
 class Engine(Protocol):
     """The endpoint as a runner uses it."""
@@ -39,7 +45,8 @@
 
         `timeout` is in seconds.  `on_begun` is called once, before the first byte
         is sent; if it returns false, nothing is sent.  `on_piece` is called with
-        each piece of the answer.
+        each piece of the answer.  Raise `BodySizeError`, and send nothing, if the
+        request's body isn't whole.
         """
 
 
@@ -66,16 +73,28 @@
         on_begun: Callable[[], bool],
         on_piece: Callable[[bytes], None],
     ) -> Outcome:
-        """Send one request, pass on its answer and return the outcome."""
+        """Send one request, pass on its answer and return the outcome.
+
+        Raise `BodySizeError`, and send nothing, if the request's body isn't whole.
+        """
+        if start.size != UNKNOWN_SIZE:
+            check_size(start.body, size=start.size)
         transfer = Transfer(
             exchange=exchange,
             answer=make_answer(start, on_piece),
             on_begun=on_begun,
             on_head=self._on_head,
         )
+        is_upload = start.method == "GET" and bool(start.body)
+
+        def prepare(curl: pycurl.Curl) -> None:
+            transfer.prepare(curl)
+            if is_upload:
+                curl.setopt(pycurl.CUSTOMREQUEST, start.method)
+
         request = HTTPRequest(
             url=self._url + start.path,
-            method=start.method,
+            method=UPLOAD_METHOD if is_upload else start.method,
             headers=make_headers(start),
             body=start.body or (b"" if start.method in BODY_METHODS else None),
             allow_nonstandard_methods=True,
@@ -83,7 +102,7 @@
             decompress_response=False,
             connect_timeout=CONNECT_SECONDS,
             request_timeout=timeout + CURL_EXTRA_SECONDS,
-            prepare_curl_callback=transfer.prepare,
+            prepare_curl_callback=prepare,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
