Judge bodies in both faces by one error and one log line

RequestBody and the check before the send each had an error of their own, and the gateway a log line of its own. IncompleteBodyError and BodyFaults serve both faces, and the gateway compares what it takes with what its decoder counted, as the entry does.

--- a/eelgrassrack/agent/engine.py
+++ b/eelgrassrack/agent/engine.py
@@ -45,7 +45,7 @@
 
         `timeout` is in seconds.  `on_begun` is called once, before the first byte
         is sent; if it returns false, nothing is sent.  `on_piece` is called with
-        each piece of the answer.  Raise `BodySizeError`, and send nothing, if the
+        each piece of the answer.  Raise `IncompleteBodyError`, and send nothing, if the
         request's body isn't whole.
         """
 
@@ -75,7 +75,7 @@
     ) -> Outcome:
         """Send one request, pass on its answer and return the outcome.
 
-        Raise `BodySizeError`, and send nothing, if the request's body isn't whole.
+        Raise `IncompleteBodyError`, and send nothing, if the body isn't whole.
         """
         if start.size != UNKNOWN_SIZE:
             check_size(start.body, size=start.size)
--- a/eelgrassrack/agent/runner.py
+++ b/eelgrassrack/agent/runner.py
@@ -10,7 +10,7 @@
 
 import logbook
 
-from ..bodysize import BodyFaults, BodySizeError
+from ..bodysize import BodyFaults, IncompleteBodyError
 from ..decisions.coldstart import CollapseReason
 from ..invariants import Promise
 from ..logs import bind_request
@@ -178,7 +178,7 @@
                 on_piece=lambda data: self._relay_piece(attempt, data),
             )
             await self._handle_outcome(attempt, outcome)
-        except BodySizeError as error:
+        except IncompleteBodyError as error:
             now = self._core.clock()
             self._body_faults.note(error, request=attempt.key, now=now)
             self._abandon(attempt, str(error), refusal=Refusal.BODY_INCOMPLETE)
--- a/eelgrassrack/bodysize.py
+++ b/eelgrassrack/bodysize.py
@@ -16,14 +16,14 @@
 LOG_SECONDS = 1.0
 
 
-class BodySizeError(EelgrassrackError):
-    """A request's body has another length than what was read from its caller."""
+class IncompleteBodyError(EelgrassrackError):
+    """A request's body isn't all that was read from its caller, so it must not run."""
 
 
 def check_size(body: bytes, *, size: int) -> None:
-    """Raise `BodySizeError` unless the body has `size` bytes."""
+    """Raise `IncompleteBodyError` unless the body has `size` bytes."""
     if len(body) != size:
-        raise BodySizeError(f"a body of {size} bytes has {len(body)}")
+        raise IncompleteBodyError(f"a body of {size} bytes has {len(body)}")
 
 
 class BodyFaults:
@@ -35,7 +35,7 @@
         self._logged_at = -math.inf
         self._unlogged = 0
 
-    def note(self, error: BodySizeError, *, request: str, now: float) -> None:
+    def note(self, error: IncompleteBodyError, *, request: str, now: float) -> None:
         """Note one of them; `now` is in seconds."""
         self._unlogged += 1
         if now < self._logged_at + LOG_SECONDS:
--- a/eelgrassrack/callers/body.py
+++ b/eelgrassrack/callers/body.py
@@ -6,11 +6,7 @@
 there, and hands out nothing else.
 """
 
-from ..errors import EelgrassrackError
-
-
-class IncompleteBodyError(EelgrassrackError):
-    """A request's body isn't whole, so the request must not run."""
+from ..bodysize import IncompleteBodyError
 
 
 class RequestBody:
--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -13,7 +13,7 @@
 from tornado import web
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..bodysize import BodySizeError, check_size
+from ..bodysize import IncompleteBodyError, check_size
 from ..counts import read_count
 from ..document.sections import Organisation
 from .answers import Labels, write_error
@@ -263,10 +263,10 @@
 
     def _take_body(self) -> CallerError | None:
         """Take the whole body; return the refusal of a request that lacks a part."""
-        self.body = self.stream.take_body()
         try:
+            self.body = self.stream.take_body()
             check_size(self.body, size=self.size)
-        except BodySizeError as error:
+        except IncompleteBodyError as error:
             now = asyncio.get_running_loop().time()
             self.core.body_faults.note(error, request=self.request.path, now=now)
             return refuse_unavailable(reason="body_incomplete")
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import IOStream
 
-from ...callers.body import IncompleteBodyError
+from ...bodysize import BodyFaults, IncompleteBodyError, check_size
 from ...callers.connection import UNLIMITED_BYTES
 from ...counts import read_count
 from ...dismissal import REQUEST_TIMEOUT_ANSWER
@@ -53,9 +53,6 @@
 # deadline still has to write the responses that are due.
 MIN_END_POLLS = 20
 
-# The least time between two log lines on bodies that weren't kept whole.
-LOG_SECONDS = 1.0
-
 HEADERS_TOO_LONG = Refusal(status=431, reason="headers are too long")
 BODY_TOO_LONG = Refusal(status=413, reason="body is too long")
 
@@ -161,7 +158,7 @@
         self._lingering = lingering
         self._reading: set[_Message] = set()
         self._serving: set[asyncio.Task] = set()
-        self._logged_at = -math.inf
+        self.body_faults = BodyFaults()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -305,20 +302,6 @@
     def _mark_active(self, connection: HTTPConnection) -> None:
         self._idle.pop(connection, None)
 
-    def log_incomplete(self, arrival: Arrival, error: IncompleteBodyError) -> None:
-        """Log that a part of a request's body was read and isn't kept."""
-        now = self._loop.time()
-        if now < self._logged_at + LOG_SECONDS:
-            return
-        self._logged_at = now
-        log.error(
-            "ingress: {request} doesn't run, {body} bytes of its body were read: "
-            "{error}",
-            request=arrival.id,
-            body=arrival.body_size,
-            error=str(error),
-        )
-
     async def _serve(
         self, arrival: Arrival, reply: Reply, refusal: Refusal | None = None
     ) -> None:
@@ -445,12 +428,15 @@
                 self._early_reply.finish()
             return
         try:
-            self._arrival.body = self.connection.stream.take_body()
+            body = self.connection.stream.take_body()
+            check_size(body, size=self._arrival.body_size)
         except IncompleteBodyError as error:
-            self._ingress.log_incomplete(self._arrival, error)
+            now = asyncio.get_running_loop().time()
+            self._ingress.body_faults.note(error, request=self._arrival.id, now=now)
             self._refuse(BODY_INCOMPLETE)
             self._early_reply.is_request_read = True
             return
+        self._arrival.body = body
         self._start(self._make_reply())
 
     def end(self) -> None:
--- a/test/agent/test_body_sizes.py
+++ b/test/agent/test_body_sizes.py
@@ -9,7 +9,7 @@
 from eelgrassrack.agent.engine import HttpEngine
 from eelgrassrack.agent.outcomes import Completed
 from eelgrassrack.agent.transfer import Exchange
-from eelgrassrack.bodysize import BodySizeError
+from eelgrassrack.bodysize import IncompleteBodyError
 from eelgrassrack.mailbox.messages import (
     UNKNOWN_SIZE,
     Begun,
@@ -76,7 +76,7 @@
     async def play():
         begun = []
         async with run_service() as (service, engine):
-            with pytest.raises(BodySizeError):
+            with pytest.raises(IncompleteBodyError):
                 await send(engine, begun, body=body, size=15)
             return service.executions, begun
 
--- a/test/callers/test_body.py
+++ b/test/callers/test_body.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from eelgrassrack.callers.body import IncompleteBodyError, RequestBody
+from eelgrassrack.bodysize import IncompleteBodyError
+from eelgrassrack.callers.body import RequestBody
 
 PARTS = st.lists(st.binary(max_size=5), max_size=5)
 
