--- a/bench/leaving.py
+++ b/bench/leaving.py
@@ -5,7 +5,9 @@
 import enum
 import itertools
 import random
+import socket
 
+from eelgrassrack.lingering import discard_unsent
 from eelgrassrack.standins.directengine import reset_connection
 
 MAX_PARTS = 4
@@ -49,6 +51,18 @@
     return [data[begin:end] for begin, end in itertools.pairwise([0, *cuts, len(data)])]
 
 
+def leave(sock: socket.socket, leaving: Leaving) -> None:
+    """Leave a connection in one of `WAYS_TO_LEAVE`, or stay."""
+    match leaving:
+        case Leaving.CLOSE:
+            sock.close()
+        case Leaving.HALF_CLOSE:
+            sock.shutdown(socket.SHUT_WR)
+        case Leaving.RESET:
+            discard_unsent(sock)
+            sock.close()
+
+
 async def send_parts(writer: asyncio.StreamWriter, parts: list[bytes]) -> None:
     """Send parts with pauses between them, each once the one before is on its way."""
     # Without this, `drain` returns before all bytes have left the process.
--- a/test/entry/leaving.py
+++ b/test/entry/leaving.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import contextlib
-import enum
 import socket
-import struct
+
+from bench.bodies import SentBody
+from bench.leaving import Leaving, leave
 
 TIMEOUT_SECONDS = 20.0
 SEND_BUFFER_BYTES = 1_048_576
-RESET = struct.pack("ii", 1, 0)
 
 # So long an entry may take until it waits for the next request of a connection, and
 # until what it was sent has reached an endpoint.
@@ -18,15 +18,6 @@
 KEY = "school-key"
 
 
-class Leave(enum.Enum):
-    """What a caller does after the last byte of its request."""
-
-    STAYS = "stays"
-    HALF_CLOSES = "half closes"
-    CLOSES = "closes"
-    RESETS = "resets"
-
-
 class LeavingCaller:
     """A connection whose calls don't let the entry's event loop go on."""
 
@@ -39,17 +30,10 @@
         self.address = self.socket.getsockname()
         self.received = b""
 
-    def send(self, data, leave=Leave.STAYS):
+    def send(self, data, leaving=Leaving.STAY):
         """Send bytes at once, and leave."""
         self.socket.sendall(data)
-        match leave:
-            case Leave.HALF_CLOSES:
-                self.socket.shutdown(socket.SHUT_WR)
-            case Leave.CLOSES:
-                self.socket.close()
-            case Leave.RESETS:
-                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                self.socket.close()
+        leave(self.socket, leaving)
 
     def has_answers(self, count=1, *, status=200):
         """Return whether so many answers of a status have arrived."""
@@ -77,17 +61,11 @@
     ).encode()
 
 
-def make_request(body, *, key, chunk=None, **rest):
-    """Return a request for the plain service, its body in one framing.
-
-    Without the size of a `chunk` the body is declared by its length.
-    """
-    head = make_head(key, **rest)
-    if chunk is None:
-        return b"%bContent-Length: %d\r\n\r\n%b" % (head, len(body), body)
-    pieces = (body[at : at + chunk] for at in range(0, len(body), chunk))
-    chunks = b"".join(b"%x\r\n%b\r\n" % (len(each), each) for each in pieces)
-    return b"%bTransfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n" % (head, chunks)
+def make_request(body, *, key, chunk=0, **rest):
+    """Return a request: its body in chunks of so many bytes, or with a length."""
+    sent = SentBody(content=body, chunk_bytes=chunk)
+    framing = f"{sent.header}\r\n\r\n".encode()
+    return make_head(key, **rest) + framing + sent.frame()
 
 
 def settle(world):
--- a/test/entry/test_cut_requests.py
+++ b/test/entry/test_cut_requests.py
@@ -5,10 +5,11 @@
 
 import pytest
 
+from bench.leaving import WAYS_TO_LEAVE, Leaving
+
 from ..promises.world import REGISTRY, World
 from .leaving import (
     TURN_SECONDS,
-    Leave,
     LeavingCaller,
     find_bodies,
     make_body,
@@ -22,8 +23,7 @@
     b"Authorization: Bearer school-key\r\n\r\n"
 )
 BODY = make_body(60)
-LEAVES = tuple(leave for leave in Leave if leave is not Leave.STAYS)
-CHUNKS = {"declared": None, "in chunks": 3}
+CHUNKS = {"declared": 0, "in chunks": 3}
 TOO_MANY_BYTES = 1_000_001
 EXPECT = "Expect: 100-continue\r\n"
 
@@ -53,7 +53,7 @@
 
 
 @pytest.mark.parametrize("is_later", [False, True])
-@pytest.mark.parametrize("leave", LEAVES)
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
 @pytest.mark.parametrize("framing", CHUNKS)
 def test_a_request_that_breaks_off_at_any_byte_isnt_run(
     world, framing, leave, is_later
@@ -119,7 +119,7 @@
     assert find_bodies(world, "key") == [BODY]
 
 
-@pytest.mark.parametrize("leave", LEAVES)
+@pytest.mark.parametrize("leave", WAYS_TO_LEAVE)
 @pytest.mark.parametrize("framing", CHUNKS)
 def test_a_caller_that_leaves_before_it_may_send_its_body_runs_nothing(
     world, framing, leave
@@ -157,7 +157,7 @@
 REFUSED = make_refused()
 
 
-@pytest.mark.parametrize("leave", Leave)
+@pytest.mark.parametrize("leave", Leaving)
 @pytest.mark.parametrize("name", REFUSED)
 def test_nothing_behind_a_refused_head_is_run(world, name, leave):
     """Guards against the rest of a refused body that is taken for a request."""
--- a/test/entry/test_leaving_callers.py
+++ b/test/entry/test_leaving_callers.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from bench.leaving import Leaving
 from eelgrassrack.callers.connection import CallerConnection
 from eelgrassrack.entry.core import Core
 
 from ..promises.world import REGISTRY, World
 from .leaving import (
     TURN_SECONDS,
-    Leave,
     LeavingCaller,
     find_bodies,
     make_body,
@@ -20,8 +20,8 @@
     settle,
 )
 
-# Without a chunk size a body is declared by its length.
-CHUNK_SIZES = (None, 3, 100, 4_096)
+# Sizes of chunks in bytes; 0 is for a body with a length.
+CHUNK_SIZES = (0, 3, 100, 4_096)
 BODY_SIZES = (0, 600, 9_000, 60_000)
 PATHS = {"once": "/credentials", "repeatable": "/items"}
 
@@ -98,7 +98,7 @@
 
     key: str
     size: int
-    chunk: int | None
+    chunk: int
     is_later: bool
 
 
@@ -119,7 +119,7 @@
     settle(world)
     for caller in callers:
         caller.close()
-    is_needed = leave is Leave.STAYS
+    is_needed = leave is Leaving.STAY
     found = ((each, find_bodies(world, each.key)) for each in sent)
     return [
         (each, [len(body) for body in bodies])
@@ -130,7 +130,7 @@
 
 @pytest.mark.parametrize("repeat", PATHS)
 @pytest.mark.parametrize("moment", MOMENTS)
-@pytest.mark.parametrize("leave", Leave)
+@pytest.mark.parametrize("leave", Leaving)
 def test_an_endpoint_gets_no_other_body_than_was_sent(
     monkeypatch, world, leave, moment, repeat
 ):
@@ -156,18 +156,18 @@
 
 
 @pytest.mark.parametrize("repeat", PATHS)
-@pytest.mark.parametrize("leave", Leave)
+@pytest.mark.parametrize("leave", Leaving)
 def test_a_body_stays_whole_while_its_request_waits(world, confirmed, leave, repeat):
     """Guards against a body that is lost as its caller leaves during a wait."""
     body = send_during_wait(world, confirmed, path=PATHS[repeat], leave=leave)
-    allowed = [[body]] if leave is Leave.STAYS else [[body], []]
+    allowed = [[body]] if leave is Leaving.STAY else [[body], []]
     assert find_bodies(world, "key") in allowed
 
 
 @pytest.mark.parametrize("repeat", PATHS)
 def test_a_request_isnt_run_for_a_caller_that_was_reset(world, confirmed, repeat):
     """Guards against work for callers that are known to have left."""
-    send_during_wait(world, confirmed, path=PATHS[repeat], leave=Leave.RESETS)
+    send_during_wait(world, confirmed, path=PATHS[repeat], leave=Leaving.RESET)
     counts = world.entry().core.meter.counts
     assert not find_bodies(world, "key")
     assert not any(name.startswith("refused") for name in counts)
--- a/test/gateway/leaving.py
+++ b/test/gateway/leaving.py
@@ -1,48 +1,16 @@
-"""Callers that send a request and leave, at any byte of it and in any way."""
+"""Requests of callers that leave, and what they get."""
 
 import asyncio
-import enum
 import itertools
 import re
 import socket
-import struct
-
-import msgspec
 
+from bench.bodies import SentBody
 from test.gateway.world import HOST, KEY
 
-# For the close of a connection that discards what is unsent and resets it.
-NO_LINGER = struct.pack("ii", 1, 0)
-
 ANSWER_BYTES = 65_536
 
 
-class Leaving(enum.Enum):
-    """How a caller ends its connection."""
-
-    CLOSE = "close"
-    HALF_CLOSE = "half close"
-    RESET = "reset"
-
-
-class Framing(msgspec.Struct, frozen=True):
-    """How a body is framed: in chunks of `chunk` bytes, by its length if that is 0."""
-
-    chunk: int = 0
-
-    def __str__(self):
-        return f"chunks of {self.chunk}" if self.chunk else "length"
-
-    def encode(self, body):
-        """Return the rest of a head and the body."""
-        if not self.chunk:
-            return f"Content-Length: {len(body)}\r\n\r\n".encode() + body
-        starts = range(0, len(body), self.chunk)
-        pieces = (body[start : start + self.chunk] for start in starts)
-        chunks = (b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces)
-        return b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(chunks) + b"0\r\n\r\n"
-
-
 def make_body(attempt, size):
     """Return a body that no other attempt has."""
     numbers = itertools.count()
@@ -50,17 +18,18 @@
     return text[:size].encode()
 
 
-def make_request(attempt, body, *, framing, path="/look/1", fields=()):
-    """Return a whole request."""
+def make_request(attempt, body, *, chunk=0, path="/look/1"):
+    """Return a whole request: its body in chunks of so many bytes, or with a length."""
+    sent = SentBody(content=body, chunk_bytes=chunk)
     lines = (
         f"POST {path} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Attempt-Id: {attempt}",
         "X-Deadline-Ms: 5000",
         f"Authorization: Bearer {KEY}",
-        *fields,
+        sent.header,
     )
-    return "\r\n".join(lines).encode() + b"\r\n" + framing.encode(body)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + sent.frame()
 
 
 async def open_socket(address):
@@ -85,15 +54,3 @@
 def list_statuses(received):
     """Return the statuses of the answers that were received."""
     return [int(found) for found in re.findall(rb"HTTP/1.1 (\d+) ", received)]
-
-
-def leave(sock, how):
-    """End a connection."""
-    match how:
-        case Leaving.CLOSE:
-            sock.close()
-        case Leaving.HALF_CLOSE:
-            sock.shutdown(socket.SHUT_WR)
-        case Leaving.RESET:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-            sock.close()
--- a/test/gateway/test_leaving_callers.py
+++ b/test/gateway/test_leaving_callers.py
@@ -4,12 +4,10 @@
 
 import pytest
 
+from bench.leaving import WAYS_TO_LEAVE, Leaving, leave
 from eelgrassrack.standins.directengine import Echo, Hang, Reply
 
 from .leaving import (
-    Framing,
-    Leaving,
-    leave,
     list_statuses,
     make_body,
     make_request,
@@ -19,7 +17,8 @@
 from .virtualtime import hold_up, run_in_virtual_time
 from .world import make_world
 
-FRAMINGS = [Framing(), Framing(chunk=3), Framing(chunk=100), Framing(chunk=4_096)]
+# Sizes of chunks in bytes; 0 is for a body with a length.
+CHUNKS = [0, 3, 100, 4_096]
 SIZES = [600, 4_000, 60_000]
 
 # The endpoint takes so long for each request.
@@ -50,22 +49,22 @@
     return [run.body for run in engine.runs if run.attempt == attempt]
 
 
-@pytest.mark.parametrize("how", Leaving, ids=lambda how: how.value)
+@pytest.mark.parametrize("how", WAYS_TO_LEAVE)
 @pytest.mark.parametrize("size", SIZES)
-@pytest.mark.parametrize("framing", FRAMINGS, ids=str)
-def test_a_request_whose_caller_leaves_runs_whole_or_not_at_all(framing, size, how):
+@pytest.mark.parametrize("chunk", CHUNKS)
+def test_a_request_whose_caller_leaves_runs_whole_or_not_at_all(chunk, size, how):
     """Guards against a body that is cut as its caller leaves after the last byte."""
 
     async def main():
         async with make_world() as world:
             engine = await start(world, Reply(delay=SERVE_SECONDS))
             sock = await open_socket(world.settings[0].listen)
-            sock.send(make_request("first", b"ask", framing=framing))
+            sock.send(make_request("first", b"ask", chunk=chunk))
             await asyncio.sleep(SERVE_SECONDS / 2)
             # The connection still serves the first request, so that the gateway reads
             # the second one and the end in one turn of its loop.
             body = make_body("second", size)
-            sock.send(make_request("second", body, framing=framing))
+            sock.send(make_request("second", body, chunk=chunk))
             leave(sock, how)
             await asyncio.sleep(QUIET_SECONDS)
             sock.close()
@@ -75,8 +74,8 @@
     run_in_virtual_time(main())
 
 
-@pytest.mark.parametrize("framing", FRAMINGS, ids=str)
-def test_callers_that_close_only_their_sending_side_get_all_answers(framing):
+@pytest.mark.parametrize("chunk", CHUNKS)
+def test_callers_that_close_only_their_sending_side_get_all_answers(chunk):
     """Guards against requests that are dropped though their callers wait."""
 
     async def main():
@@ -85,7 +84,7 @@
             sock = await open_socket(world.settings[0].listen)
             bodies = {name: make_body(name, 3_000) for name in ("one", "two", "three")}
             for name, body in bodies.items():
-                sock.send(make_request(name, body, framing=framing))
+                sock.send(make_request(name, body, chunk=chunk))
             leave(sock, Leaving.HALF_CLOSE)
             received = await read_to_end(sock)
             sock.close()
@@ -95,18 +94,18 @@
     run_in_virtual_time(main())
 
 
-@pytest.mark.parametrize("how", Leaving, ids=lambda how: how.value)
-@pytest.mark.parametrize("framing", FRAMINGS, ids=str)
-def test_a_request_that_is_cut_at_any_byte_reaches_no_endpoint(framing, how):
+@pytest.mark.parametrize("how", WAYS_TO_LEAVE)
+@pytest.mark.parametrize("chunk", CHUNKS)
+def test_a_request_that_is_cut_at_any_byte_reaches_no_endpoint(chunk, how):
     """Guards against a part of a request that runs as its caller leaves."""
 
     async def main():
         async with make_world() as world:
             engine = await start(world, Echo())
-            request = make_request("cut", make_body("cut", 300), framing=framing)
+            request = make_request("cut", make_body("cut", 300), chunk=chunk)
             for size in range(1, len(request), CUT_STEP):
                 sock = await open_socket(world.settings[0].listen)
-                sock.send(make_request("first", b"ask", framing=framing))
+                sock.send(make_request("first", b"ask", chunk=chunk))
                 sock.send(request[:size])
                 leave(sock, how)
                 await asyncio.sleep(SERVE_SECONDS)
@@ -124,7 +123,7 @@
         async with make_world() as world:
             engine = await start(world, Hang())
             sock = await open_socket(world.settings[0].listen)
-            sock.send(make_request("left", b"ask", framing=Framing()))
+            sock.send(make_request("left", b"ask"))
             if not leaves_with_request:
                 await asyncio.sleep(SERVE_SECONDS)
             leave(sock, Leaving.CLOSE)
@@ -135,7 +134,7 @@
     run_in_virtual_time(main())
 
 
-@pytest.mark.parametrize("how", Leaving, ids=lambda how: how.value)
+@pytest.mark.parametrize("how", WAYS_TO_LEAVE)
 def test_callers_that_left_while_a_gateway_was_held_up_are_not_served(how):
     """Guards against work for callers that have given up a frozen gateway."""
 
@@ -144,7 +143,7 @@
             engine = await start(world, Echo())
             sock = await open_socket(world.settings[0].listen)
             await asyncio.sleep(SERVE_SECONDS)
-            sock.send(make_request("left", make_body("left", 600), framing=Framing()))
+            sock.send(make_request("left", make_body("left", 600)))
             leave(sock, how)
             hold_up(HELD_UP_SECONDS)
             if how is Leaving.HALF_CLOSE:
@@ -164,7 +163,7 @@
             await start(world, Echo())
             sock = await open_socket(world.settings[0].listen)
             await asyncio.sleep(SERVE_SECONDS)
-            sock.send(make_request("stays", make_body("stays", 600), framing=Framing()))
+            sock.send(make_request("stays", make_body("stays", 600)))
             hold_up(HELD_UP_SECONDS)
             received = await asyncio.get_running_loop().sock_recv(sock, 1_000)
             sock.close()
--- a/test/gateway/test_slow_readers.py
+++ b/test/gateway/test_slow_readers.py
@@ -5,7 +5,7 @@
 
 from eelgrassrack.standins.directengine import Reply
 
-from .leaving import Framing, make_request
+from .leaving import make_request
 from .world import make_world, run
 
 # Longer than the kernel may wait for an acknowledgement.
@@ -29,7 +29,7 @@
             host, port = world.settings[0].listen.split(":")
             loop = asyncio.get_running_loop()
             await loop.sock_connect(sock, (host, int(port)))
-            sock.send(make_request("a1", b"ask", framing=Framing()))
+            sock.send(make_request("a1", b"ask"))
             await asyncio.sleep(PAUSE_SECONDS)
             received = b""
             while not received.endswith(ANSWER):
