End work for callers that have left, however late the loop and whatever was written

A late timer gets one further turn. - A caller that half closes after a request that may not be repeated got no answer if that took longer than 0.25 s, though the request ran.

Left by design: a half close whose answer begins later than 0.25 s, on a route that may be repeated or a stream, isn't answered, as an end can't be told from a close and work for those who left has to end.

--- a/eelgrassrack/callers/body.py
+++ b/eelgrassrack/callers/body.py
@@ -10,14 +10,17 @@
 
 
 class RequestBody:
-    """What is kept of a body while it is read."""
+    """What is kept of a body while it is read.
 
-    __slots__ = ("_data", "_is_kept", "_is_whole")
+    Its size isn't known before its end, nor after a part was dropped.
+    """
+
+    __slots__ = ("_data", "_is_kept", "_size")
 
     def __init__(self) -> None:
         self._data = bytearray()
         self._is_kept = True
-        self._is_whole = False
+        self._size: int | None = None
 
     def __len__(self) -> int:
         """Return how many bytes are kept."""
@@ -27,7 +30,7 @@
         """Begin with the body of the connection's next request."""
         self._data.clear()
         self._is_kept = True
-        self._is_whole = False
+        self._size = None
 
     def add(self, data: bytes) -> None:
         """Keep the next part, unless others were dropped."""
@@ -37,20 +40,22 @@
     def drop(self) -> None:
         """Keep nothing of the body: from now on it can't be taken."""
         self._data.clear()
+        self._size = None
         self._is_kept = False
 
     def end(self, size: int) -> None:
         """Note the body's end after `size` decoded bytes."""
-        self._is_whole = self._is_kept and len(self._data) == size
+        self._size = size if self._is_kept else None
 
     def take(self) -> bytes:
         """Return the whole body, which is kept elsewhere from now on.
 
         Raise `IncompleteBodyError` if a part is missing or was taken already.
         """
-        if not self._is_whole:
-            raise IncompleteBodyError(f"{len(self._data)} bytes of a body are kept")
+        if len(self._data) != self._size:
+            raise IncompleteBodyError(
+                f"{len(self._data)} bytes of a body are kept, {self._size} were read"
+            )
         data = bytes(self._data)
         self.drop()
-        self._is_whole = False
         return data
--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -1,7 +1,6 @@
 """A caller's connection that counts what it holds and reads tiny pieces in turns."""
 
 import asyncio
-import contextlib
 import math
 import re
 import socket
@@ -32,10 +31,13 @@
 # unless an answer was begun.
 END_SECONDS = 0.25
 
-# A timer that fires later than this shows that the event loop was held up, and so often
-# the wait begins again.
+# A timer that fires later than this shows a loop that was held up.  What arrived
+# meanwhile is read in the next turns.
 LATE_SECONDS = 0.05
-MAX_WAITS = 4
+TURN_SECONDS = 0.02
+
+# How often it is looked whether a caller that is served after its end has left.
+RESET_CHECK_SECONDS = 0.1
 
 # How long a caller may read nothing of its answer.
 UNREAD_SECONDS = 30.0
@@ -78,8 +80,9 @@
         self._reads = 0
         self._has_turn = False
         self._has_left = False
-        self._has_ended = False
+        self._ended_at = math.inf
         self._is_answered = False
+        self._runs_to_end = False
         self._end_timer: asyncio.TimerHandle | None = None
         self.body = RequestBody()
         self.place = room.open(self)
@@ -88,7 +91,11 @@
         """Wait for the connection's next request."""
         self._reads = 0
         self._is_answered = False
+        self._runs_to_end = False
         self._cancel_end_timer()
+        if self._has_ended:
+            # The caller had the answer before, if there was one.
+            self._ended_at = self._room.time()
         self.body.begin()
         self.place.begin(self._room.time())
         if self._read_buffer_size:
@@ -132,14 +139,19 @@
         if self.place.phase is Phase.BODY:
             self.place.phase = Phase.WAITING
 
-    def note_served(self) -> None:
+    def note_served(self, *, runs_to_end: bool = False) -> None:
         """Note that work for a request begins, so that it doesn't give way any more.
 
-        Raise `StreamClosedError` if it did, or if its caller has left: it must not run.
+        With `runs_to_end` the work goes on if the caller may have left, until that is
+        certain, but isn't begun anew.  Raise `StreamClosedError` if the request gave
+        way or its caller has left: it must not run.
         """
-        if not self.closed() and self._is_reset():
+        is_overdue = self._room.time() > self._ended_at + END_SECONDS
+        has_left = is_overdue and not self._is_answered
+        if has_left or (not self.closed() and self._is_reset()):
             self.close()
         self.check_stays()
+        self._runs_to_end = runs_to_end
         self.place.phase = Phase.SERVED
 
     def _is_reset(self) -> bool:
@@ -172,6 +184,8 @@
 
     def close_if_stuck(self) -> None:
         """Close the connection if the caller is gone, or reads no answer."""
+        self._find_end()
+        self._settle_end()
         if self.closed():
             return
         unread_since = self.place.since if self.writing() else math.inf
@@ -259,10 +273,15 @@
         """
         size = super().read_from_fd(buf)
         if size == 0:
-            self._has_ended = True
+            self._ended_at = min(self._ended_at, self._room.time())
             return None
         return size
 
+    @property
+    def _has_ended(self) -> bool:
+        """Return whether nothing more comes from the caller."""
+        return self._ended_at < math.inf
+
     def _settle_end(self) -> None:
         """Decide what the caller's end means, if it was read.
 
@@ -277,33 +296,41 @@
             # The end would be reported again and again.
             self._state &= ~self.io_loop.READ
             self.io_loop.update_handler(self.fileno(), self._state)
-        if self._room.was_held_up:
+        if self._room.was_held_up and not self._may_wait_on:
             self._end_unanswered()
         elif self._end_timer is None:
-            self._await_answer(MAX_WAITS)
+            self._check_end_in(END_SECONDS)
 
-    def _await_answer(self, waits: int) -> None:
-        """Give the request in flight a while to be answered."""
+    def _check_end_in(self, seconds: float, *, is_last: bool = False) -> None:
+        """Judge the caller's end later; `is_last` if a late timer isn't forgiven."""
         loop = asyncio.get_running_loop()
-        due = loop.time() + END_SECONDS
-        self._end_timer = loop.call_at(due, self._stop_waiting, due, waits)
+        due = loop.time() + seconds
+        self._end_timer = loop.call_at(due, self._check_end, due, is_last)
+
+    def _check_end(self, due: float, is_last: bool) -> None:
+        """End the connection if the caller has left, or gets no answer in time.
 
-    def _stop_waiting(self, due: float, waits: int) -> None:
-        is_late = asyncio.get_running_loop().time() > due + LATE_SECONDS
-        if is_late and waits > 1:
+        The caller may have closed the connection completely, and nothing tells until
+        bytes are sent to it.  What is sent after that resets the connection, of which
+        no event tells as the connection isn't read any more.
+        """
+        if self._is_reset():
+            self.close()
+        elif self._may_wait_on:
+            self._check_end_in(RESET_CHECK_SECONDS)
+        elif asyncio.get_running_loop().time() > due + LATE_SECONDS and not is_last:
             # The answer may have come while the event loop was held up.
-            self._await_answer(waits - 1)
+            self._check_end_in(TURN_SECONDS, is_last=True)
         else:
             self._end_unanswered()
 
-    def _end_unanswered(self) -> None:
-        """End the connection unless an answer was begun.
+    @property
+    def _may_wait_on(self) -> bool:
+        """Return whether a caller that may have left is served on."""
+        return self.writing() or self._is_answered or self._runs_to_end
 
-        The caller may have closed the connection completely, and nothing tells until
-        bytes are sent to it.  What is sent after that resets the connection.
-        """
-        if self.closed() or self.writing() or self._is_answered:
-            return
+    def _end_unanswered(self) -> None:
+        """End the connection; tell the caller if its request wasn't begun."""
         if self.place.may_give_way:
             self.leave(self.place.phase, is_reading=False)
         else:
@@ -311,11 +338,17 @@
 
     def _find_end(self) -> None:
         """Look whether the caller's end stands behind what was read."""
-        if self._has_ended or self._read_buffer_size or self.closed():
+        if self._has_ended or self.closed():
             return
-        with contextlib.suppress(OSError):
+        try:
             peeked = self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            self._has_ended = not peeked
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.close(exc_info=error)
+            return
+        if not peeked:
+            self._ended_at = self._room.time()
 
     def _add_io_state(self, state: int) -> None:
         if self._has_ended:
--- a/eelgrassrack/gateway/requests/attempts.py
+++ b/eelgrassrack/gateway/requests/attempts.py
@@ -26,7 +26,7 @@
 from .events import EVENT_END, Events, EventSplitter, find_later, skip_delivered
 from .holding import hold_more
 from .job import Delivered, Failed, Job, Lost, NotRun, Outcome, Unsure
-from .messages import Data, End, ResponseHead
+from .messages import Data, End, ResponseHead, RouteKind
 from .reply import Reply
 from .retries import RetryBudget
 from .silence import SilenceTimer
@@ -85,7 +85,8 @@
         """
         connection: Connection | None = None
         outcome: Outcome | None = None
-        reply.note_offered()
+        kind = job.permit.route.kind
+        reply.note_offered(runs_to_end=kind is RouteKind.NON_IDEMPOTENT)
         job.tried.append(endpoint.name)
         job.excluded.add(endpoint.name)
         job.attempts += 1
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -361,7 +361,6 @@
     ) -> None:
         """Decode the headers, and refuse a request that is declared too long."""
         self._ingress._mark_active(self.connection)
-        self._ingress._reading.add(self)
         # The limits may have changed while the connection was idle.
         self._limits = self._ingress._find_limits()
         self._arrival = self._ingress._decode(
@@ -370,6 +369,7 @@
             pairs=headers.get_all(),
             now=asyncio.get_running_loop().time(),
         )
+        self._ingress._reading.add(self)
         refusal = self._find_refusal(headers)
         if refusal is not None:
             self._refuse(refusal)
--- a/eelgrassrack/gateway/requests/reply.py
+++ b/eelgrassrack/gateway/requests/reply.py
@@ -60,13 +60,14 @@
         self.is_finished = False
         self.is_request_read = True
 
-    def note_offered(self) -> None:
+    def note_offered(self, *, runs_to_end: bool) -> None:
         """Note that an endpoint gets the request; raise `CallerGoneError`.
 
-        From now on the request doesn't give way to others any more.
+        From now on the request doesn't give way to others any more.  With
+        `runs_to_end` it goes on until it is certain that its caller has left.
         """
         try:
-            self._connection.stream.note_served()
+            self._connection.stream.note_served(runs_to_end=runs_to_end)
         except StreamClosedError as error:
             raise CallerGoneError("left or gave way to others") from error
 
--- a/test/callers/test_body.py
+++ b/test/callers/test_body.py
@@ -21,17 +21,26 @@
         body.take()
 
 
-@given(parts=PARTS, place=st.integers(0, 5))
+@given(parts=PARTS, place=st.integers(0, 6))
 def test_a_body_of_which_a_part_was_dropped_cant_be_taken(parts, place):
     """Guards against the rest of a body that passes for the whole."""
     body = RequestBody()
-    for number, part in enumerate(parts):
-        if number == place:
-            body.drop()
-        body.add(part)
-    if place >= len(parts):
-        body.drop()
-    body.end(len(b"".join(parts)))
+    size = len(b"".join(parts))
+    steps = [lambda part=part: body.add(part) for part in parts]
+    steps.append(lambda: body.end(size))
+    steps.insert(place, body.drop)
+    for step in steps:
+        step()
+    with pytest.raises(IncompleteBodyError):
+        body.take()
+
+
+def test_a_body_to_which_a_part_came_after_its_end_cant_be_taken():
+    """Guards against bytes of a next request that pass for a part of this one."""
+    body = RequestBody()
+    body.add(b"one")
+    body.end(3)
+    body.add(b"two")
     with pytest.raises(IncompleteBodyError):
         body.take()
 
--- a/test/gateway/test_leaving_callers.py
+++ b/test/gateway/test_leaving_callers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.leaving import WAYS_TO_LEAVE, Leaving, leave
-from eelgrassrack.standins.directengine import Echo, Hang, Reply
+from eelgrassrack.standins.directengine import Echo, Events, Hang, Reply
 
 from .leaving import (
     list_statuses,
@@ -31,6 +31,15 @@
 GONE_SECONDS = 0.5
 
 HELD_UP_SECONDS = 2.0
+LATE_TURN_SECONDS = 0.1
+
+# Longer than a request waits for its answer if its caller may have left.
+LONG_SECONDS = 1.0
+
+# A close behind other bytes is found within it.
+CHECKED_SECONDS = 1.6
+
+READ_BYTES = 65_536
 
 # Each so many bytes a request is cut.
 CUT_STEP = 7
@@ -170,3 +179,76 @@
             assert list_statuses(received) == [200]
 
     run_in_virtual_time(main())
+
+
+def test_a_stream_to_a_caller_that_closed_before_an_event_ends_soon():
+    """Guards against endpoints that work for callers of which no event tells."""
+
+    async def main():
+        async with make_world() as world:
+            events = Events(count=9, gap=SERVE_SECONDS, pauses_after=3, pause=9.0)
+            engine = await world.add_engine("e1", events, service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            sock = await open_socket(world.settings[0].listen)
+            sock.send(make_request("left", b"ask", path="/chat/1"))
+            await asyncio.sleep(1.5 * SERVE_SECONDS)
+            sock.recv(READ_BYTES)
+            leave(sock, Leaving.CLOSE)
+            await asyncio.sleep(GONE_SECONDS)
+            assert engine.cancelled == ["left"]
+
+    run_in_virtual_time(main())
+
+
+def test_work_ends_soon_though_the_loop_is_held_up_at_each_turn():
+    """Guards against waits that add up while the event loop is late."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Hang())
+            sock = await open_socket(world.settings[0].listen)
+            sock.send(make_request("left", b"ask"))
+            await asyncio.sleep(SERVE_SECONDS)
+            leave(sock, Leaving.CLOSE)
+            until = asyncio.get_running_loop().time() + GONE_SECONDS
+            while asyncio.get_running_loop().time() < until:
+                await asyncio.sleep(0.01)
+                hold_up(LATE_TURN_SECONDS)
+            assert engine.cancelled == ["left"]
+
+    run_in_virtual_time(main())
+
+
+def test_a_request_that_may_not_be_repeated_is_answered_after_a_half_close():
+    """Guards against work that is done while its caller waits in vain."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Echo(delay=LONG_SECONDS))
+            sock = await open_socket(world.settings[0].listen)
+            sock.send(make_request("waits", b"ask", path="/issue/1"))
+            leave(sock, Leaving.HALF_CLOSE)
+            assert list_statuses(await read_to_end(sock)) == [200]
+            sock.close()
+            assert list_bodies(engine, "waits") == [b"ask"]
+
+    run_in_virtual_time(main())
+
+
+def test_a_close_behind_bytes_of_a_next_request_is_noticed():
+    """Guards against work that goes on as nothing reads a connection on."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await start(world, Hang())
+            sock = await open_socket(world.settings[0].listen)
+            sock.send(make_request("left", b"ask"))
+            await asyncio.sleep(SERVE_SECONDS)
+            sock.send(b"POST")
+            await asyncio.sleep(SERVE_SECONDS)
+            leave(sock, Leaving.CLOSE)
+            await asyncio.sleep(CHECKED_SECONDS)
+            assert engine.cancelled == ["left"]
+
+    run_in_virtual_time(main())
