Test that an engine gets no other chat than was sent

A chat is read from the whole body, so that a shortened one isn't valid JSON and is refused; blanks at its end could be lost unnoticed. 12 tests, as for plain services: each moment and way of leaving, bodies of 600 to 60,000 bytes in four framings.

--- a/test/entry/leaving.py
+++ b/test/entry/leaving.py
@@ -16,6 +16,7 @@
 SETTLE_SECONDS = 0.1
 
 KEY = "school-key"
+SERVICE = "/v1/services/registry"
 
 
 class Leave(enum.Enum):
@@ -69,10 +70,21 @@
     return b"".join(b"%07d " % n for n in range(size // 8 + 1))[:size]
 
 
-def make_head(key, *, method="POST", path="/credentials", caller=KEY, fields=""):
-    """Return the head of a request for the plain service, without its framing."""
+def make_head(
+    key,
+    *,
+    method="POST",
+    path="/credentials",
+    target="",
+    caller=KEY,
+    fields="",
+):
+    """Return the head of a request without its framing.
+
+    It is for `path` of the plain service, or for `target`.
+    """
     return (
-        f"{method} /v1/services/registry{path} HTTP/1.1\r\nHost: entry\r\n"
+        f"{method} {target or SERVICE + path} HTTP/1.1\r\nHost: entry\r\n"
         f"Authorization: Bearer {caller}\r\nIdempotency-Key: {key}\r\n{fields}"
     ).encode()
 
--- a/test/entry/test_leaving_callers.py
+++ b/test/entry/test_leaving_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 from typing import NamedTuple
 
 import pytest
@@ -9,7 +10,7 @@
 from eelgrassrack.callers.connection import CallerConnection
 from eelgrassrack.entry.core import Core
 
-from ..promises.world import REGISTRY, World
+from ..promises.world import REGISTRY, TUTOR_EAST, World
 from .leaving import (
     TURN_SECONDS,
     Leave,
@@ -23,6 +24,7 @@
 # Without a chunk size a body is declared by its length.
 CHUNK_SIZES = (None, 3, 100, 4_096)
 BODY_SIZES = (0, 600, 9_000, 60_000)
+CHAT = "/v1/chat/completions"
 PATHS = {"once": "/credentials", "repeatable": "/items"}
 
 
@@ -30,7 +32,7 @@
 def world(monkeypatch):
     world = World(monkeypatch)
     try:
-        world.start(plans=[REGISTRY])
+        world.start(plans=[REGISTRY, TUTOR_EAST])
         yield world
     finally:
         world.close()
@@ -184,3 +186,37 @@
     settle(world)
     caller.close()
     assert not find_bodies(world, "key")
+
+
+def make_chats():
+    """Return chats by their prompts, each with the size of its chunks.
+
+    Blanks that mean nothing fill the bodies up.
+    """
+    chats = {}
+    cases = itertools.product(BODY_SIZES[1:], CHUNK_SIZES)
+    for number, (size, chunk) in enumerate(cases):
+        prompt = f"question {number} {make_body(size // 2).decode()}"
+        messages = [{"role": "user", "content": prompt}]
+        fields = {"model": "tutor", "messages": messages, "max_tokens": 1}
+        chats[prompt] = json.dumps(fields).encode().ljust(size), chunk
+    return chats
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+@pytest.mark.parametrize("leave", Leave)
+def test_an_engine_gets_no_other_chat_than_was_sent(monkeypatch, world, leave, moment):
+    """Guards against chats that run with a shortened body as their caller leaves."""
+    chats = make_chats()
+    callers = []
+    for body, chunk in chats.values():
+        request = make_request(body, key="", target=CHAT, chunk=chunk)
+        callers.append(connect(world, is_later=True))
+        MOMENTS[moment](monkeypatch, world, callers[-1], request, leave)
+    settle(world)
+    for caller in callers:
+        caller.close()
+    prompts = [each.prompt for each in world.standin("tutor-east").started]
+    assert set(prompts) <= set(chats)
+    if leave is Leave.STAYS:
+        assert sorted(prompts) == sorted(chats)
