--- a/test/entry/test_leaving_callers.py
+++ b/test/entry/test_leaving_callers.py
@@ -204,7 +204,7 @@
 
 
 @pytest.mark.parametrize("moment", MOMENTS)
-@pytest.mark.parametrize("leave", Leave)
+@pytest.mark.parametrize("leave", Leaving)
 def test_an_engine_gets_no_other_chat_than_was_sent(monkeypatch, world, leave, moment):
     """Guards against chats that run with a shortened body as their caller leaves."""
     chats = make_chats()
@@ -218,5 +218,5 @@
         caller.close()
     prompts = [each.prompt for each in world.standin("tutor-east").started]
     assert set(prompts) <= set(chats)
-    if leave is Leave.STAYS:
+    if leave is Leaving.STAY:
         assert sorted(prompts) == sorted(chats)
