--- a/eelgrassrack/callers/connection.py
+++ b/eelgrassrack/callers/connection.py
@@ -103,6 +103,11 @@
         self.stream.put_back(decoder.rest)
         self.stream.note_whole(decoded)
 
+    def _finish_request(self, future: "asyncio.Future[None] | None") -> None:
+        if self._disconnect_on_finish:
+            self.stream.linger_if_unread()
+        super()._finish_request(future)
+
     def forget_head(self) -> None:
         """Drop the head of a request whose connection is closed.
 
--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -216,6 +216,22 @@
         self._read_buffer_size = 0
         self.body.drop()
 
+    def linger_if_unread(self) -> None:
+        """Keep the connection from being reset by a close that follows.
+
+        A caller may send its next request before it has the answer that ends the
+        connection, and a reset could take the answer from it.
+        """
+        if not self.closed() and (self._read_buffer_size or self._has_unread()):
+            self._lingering.linger_after_close(self)
+
+    def _has_unread(self) -> bool:
+        """Return whether bytes of the caller wait in the kernel."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def put_back(self, data: bytes) -> None:
         """Return bytes that were read beyond the end of a message."""
         if data:
