Test that a body is freed as its caller gives way during a wait

A handler owns the body while its request waits for a confirmed document; the test checks that it lets go of it as its caller gives way to others, and that nothing runs then.

--- a/test/entry/test_leaving_callers.py
+++ b/test/entry/test_leaving_callers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from eelgrassrack.callers.connection import CallerConnection
+from eelgrassrack.decisions.callermemory import Phase
 from eelgrassrack.entry.core import Core
 
 from ..promises.world import REGISTRY, TUTOR_EAST, World
@@ -220,3 +221,23 @@
     assert set(prompts) <= set(chats)
     if leave is Leave.STAYS:
         assert sorted(prompts) == sorted(chats)
+
+
+def test_a_body_is_freed_as_its_caller_gives_way(world, confirmed):
+    """Guards against memory that is held though it was made free for others."""
+    caller = LeavingCaller(world.entry().url)
+    caller.send(make_request(make_body(9_000), key="key"))
+    world.run(asyncio.sleep(TURN_SECONDS))
+    (handler,) = world.entry().core.callers
+    assert handler.body == make_body(9_000)
+
+    async def give_way():
+        handler.stream.leave(Phase.WAITING, is_reading=False)
+
+    world.run(give_way())
+    world.wait(lambda: caller.has_answers(status=503))
+    assert not handler.body
+    confirmed.set()
+    settle(world)
+    caller.close()
+    assert not find_bodies(world, "key")
