Tell how long a gateway ran that went on beyond its grace

Nine plays beside load (19 to 35 runnable processes on 8 cores) had a gateway that logged nothing from about 0.5 s before the end of its grace until it was killed. The fault now says how long its main thread ran and how long it waited for a processor since SIGTERM, which tells a busy machine from a loop that hangs.

--- a/bench/gatewaysoak/answers.py
+++ b/bench/gatewaysoak/answers.py
@@ -67,7 +67,9 @@
         return (
             f"process begun at {format_wall_time(lifetime.began)}, SIGTERM at "
             f"{format_wall_time(lifetime.sigterm_at)}, killed "
-            f"{ended - lifetime.sigterm_at:.2f} s later, the soak was held up for "
+            f"{ended - lifetime.sigterm_at:.2f} s later, ran for "
+            f"{lifetime.ran_seconds:.2f} s and waited for a processor for "
+            f"{lifetime.waited_seconds:.2f} s, the soak was held up for "
             f"{self._lateness.sum_within(lifetime.sigterm_at, ended):.2f} s"
         )
 
--- a/bench/gatewaysoak/gateways.py
+++ b/bench/gatewaysoak/gateways.py
@@ -15,6 +15,7 @@
 
 GRACE_SECONDS = 5.0
 POLL_SECONDS = 0.02
+NANOSECONDS = 1e9
 # What a busy machine may need beyond the grace period for the process to exit and
 # for the soak to notice.
 END_SLACK_SECONDS = 0.5
@@ -51,7 +52,9 @@
     and `killed_at` is when a process that outlasted its grace was killed.
     `exceeded_grace` means that the process still had callers, and so hadn't finished
     stopping, at the end of its grace period.  `log_begin` is the size that the
-    gateway's log had before the process started.
+    gateway's log had before the process started.  For a process that was killed then,
+    `ran_seconds` and `waited_seconds` are what it ran and waited for a processor since
+    SIGTERM.
     """
 
     began: float
@@ -61,6 +64,8 @@
     killed_at: float | None = None
     ended: float = float("inf")
     exceeded_grace: bool = False
+    ran_seconds: float = 0.0
+    waited_seconds: float = 0.0
     disruptions: list[Disruption] = msgspec.field(default_factory=list)
 
     def was_disrupted(self, began: float, ended: float) -> bool:
@@ -150,6 +155,7 @@
         self.send(signal.SIGTERM)
         lifetime.sigterm_sent_at = time.monotonic()
         pid = self.process.pid
+        ran, waited = _read_schedule(pid)
         while self.is_up:
             if time.monotonic() > lifetime.sigterm_at + self.grace + END_SLACK_SECONDS:
                 was_disrupted = lifetime.was_disrupted(
@@ -159,6 +165,9 @@
                     not was_disrupted and not self._has_logged_stop()
                 )
                 lifetime.killed_at = time.monotonic()
+                ran_now, waited_now = _read_schedule(pid)
+                lifetime.ran_seconds = ran_now - ran
+                lifetime.waited_seconds = waited_now - waited
                 self.kill()
                 self.process.wait()
             await asyncio.sleep(POLL_SECONDS)
@@ -251,3 +260,13 @@
     def _note_end(self) -> None:
         if self.lifetimes:
             self.lifetimes[-1].ended = min(self.lifetimes[-1].ended, time.monotonic())
+
+
+def _read_schedule(pid: int) -> tuple[float, float]:
+    """Return how long a process has run, and has waited for a processor, in seconds."""
+    try:
+        text = Path(f"/proc/{pid}/schedstat").read_text()
+    except OSError:
+        return 0.0, 0.0
+    ran, waited, _ = (int(part) for part in text.split())
+    return ran / NANOSECONDS, waited / NANOSECONDS
