Begin no prompt, and read none on, for a caller whose end was read

Cause: since a caller's end may be a half close, requests whose callers had given up were begun, or went on, for up to 0.25 s. For prompts that is work in vain: no answer begins so soon. A whole prompt that waits is refused as not run, so that a half closing caller may send it again. Streams that have begun keep the 0.25 s.

--- a/eelgrassrack/callers/stream.py
+++ b/eelgrassrack/callers/stream.py
@@ -83,6 +83,7 @@
         self._ended_at = math.inf
         self._is_answered = False
         self._runs_to_end = False
+        self._grace = END_SECONDS
         self._end_timer: asyncio.TimerHandle | None = None
         self.body = RequestBody()
         self.place = room.open(self)
@@ -92,6 +93,7 @@
         self._reads = 0
         self._is_answered = False
         self._runs_to_end = False
+        self._grace = END_SECONDS
         self._cancel_end_timer()
         if self._has_ended:
             # The caller had the answer before, if there was one.
@@ -139,6 +141,14 @@
         if self.place.phase is Phase.BODY:
             self.place.phase = Phase.WAITING
 
+    def expect_long_work(self) -> None:
+        """Note that an answer can't begin soon.
+
+        Until it does, the caller's end is taken for a close: a half close wouldn't be
+        answered in time, and a prompt is dear to read in vain.
+        """
+        self._grace = 0.0
+
     def note_served(self, *, runs_to_end: bool = False) -> None:
         """Note that work for a request begins, so that it doesn't give way any more.
 
@@ -166,6 +176,7 @@
 
     def note_answer(self) -> None:
         """Note that an answer begins."""
+        self._grace = END_SECONDS
         match self.place.phase:
             case Phase.BODY:
                 self.note_refused()
@@ -315,7 +326,7 @@
         if self._room.was_held_up and not self._may_wait_on:
             self._end_unanswered()
         elif self._end_timer is None:
-            self._check_end_in(END_SECONDS)
+            self._check_end_in(self._grace)
 
     def _check_end_in(self, seconds: float, *, is_last: bool = False) -> None:
         """Judge the caller's end later; `is_last` if a late timer isn't forgiven."""
--- a/eelgrassrack/gateway/requests/ingress.py
+++ b/eelgrassrack/gateway/requests/ingress.py
@@ -437,6 +437,8 @@
             self._early_reply.is_request_read = True
             return
         self._arrival.body = body
+        if self._arrival.tokens_in:
+            self.connection.stream.expect_long_work()
         self._start(self._make_reply())
 
     def end(self) -> None:
--- a/test/gateway/leaving.py
+++ b/test/gateway/leaving.py
@@ -18,7 +18,7 @@
     return text[:size].encode()
 
 
-def make_request(attempt, body, *, chunk=0, path="/look/1"):
+def make_request(attempt, body, *, chunk=0, path="/look/1", fields=()):
     """Return a whole request: its body in chunks of so many bytes, or with a length."""
     sent = SentBody(content=body, chunk_bytes=chunk)
     lines = (
@@ -27,6 +27,7 @@
         f"X-Attempt-Id: {attempt}",
         "X-Deadline-Ms: 5000",
         f"Authorization: Bearer {KEY}",
+        *fields,
         sent.header,
     )
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + sent.frame()
--- a/test/gateway/test_leaving_callers.py
+++ b/test/gateway/test_leaving_callers.py
@@ -30,6 +30,9 @@
 # Within it nothing works any more for a caller that has left.
 GONE_SECONDS = 0.5
 
+# Within it nothing reads a prompt any more for such a caller.
+SOON_SECONDS = 0.1
+
 HELD_UP_SECONDS = 2.0
 LATE_TURN_SECONDS = 0.1
 
@@ -252,3 +255,23 @@
             assert engine.cancelled == ["left"]
 
     run_in_virtual_time(main())
+
+
+def test_a_prompt_isnt_read_on_for_a_caller_that_has_closed():
+    """Guards against prompts that engines read for callers that have given up."""
+
+    async def main():
+        async with make_world() as world:
+            engine = await world.add_engine("e1", Hang(), service="models")
+            await world.start_gateway()
+            await world.wait_ready()
+            sock = await open_socket(world.settings[0].listen)
+            fields = ("X-Token-Usage: 500,50",)
+            sock.send(make_request("left", b"ask", path="/chat/1", fields=fields))
+            await asyncio.sleep(SERVE_SECONDS)
+            leave(sock, Leaving.CLOSE)
+            await asyncio.sleep(SOON_SECONDS)
+            assert list_bodies(engine, "left") == [b"ask"]
+            assert engine.cancelled == ["left"]
+
+    run_in_virtual_time(main())
