--- a/test/gateway/test_callers_in_calm.py
+++ b/test/gateway/test_callers_in_calm.py
@@ -9,7 +9,7 @@
 from eelgrassrack.standins.directengine import Echo, Hang, Reply
 
 from .test_limits import HEAD
-from .world import KEY, connect, make_world, run
+from .world import KEY, connect, make_world, run, wait_for
 
 TINY_CHUNK = b"2\r\nok\r\n"
 TINY_CHUNKS = 200_000
@@ -210,9 +210,9 @@
             engine = await start(world, script=Hang(), memory_mb=LITTLE_MEMORY_MB)
             caller = await connect(world.settings[0].listen)
             caller.send("/look/1", attempt="first", body=b"x" * 60_000)
+            await wait_for(lambda: engine.runs)
             (place,) = await wait_for_places(world.gateways[0], phase="served")
             assert not place.may_give_way
-            assert engine.runs
             caller.close()
 
     run(main())
