--- a/test/gateway/test_leaving_callers.py
+++ b/test/gateway/test_leaving_callers.py
@@ -48,9 +48,9 @@
 CUT_STEP = 7
 
 
-async def start(world, *steps):
+async def start(world, step, *, service="plain"):
     """Start a gateway with one endpoint; return the endpoint."""
-    engine = await world.add_engine("e1", *(steps or (Reply(),)))
+    engine = await world.add_engine("e1", step, service=service)
     await world.start_gateway()
     await world.wait_ready()
     return engine
@@ -190,9 +190,7 @@
     async def main():
         async with make_world() as world:
             events = Events(count=9, gap=SERVE_SECONDS, pauses_after=3, pause=9.0)
-            engine = await world.add_engine("e1", events, service="models")
-            await world.start_gateway()
-            await world.wait_ready()
+            engine = await start(world, events, service="models")
             sock = await open_socket(world.settings[0].listen)
             sock.send(make_request("left", b"ask", path="/chat/1"))
             await asyncio.sleep(1.5 * SERVE_SECONDS)
@@ -262,9 +260,7 @@
 
     async def main():
         async with make_world() as world:
-            engine = await world.add_engine("e1", Hang(), service="models")
-            await world.start_gateway()
-            await world.wait_ready()
+            engine = await start(world, Hang(), service="models")
             sock = await open_socket(world.settings[0].listen)
             fields = ("X-Token-Usage: 500,50",)
             sock.send(make_request("left", b"ask", path="/chat/1", fields=fields))
