Ask the connection itself whether it is ending

The handler of the own face asked check_stays and caught its error to learn what CallerStream.is_ending tells; since the fix both mean the same, a caller that gave way or has left. Behaviour is unchanged. test_leaving_callers, test_cut_requests and test_bad_input of test/entry pass.

--- a/eelgrassrack/entry/callerhandler.py
+++ b/eelgrassrack/entry/callerhandler.py
@@ -128,7 +128,7 @@
         """
         self.responder.has_ended = True
         self.core.callers.discard(self)
-        if self._has_given_way:
+        if self.stream.is_ending:
             self.body = b""
         if self.task is not None:
             self.core.meter.note_gone()
@@ -155,15 +155,6 @@
         """Whether the request was refused, or its caller has left."""
         return self.refused or self.is_gone
 
-    @property
-    def _has_given_way(self) -> bool:
-        """Whether the connection was closed to make room for others."""
-        try:
-            self.stream.check_stays()
-        except StreamClosedError:
-            return True
-        return False
-
     def set_end(self, time: float) -> None:
         """Buffer the answer if it may not be complete when this entry exits.
 
@@ -297,7 +288,7 @@
         try:
             self.stream.note_served()
         except StreamClosedError:
-            # The caller was told that its request didn't run.
+            # The caller has left, or was told that its request didn't run.
             work.close()
             return
         self.task = asyncio.ensure_future(work)
